--- /dev/null
+++ b/source/control.hpp
@@ -0,0 +1,631 @@
+// The role `control`: detector, record, configuration, worker list, placement.
+#pragma once
+#include "common.hpp"
+#include "control/detector/detector.hpp"
+#include "control/jobs/board.hpp"
+#include "control/store/disk.hpp"
+#include "control/store/owner.hpp"
+#include "control/store/replica.hpp"
+#include "shared/http/listener.hpp"
+#include "shared/http/loop.hpp"
+#include "shared/http/slab.hpp"
+#include "shared/settings/props.hpp"
+#include "shared/time/judge.hpp"
+
+namespace calicostall {
+
+struct ControlProps {
+    Props machine;
+    DetectorProps detector;
+    OwnerProps owner;
+    BoardProps board;
+    Micros write_patience = milliseconds(700);
+    Micros side_wait = seconds(1);
+    Micros probe_busy = milliseconds(300), probe_idle = milliseconds(800);
+    Micros catching_up_most = milliseconds(1200);
+    Micros gone_after = seconds(2);
+};
+
+class Control {
+public:
+    Control(ControlProps props, Loop& loop)
+        : props_(std::move(props)),
+          loop_(loop),
+          disk_(props_.machine.folder, props_.machine.disk_mb),
+          detector_(props_.detector, 0, 1, steady_now()),
+          owner_(props_.owner, Identity{}),
+          ledger_{this},
+          board_(props_.board, ledger_) {}
+
+    // Opens disk and listeners; returns what went wrong.
+    Findings open() {
+        Findings findings;
+        std::lock_guard guard(lock_);
+        Micros now = steady_now();
+        own_address_ = replica_address(props_.machine.control);
+        if (std::string mishap = disk_.open(replica_); !mishap.empty()) {
+            findings.add("data_dir", mishap);
+            return findings;
+        }
+        bool first = replica_.identity.value == 0;
+        if (first) found_identity();
+        if (first && !disk_.write_identity(replica_.identity)) findings.add("data_dir", "takes no writes");
+        owner_ = Owner(props_.owner, replica_.identity);
+        owner_.unpack_core = [](const std::string& packed) { return unpack<Core>(packed); };
+        disk_.start();
+        bool fresh = first && props_.machine.first_start;
+        catching_up_until_ = fresh ? now : now + props_.catching_up_most;
+        learn_core(now);
+        log_line("control", "identity {:x}, {} registers, promised {}, {}", replica_.identity.value, replica_.registers.size(), replica_.promised.value,
+                 place_ ? fmt::format("place {} of {}", *place_, core_.members.size()) : std::string("no member yet"));
+        try {
+            inner_ = std::make_unique<Listener>(own_address_, Listener::Limits{.body_bytes = 64 << 20}, [this](Transaction transaction) { take_inner(std::move(transaction)); });
+            inner_->open();
+        } catch (const std::exception& mishap) {
+            findings.add("port_range", fmt::format("{}: {}", own_address_, mishap.what()));
+        }
+        try {
+            control_ = std::make_unique<Listener>(props_.machine.control, Listener::Limits{.body_bytes = 4 << 20}, [this](Transaction transaction) { take_control(std::move(transaction)); });
+            control_->open();
+        } catch (const std::exception& mishap) {
+            findings.add("bind_addrs.control", fmt::format("{}: {}", props_.machine.control, mishap.what()));
+        }
+        loop_.after(0, [this] { turn_by_pulse(); });
+        return findings;
+    }
+    // A planned stop: the successors are told, and what is being decided gets a moment.
+    void leave(std::function<void()> then) {
+        std::lock_guard guard(lock_);
+        log_line("control", "leaving");
+        leaving_ = true;
+        owner_.give_up();
+        board_.end_ownership();
+        for (size_t place = 0; place < core_.members.size(); ++place)
+            if (place != place_.value_or(~size_t(0))) send_alive(place, true);
+        answer_all_waiting();
+        loop_.after(milliseconds(400), std::move(then));
+    }
+    void take_props(const Props& machine) {
+        std::lock_guard guard(lock_);
+        props_.machine.seeds = machine.seeds;
+    }
+
+private:
+    struct LedgerAdapter {
+        Control* control;
+        void propose(const std::string& key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
+            control->owner_.propose(key, std::move(fixed), std::move(moving), std::move(told));
+            control->turn_wanted_ = true;
+        }
+        void confirm(const std::string& key, std::function<void(bool)> told) {
+            control->owner_.confirm(key, std::move(told));
+            control->turn_wanted_ = true;
+        }
+        void bury(const std::string& key) { control->owner_.bury(key); }
+    };
+    struct SideWait {
+        Reply reply;
+        std::string node;
+        Epoch epoch;
+        std::uint64_t taken = 0, seen_told = 0;
+        Micros until = 0;
+    };
+    struct NewsWait {
+        Reply reply;
+        NewsAsk ask;
+        Micros until = 0;
+    };
+
+    std::string replica_address(const std::string& control) const { return fmt::format("{}:{}", address_host(control), props_.machine.first_port); }
+    bool acting() const { return owner_.acting() && board_epoch_ == owner_.epoch(); }
+
+    // --- who belongs to the core ---
+
+    void found_identity() {
+        std::vector<std::string> seeds = props_.machine.seeds;
+        std::sort(seeds.begin(), seeds.end());
+        bool among = std::find(seeds.begin(), seeds.end(), props_.machine.control) != seeds.end();
+        std::random_device device;
+        replica_.identity = Identity{(std::uint64_t(device()) << 32 | device()) | 1};
+        if (!props_.machine.first_start || !among) return;
+        Core core;
+        core.next_number = 1;
+        core.size_wanted = seeds.size();
+        for (const std::string& seed : seeds) {
+            std::uint64_t hash = 1469598103934665603ull;
+            for (const std::string& each : seeds)
+                for (char letter : each + ";") hash = (hash ^ std::uint8_t(letter)) * 1099511628211ull;
+            for (char letter : seed) hash = (hash ^ std::uint8_t(letter)) * 1099511628211ull;
+            Member member{core.next_number++, Identity{hash | 1}, replica_address(seed), seed};
+            if (seed == props_.machine.control) replica_.identity = member.identity;
+            core.members.push_back(member);
+        }
+        Register value{Epoch{0}, Version{1}, {}, pack(core)};
+        replica_.registers["core"] = value;
+        Change change;
+        change.puts.emplace_back("core", value);
+        founding_ = std::move(change);
+    }
+    void learn_core(Micros now) {
+        if (founding_) {
+            Change change = std::move(*founding_);
+            founding_.reset();
+            disk_.put(std::move(change), [] {});
+        }
+        auto found = replica_.registers.find("core");
+        if (found == replica_.registers.end()) return;
+        if (core_version_ && *core_version_ == std::pair(found->second.epoch, found->second.version)) return;
+        auto core = unpack<Core>(found->second.moving);
+        if (!core) return;
+        core_version_ = std::pair(found->second.epoch, found->second.version);
+        core_mark_ = found->second.version.value;
+        std::optional<Identity> trusted;
+        if (place_ && detector_.trusted() < core_.members.size()) trusted = core_.members[detector_.trusted()].identity;
+        bool same = core_.members.size() == core->members.size();
+        for (size_t place = 0; same && place < core->members.size(); ++place) same = core_.members[place].identity == core->members[place].identity;
+        core_ = std::move(*core);
+        place_ = core_.place_of(replica_.identity);
+        if (same || !place_) return;
+        size_t place = trusted ? core_.place_of(*trusted).value_or(0) : 0;
+        detector_.reorder(*place_, core_.members.size(), place, now);
+        log_line("control", "core of {}, place {}", core_.members.size(), *place_);
+    }
+    void ask_to_join(Micros now) {
+        if (place_ || now < next_join_ || leaving_) return;
+        next_join_ = now + milliseconds(400);
+        JoinAsk ask{replica_.identity, own_address_, props_.machine.control, false};
+        for (const std::string& seed : props_.machine.seeds) {
+            std::string address = replica_address(seed);
+            if (address != own_address_) loop_.ask({.url = "http://" + address + "/inner/join", .body = pack(ask)}, nullptr);
+        }
+    }
+    void take_join(const JoinAsk& ask) {
+        if (!acting()) {
+            std::string owner = owner_address();
+            if (!ask.relayed && !owner.empty() && owner != own_address_) {
+                JoinAsk onward = ask;
+                onward.relayed = true;
+                loop_.ask({.url = "http://" + owner + "/inner/join", .body = pack(onward)}, nullptr);
+            }
+            return;
+        }
+        if (owner_.core().find(ask.identity)) return;
+        if (!joiner_ || joiner_->identity != ask.identity) log_line("control", "{} asks to join as {:x}", ask.address, ask.identity.value);
+        joiner_ = Member{0, ask.identity, ask.address, ask.control};
+        joiner_heard_ = steady_now();
+        turn_wanted_ = true;
+    }
+    // The core changes by one member at a time, and only under an acting owner.
+    void tend_core(Micros now) {
+        if (!joiner_ || core_changing_) return;
+        if (now - joiner_heard_ > seconds(3)) {
+            owner_.drop_learner(joiner_->identity);
+            joiner_.reset();
+            return;
+        }
+        Core core = owner_.core();
+        if (core.find(joiner_->identity)) {
+            owner_.drop_learner(joiner_->identity);
+            joiner_.reset();
+            return;
+        }
+        if (!owner_.has_learner(joiner_->identity)) {
+            owner_.add_learner(*joiner_);
+            turn_wanted_ = true;
+        }
+        if (core.members.size() >= core.size_wanted) {
+            const Member* victim = nullptr;
+            for (const Member& member : core.members) {
+                if (member.identity == replica_.identity) continue;
+                bool lost = member.address == joiner_->address || owner_.is_gone(member.identity) ||
+                            !owner_.heard_since(member.identity, std::max(now - props_.gone_after, acting_since_));
+                if (lost && now - acting_since_ > props_.gone_after) victim = &member;
+                if (member.address == joiner_->address) {
+                    victim = &member;
+                    break;
+                }
+            }
+            if (!victim) return;
+            log_line("control", "member {} at {} leaves the core", victim->number, victim->address);
+            std::uint64_t number = victim->number;
+            std::erase_if(core.members, [&](const Member& member) { return member.number == number; });
+            return change_core(core);
+        }
+        if (!owner_.learner_ready(joiner_->identity)) return;
+        Member member = *joiner_;
+        member.number = core.next_number++;
+        core.members.push_back(member);
+        log_line("control", "member {} at {} joins the core", member.number, member.address);
+        change_core(core);
+    }
+    void change_core(const Core& core) {
+        core_changing_ = true;
+        owner_.set_core(core, pack(core), [this](bool) { core_changing_ = false; });
+        turn_wanted_ = true;
+    }
+
+    // --- the turn: everything that follows from a change or from time ---
+
+    void turn_by_pulse() {
+        std::lock_guard guard(lock_);
+        pulse_at_ = 0;
+        turn();
+    }
+    void turn() {
+        if (turning_) {
+            turn_wanted_ = true;
+            return;
+        }
+        turning_ = true;
+        for (int round = 0; round < 20; ++round) {
+            turn_wanted_ = false;
+            turn_once(steady_now());
+            if (!turn_wanted_) break;
+        }
+        turning_ = false;
+        schedule(steady_now());
+    }
+    void turn_once(Micros now) {
+        learn_core(now);
+        ask_to_join(now);
+        if (place_ && !leaving_) elect(now);
+        if (acting()) {
+            tend_core(now);
+            Micros wall = judge_.wall(wall_now(), now);
+            board_.pulse(now, wall, owner_.confirmed_at());
+            Micros age = now - owner_.confirmed_at();
+            if (age > (board_.anything_held() ? props_.probe_busy : props_.probe_idle) && now - probed_at_ > milliseconds(150)) {
+                probed_at_ = now;
+                owner_.probe();
+            }
+        }
+        for (Errand& errand : owner_.pump(now)) carry(std::move(errand));
+        answer_sides(now);
+        answer_news(now);
+        if (now - counted_at_ > seconds(5)) {
+            counted_at_ = now;
+            std::string text = counters().changed_text();
+            if (!text.empty()) log_line("counters", "{}", text);
+        }
+    }
+    void elect(Micros now) {
+        bool stalled = disk_.stalled_for(now) > milliseconds(600);
+        bool catching_up = now < catching_up_until_;
+        bool alone = core_.members.size() > 1 && owner_.state() != Owner::State::idle && now - owner_since_ > seconds(1) && !owner_.reaches_majority(now - seconds(1));
+        detector_.set_silent(stalled || catching_up || alone);
+        size_t before = detector_.trusted();
+        for (size_t place : detector_.pulse(now)) send_alive(place, false);
+        if (before != detector_.trusted()) log_line("detector", "trusts place {} after {}", detector_.trusted(), before);
+        if (detector_.trusts_itself() && !catching_up && !stalled && owner_.state() == Owner::State::idle && now >= next_takeover_) {
+            next_takeover_ = now + milliseconds(150);
+            owner_since_ = now;
+            owner_.take_over(core_, std::max(replica_.promised, highest_epoch_));
+        }
+        if ((!detector_.trusts_itself() || stalled) && owner_.state() != Owner::State::idle) {
+            log_line("control", "gives way, epoch {}", owner_.epoch().value);
+            owner_.give_up();
+        }
+        if (owner_.outbid_by) {
+            highest_epoch_ = std::max(highest_epoch_, *owner_.outbid_by);
+            owner_.outbid_by.reset();
+        }
+        if (owner_.acting() && board_epoch_ != owner_.epoch()) {
+            board_epoch_ = owner_.epoch();
+            acting_since_ = now;
+            core_changing_ = false;
+            log_line("control", "owner under epoch {}, {} registers", owner_.epoch().value, owner_.registers().size());
+            board_.begin(owner_.epoch(), owner_.registers(), now);
+            if (!owner_.core().members.empty() && owner_.registers().count("core") == 0) owner_.set_core(owner_.core(), pack(owner_.core()), nullptr);
+            note_owner(owner_.epoch(), own_address_);
+        }
+        if (!owner_.acting() && board_epoch_.value != 0) {
+            board_epoch_ = Epoch{};
+            board_.end_ownership();
+            joiner_.reset();
+        }
+    }
+    void schedule(Micros now) {
+        Micros next = now + milliseconds(200);
+        if (place_) next = std::min(next, detector_.next(now));
+        if (owner_.state() != Owner::State::idle) next = std::min(next, now + milliseconds(100));
+        if (acting()) next = std::min(next, board_.next_pulse(now, judge_.wall(wall_now(), now)));
+        next = std::max(next, now + 500);
+        if (pulse_at_ != 0 && pulse_at_ <= next + 500 && pulse_at_ > now - milliseconds(50)) return;
+        pulse_at_ = next;
+        loop_.after(next - now, [this, next] {
+            std::lock_guard guard(lock_);
+            if (pulse_at_ != next) return;
+            pulse_at_ = 0;
+            turn();
+        });
+    }
+    void send_alive(size_t place, bool leaving) {
+        counters().add("alive_sent");
+        loop_.ask({.url = "http://" + core_.members[place].address + "/inner/alive", .body = pack(AliveNote{replica_.identity, leaving}), .patience = milliseconds(500)}, nullptr);
+    }
+    void note_owner(Epoch epoch, const std::string& address) {
+        highest_epoch_ = std::max(highest_epoch_, epoch);
+        if (epoch < known_epoch_ || (epoch == known_epoch_ && address == known_owner_)) return;
+        known_epoch_ = epoch;
+        known_owner_ = address;
+        turn_wanted_ = true;
+    }
+    std::string owner_address() const { return known_owner_; }
+
+    // --- errands of the owner ---
+
+    void carry(Errand errand) {
+        std::uint64_t ticket = errand.ticket;
+        if (errand.to.identity == replica_.identity) {
+            if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask)) serve_prepare(*prepare, [this, ticket](PrepareAnswer answer) { owner_.take(ticket, &answer, steady_now()), turn(); });
+            else serve_write(std::get<WriteAsk>(errand.ask), [this, ticket](WriteAnswer answer) { owner_.take(ticket, &answer, steady_now()), turn(); });
+            return;
+        }
+        bool preparing = std::holds_alternative<PrepareAsk>(errand.ask);
+        std::string body = preparing ? pack(std::get<PrepareAsk>(errand.ask)) : pack(std::get<WriteAsk>(errand.ask));
+        counters().add("errand_bytes", body.size());
+        std::string address = errand.to.address;
+        loop_.ask({.url = "http://" + address + (preparing ? "/inner/prepare" : "/inner/write"), .body = std::move(body), .patience = props_.write_patience},
+                  [this, ticket, preparing, address](Answer answer) {
+                      std::lock_guard guard(lock_);
+                      Micros now = steady_now();
+                      if (preparing) {
+                          auto frame = answer.good() ? unpack<PrepareAnswer>(answer.body) : std::nullopt;
+                          if (frame) judge_.note(address, frame->wall, now);
+                          owner_.take(ticket, frame ? &*frame : nullptr, now);
+                      } else {
+                          auto frame = answer.good() ? unpack<WriteAnswer>(answer.body) : std::nullopt;
+                          if (frame) judge_.note(address, frame->wall, now);
+                          owner_.take(ticket, frame ? &*frame : nullptr, now);
+                      }
+                      turn();
+                  });
+    }
+    template <class Told>
+    void serve_prepare(const PrepareAsk& ask, Told told) {
+        bool trusted = place_ && !leaving_ && core_.place_of(ask.from) == std::optional(detector_.trusted());
+        auto [answer, change] = replica_.prepare(ask, trusted);
+        if (answer.verdict == Verdict::granted && ask.from != replica_.identity && owner_.state() != Owner::State::idle) owner_.give_up();
+        answer.wall = wall_now();
+        disk_.put(std::move(change), [this, told, answer = std::move(answer)]() mutable {
+            std::lock_guard guard(lock_);
+            told(std::move(answer));
+        });
+    }
+    template <class Told>
+    void serve_write(const WriteAsk& ask, Told told) {
+        auto [answer, change] = replica_.write(ask);
+        answer.wall = wall_now();
+        if (answer.verdict == Verdict::granted) {
+            learn_core(steady_now());
+            const Member* from = core_.find(ask.from);
+            if (from) note_owner(ask.epoch, from->address);
+            if (ask.from != replica_.identity && ask.level) catching_up_until_ = 0;
+            else if (ask.from != replica_.identity && catching_up_until_ != 0) catching_up_until_ = std::max(catching_up_until_, steady_now() + props_.catching_up_most);
+        }
+        disk_.put(std::move(change), [this, told, answer = std::move(answer)]() mutable {
+            std::lock_guard guard(lock_);
+            told(std::move(answer));
+        });
+    }
+
+    // --- what comes in ---
+
+    void take_inner(Transaction transaction) {
+        auto refuse = [&] {
+            counters().add("frames_refused");
+            transaction.reply.send(Outcome::plain(400));
+        };
+        auto shared = std::make_shared<Reply>();
+        if (transaction.path == "/inner/write") {
+            auto ask = unpack<WriteAsk>(transaction.body);
+            if (!ask) return refuse();
+            *shared = std::move(transaction.reply);
+            std::lock_guard guard(lock_);
+            if (ask->to == replica_.identity || true) serve_write(*ask, [shared](WriteAnswer answer) { shared->send(Outcome::cbor(pack(answer))); });
+            if (turn_wanted_) turn();
+        } else if (transaction.path == "/inner/prepare") {
+            auto ask = unpack<PrepareAsk>(transaction.body);
+            if (!ask) return refuse();
+            *shared = std::move(transaction.reply);
+            std::lock_guard guard(lock_);
+            serve_prepare(*ask, [shared](PrepareAnswer answer) { shared->send(Outcome::cbor(pack(answer))); });
+            turn();
+        } else if (transaction.path == "/inner/alive") {
+            auto note = unpack<AliveNote>(transaction.body);
+            if (!note) return refuse();
+            {
+                std::lock_guard guard(lock_);
+                Micros now = steady_now();
+                auto place = core_.place_of(note->from);
+                size_t before = detector_.trusted();
+                if (place && place_) {
+                    if (note->leaving) detector_.leaving(*place, now);
+                    else detector_.alive(*place, now);
+                }
+                if (before != detector_.trusted()) {
+                    log_line("detector", "trusts place {} after {}", detector_.trusted(), before);
+                    turn();
+                }
+            }
+            transaction.reply.send(Outcome::plain(200));
+        } else if (transaction.path == "/inner/join") {
+            auto ask = unpack<JoinAsk>(transaction.body);
+            if (!ask) return refuse();
+            transaction.reply.send(Outcome::cbor(pack(JoinAnswer{true})));
+            std::lock_guard guard(lock_);
+            take_join(*ask);
+            if (turn_wanted_) turn();
+        } else if (transaction.path == "/inner/news") {
+            auto ask = unpack<NewsAsk>(transaction.body);
+            if (!ask) return refuse();
+            std::lock_guard guard(lock_);
+            Micros now = steady_now();
+            news_.push_back({std::move(transaction.reply), *ask, now + std::min(ask->wait, seconds(30))});
+            answer_news(now);
+        } else if (transaction.path == "/inner/call") {
+            auto ask = unpack<CallAsk>(transaction.body);
+            if (!ask) return refuse();
+            *shared = std::move(transaction.reply);
+            std::lock_guard guard(lock_);
+            serve_call(*ask, [shared](CallAnswer answer) { shared->send(Outcome::cbor(pack(answer))); });
+            turn();
+        } else if (transaction.path == "/inner/side") {
+            auto ask = unpack<SideAsk>(transaction.body);
+            if (!ask) return refuse();
+            std::lock_guard guard(lock_);
+            serve_side(std::move(*ask), std::move(transaction.reply));
+            turn();
+        } else {
+            transaction.reply.send(Outcome::plain(404));
+        }
+    }
+    // Calls of operators, by the table: PUT /config, GET /config.
+    void take_control(Transaction transaction) {
+        if (transaction.path != "/config" || (transaction.method != "PUT" && transaction.method != "GET")) {
+            transaction.reply.send(Outcome::plain(transaction.path == "/config" ? 405 : 404));
+            return;
+        }
+        auto shared = std::make_shared<Reply>(std::move(transaction.reply));
+        CallAsk ask{transaction.method, {}, "/config", std::move(transaction.body), transaction.if_match, false};
+        bool reads = ask.method == "GET";
+        std::lock_guard guard(lock_);
+        serve_call(ask, [shared, reads](CallAnswer answer) {
+            if (answer.fate == CallFate::settled) {
+                Outcome outcome;
+                outcome.code = int(answer.code);
+                outcome.body = std::move(answer.body);
+                outcome.form = outcome.body.empty() ? Outcome::Form::none : Outcome::Form::json;
+                outcome.retry_after_s = int(answer.retry_after_s);
+                shared->send(outcome);
+            } else {
+                shared->send(Outcome::later(answer.fate == CallFate::doubtful && !reads ? 504 : 503, 1));
+            }
+        });
+        turn();
+    }
+    template <class Told>
+    void serve_call(const CallAsk& ask, Told told) {
+        auto done = [told](CallFate fate, Outcome outcome) { told(CallAnswer{fate, outcome.code, std::move(outcome.body), outcome.retry_after_s}); };
+        if (acting()) {
+            Micros now = steady_now();
+            if (ask.path == "/config" && ask.host.empty()) {
+                if (ask.method == "PUT") board_.put_config(ask, done);
+                else board_.get_config(done);
+            } else {
+                board_.call(ask, now, judge_.wall(wall_now(), now), done);
+            }
+            return;
+        }
+        std::string owner = owner_address();
+        if (ask.relayed || owner.empty() || owner == own_address_) {
+            counters().add("calls_elsewhere");
+            return told(CallAnswer{CallFate::elsewhere, 503, {}, 1});
+        }
+        CallAsk onward = ask;
+        onward.relayed = true;
+        counters().add("calls_relayed");
+        loop_.ask({.url = "http://" + owner + "/inner/call", .body = pack(onward), .patience = milliseconds(900)}, [told](Answer answer) {
+            auto frame = answer.good() ? unpack<CallAnswer>(answer.body) : std::nullopt;
+            if (frame) told(std::move(*frame));
+            else told(CallAnswer{answer.fate == Answer::Fate::refused ? CallFate::elsewhere : CallFate::doubtful, 503, {}, 1});
+        });
+    }
+    void serve_side(SideAsk ask, Reply reply) {
+        Micros now = steady_now();
+        if (!acting()) {
+            std::string owner = owner_address();
+            if (ask.relayed || owner.empty() || owner == own_address_) return reply.send(Outcome::cbor(pack(SideAnswer{})));
+            ask.relayed = true;
+            auto shared = std::make_shared<Reply>(std::move(reply));
+            loop_.ask({.url = "http://" + owner + "/inner/side", .body = pack(ask), .patience = props_.side_wait + milliseconds(600)}, [shared](Answer answer) {
+                shared->send(answer.good() ? Outcome::cbor(std::move(answer.body)) : Outcome::cbor(pack(SideAnswer{})));
+            });
+            return;
+        }
+        std::uint64_t seen_before = board_.seen_of(ask.node);
+        (void)seen_before;
+        board_.take_side(ask, now, judge_.wall(wall_now(), now));
+        // An older ask of the same side is answered at once: only the newest waits.
+        for (SideWait& wait : sides_)
+            if (wait.node == ask.node) wait.until = 0;
+        std::uint64_t told = ask.epoch == owner_.epoch() ? ask.seen : 0;
+        sides_.push_back({std::move(reply), ask.node, ask.epoch, ask.epoch == owner_.epoch() ? ask.taken : 0, told, now + props_.side_wait});
+    }
+    void answer_sides(Micros now) {
+        for (auto wait = sides_.begin(); wait != sides_.end();) {
+            if (acting() && now < wait->until && !board_.has_news(wait->node, wait->epoch, wait->taken, wait->seen_told)) {
+                ++wait;
+                continue;
+            }
+            if (acting()) wait->reply.send(Outcome::cbor(pack(board_.answer_side(wait->node, owner_.confirmed_at(), now))));
+            else wait->reply.send(Outcome::cbor(pack(SideAnswer{})));
+            wait = sides_.erase(wait);
+        }
+    }
+    void answer_news(Micros now) {
+        std::uint64_t revision = 0;
+        const std::string* config = nullptr;
+        auto found = replica_.registers.find("config");
+        if (found != replica_.registers.end() && !found->second.moving.empty()) {
+            if (found->second.version != config_version_ || found->second.epoch != config_epoch_) {
+                config_version_ = found->second.version;
+                config_epoch_ = found->second.epoch;
+                Findings findings;
+                config_revision_ = parse_config(found->second.moving, findings).revision;
+            }
+            revision = config_revision_;
+            config = &found->second.moving;
+        }
+        for (auto wait = news_.begin(); wait != news_.end();) {
+            bool newer = known_epoch_ > wait->ask.epoch || revision > wait->ask.config_revision || core_mark_ > wait->ask.core_mark;
+            if (!newer && now < wait->until) {
+                ++wait;
+                continue;
+            }
+            NewsAnswer answer{revision, {}, known_epoch_, known_owner_, core_mark_, {}};
+            if (config && revision > wait->ask.config_revision) answer.config = *config;
+            for (const Member& member : core_.members) answer.colleagues.push_back(member.address);
+            wait->reply.send(Outcome::cbor(pack(answer)));
+            wait = news_.erase(wait);
+        }
+    }
+    void answer_all_waiting() {
+        for (SideWait& wait : sides_) wait.reply.send(Outcome::cbor(pack(SideAnswer{})));
+        sides_.clear();
+        for (NewsWait& wait : news_) wait.until = 0;
+        answer_news(steady_now());
+    }
+
+    ControlProps props_;
+    Loop& loop_;
+    std::recursive_mutex lock_;
+    Replica replica_;
+    Disk disk_;
+    Detector detector_;
+    Owner owner_;
+    LedgerAdapter ledger_;
+    Board<LedgerAdapter> board_;
+    ClockJudge judge_;
+    std::unique_ptr<Listener> inner_, control_;
+    std::string own_address_;
+    Core core_;
+    std::optional<std::pair<Epoch, Version>> core_version_;
+    std::uint64_t core_mark_ = 0;
+    std::optional<size_t> place_;
+    std::optional<Change> founding_;
+    std::optional<Member> joiner_;
+    Micros joiner_heard_ = 0, next_join_ = 0;
+    bool core_changing_ = false;
+    bool leaving_ = false, turning_ = false, turn_wanted_ = false;
+    Micros catching_up_until_ = 0, owner_since_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0, counted_at_ = 0, pulse_at_ = 0;
+    Epoch board_epoch_, highest_epoch_, known_epoch_;
+    std::string known_owner_;
+    Version config_version_;
+    Epoch config_epoch_;
+    std::uint64_t config_revision_ = 0;
+    std::list<SideWait> sides_;
+    std::list<NewsWait> news_;
+};
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/control/jobs/board.hpp
@@ -0,0 +1,720 @@
+// All jobs and workers as the owner sees them. Pure: it proposes to a ledger and is told the time.
+#pragma once
+#include "common.hpp"
+#include "control/jobs/job.hpp"
+#include "control/plan/placer.hpp"
+#include "control/store/register.hpp"
+#include "shared/http/outcome.hpp"
+#include "shared/record/log.hpp"
+#include "shared/settings/config.hpp"
+#include "shared/wire/frames.hpp"
+
+namespace calicostall {
+
+struct BoardProps {
+    Micros hold = seconds(3);           // how long a worker keeps what runs there without news
+    Micros hold_margin = milliseconds(250);
+    Micros fresh = milliseconds(2500);  // a worker heard later than this gets no start
+    Micros status_kept = seconds(120);
+    Micros early = 0;
+    Micros resend_start = seconds(1);
+    size_t jobs_most = 20000;
+    PlacerProps placer;
+    // When a hold that was last allowed at `allowed` has surely lapsed (a worker's clock may run 2% slow).
+    Micros lapse_after(Micros confirmed) const { return confirmed + hold + hold / 50 + hold_margin; }
+};
+
+// What the board needs of the record: proposals that come back committed or not at all.
+template <class T>
+concept Ledger = requires(T ledger, std::string key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
+    ledger.propose(key, fixed, moving, told);
+    ledger.confirm(key, told);
+    ledger.bury(key);
+};
+
+enum class RunState { intended, ordered, running, stopping };
+
+// A run that takes room on a worker.
+struct RunEntry {
+    RunName name;
+    std::int64_t cpu = 0, memory = 0, gpu = 0;
+    RunState state = RunState::intended;
+    bool stop_wanted = false;
+    Micros since = 0, ordered_at = 0;
+    Micros estimate = 0;
+    std::string saved;
+    std::int64_t percent = 0;
+    std::uint64_t missing = 0;  // reports in a row that did not show it
+};
+
+struct WorkerEntry {
+    WorkerAccount account;
+    std::string node;
+    std::uint64_t sitting = 0;
+    bool placeholder = false;  // known from the record only
+    bool reconciled = false;   // it has reported under this owner's fence
+    Micros heard_at = 0;
+    Micros lapses_at = 0;      // its hold has surely lapsed after this
+    Micros avoided_until = 0;
+    Micros leaves_at = -1;
+    std::uint64_t noted = 0, seen = 0;
+    std::map<std::uint64_t, bool> ends;  // numbers noted and whether they are committed
+    std::map<RunName, RunEntry> runs;
+    std::deque<Order> orders;
+    std::uint64_t last_order = 0;
+    bool look = true;
+    std::uint64_t era = 1;     // rises with each lapse: orders of an earlier era are void
+    bool silent = false;       // its side gets no answer from it
+    std::int64_t cpu_used = 0, memory_used = 0, gpu_used = 0;
+};
+
+template <Ledger L>
+class Board {
+public:
+    Board(BoardProps props, L& ledger) : props_(props), ledger_(ledger) {}
+
+    // --- ownership ---
+
+    // A new owner begins with what the record says; nothing starts before the workers have reported.
+    void begin(Epoch epoch, const std::map<std::string, Register>& registers, Micros now) {
+        end_ownership();
+        epoch_ = epoch;
+        begun_at_ = now;
+        for (const auto& [key, value] : registers) {
+            if (key == "config" && !value.moving.empty()) {
+                Findings findings;
+                config_ = parse_config(value.moving, findings);
+            }
+            if (!key.starts_with("job/") || value.fixed.empty()) continue;
+            auto job = Job::unpacked(value.fixed, value.moving);
+            if (!job) {
+                counters().add("jobs_unreadable");
+                continue;
+            }
+            JobEntry& entry = jobs_[job->fixed.id];
+            entry.job = std::move(*job);
+            entry.committed = true;
+            index(entry);
+            for (const Time& time : entry.job.moving.times)
+                for (std::uint32_t step = 0; step < time.steps.size(); ++step)
+                    for (std::uint32_t place = 0; place < time.steps[step].tasks.size(); ++place)
+                        for (const Placement& placement : time.steps[step].tasks[place].placements) {
+                            const std::string& life = entry.job.moving.workers[placement.worker];
+                            auto [worker, fresh] = workers_.try_emplace(life);
+                            if (fresh) {
+                                worker->second.account.life = life;
+                                worker->second.placeholder = true;
+                                worker->second.lapses_at = props_.lapse_after(now);
+                            }
+                            add_run(worker->second, entry, {entry.job.fixed.id, time.number, step, place, placement.run}, RunState::ordered, now);
+                        }
+        }
+        plan_wanted_ = true;
+    }
+    void end_ownership() {
+        jobs_.clear();
+        active_.clear();
+        dirty_.clear();
+        workers_.clear();
+        nodes_.clear();
+        config_ = Config{};
+        epoch_ = Epoch{};
+    }
+    const Config& config() const { return config_; }
+    const std::map<std::string, WorkerEntry>& workers() const { return workers_; }
+    size_t job_count() const { return jobs_.size(); }
+    const Job* find_job(const std::string& id) const {
+        auto found = jobs_.find(id);
+        return found == jobs_.end() ? nullptr : &found->second.job;
+    }
+    bool anything_held() const {
+        for (const auto& [life, worker] : workers_)
+            if (!worker.runs.empty()) return true;
+        return false;
+    }
+
+    // --- calls of clients ---
+
+    using Done = std::function<void(CallFate, Outcome)>;
+
+    // One table row a call: method, path below the lane, what it does.
+    void call(const CallAsk& ask, Micros now, Micros wall, Done done) {
+        const Lane* lane = config_.find(ask.host, ask.path);
+        if (!lane) return confirmed("config", Outcome::plain(404), std::move(done));
+        std::string id = ask.path.substr(lane->prefix.size());
+        if (size_t mark = id.find('?'); mark != std::string::npos) id.resize(mark);
+        if (id.empty()) {
+            if (ask.method != "GET") return done(CallFate::settled, Outcome::plain(405));
+            return count_pending(*lane, std::move(done));
+        }
+        if (!valid_job_id(id)) return done(CallFate::settled, problem(400, "id: must be 16 hex digits"));
+        if (ask.method == "POST") return accept(*lane, id, ask.body, now, wall, std::move(done));
+        if (ask.method == "GET") return show(*lane, id, std::move(done));
+        if (ask.method == "DELETE") return cancel(*lane, id, wall, std::move(done));
+        done(CallFate::settled, Outcome::plain(405));
+    }
+
+    // The operator's new configuration.
+    void put_config(const CallAsk& ask, Done done) {
+        Findings findings;
+        Config config = parse_config(ask.body, findings);
+        if (findings.empty() && config.revision == config_.revision && same_json(config.text, config_.text))
+            return confirmed("config", Outcome::plain(200), std::move(done));
+        if (!findings.empty()) return confirmed("config", problem(400, findings.text()), std::move(done));
+        std::optional<std::uint64_t> base;
+        if (!ask.if_match.empty()) {
+            std::string digits = ask.if_match;
+            std::erase(digits, '"');
+            if (digits.empty() || !std::all_of(digits.begin(), digits.end(), [](char letter) { return letter >= '0' && letter <= '9'; }) || digits.size() > 18)
+                return done(CallFate::settled, problem(400, "If-Match: must be a whole number"));
+            base = std::stoull(digits);
+        }
+        if (!base || *base != config_.revision) return confirmed("config", problem(412, fmt::format("If-Match: version {} is current", config_.revision)), std::move(done));
+        if (config.revision <= config_.revision)
+            return confirmed("config", problem(400, fmt::format("revision: must be above {}", config_.revision)), std::move(done));
+        std::string text = config.text;
+        config_ = std::move(config);
+        counters().add("configs_taken");
+        ledger_.propose("config", std::nullopt, text, [done](bool committed) {
+            done(committed ? CallFate::settled : CallFate::doubtful, Outcome::plain(committed ? 200 : 504));
+        });
+        plan_wanted_ = true;
+    }
+    void get_config(Done done) {
+        if (config_.revision == 0) return confirmed("config", Outcome::later(404, 1), std::move(done));
+        confirmed("config", Outcome::json(200, config_.text), std::move(done));
+    }
+
+    // --- sides ---
+
+    // What a side says; the answer is made by `answer_side` when there is something to tell.
+    void take_side(const SideAsk& ask, Micros now, Micros wall) {
+        for (const std::string& life : ask.over) end_life(life, now, wall);
+        if (!ask.worker) {
+            nodes_.erase(ask.node);
+            return;
+        }
+        const std::string& life = ask.worker->life;
+        auto known = nodes_.find(ask.node);
+        if (known != nodes_.end() && known->second != life) end_life(known->second, now, wall);
+        nodes_[ask.node] = life;
+        WorkerEntry& worker = workers_[life];
+        bool restarted = worker.sitting != ask.sitting;
+        if (worker.placeholder || worker.node.empty() || restarted) {
+            // Orders given to an earlier process of the side are given again: a start is the same start.
+            worker.placeholder = false;
+            worker.reconciled = false;
+            worker.look = true;
+            worker.sitting = ask.sitting;
+            worker.orders.clear();
+        }
+        worker.node = ask.node;
+        worker.account = *ask.worker;
+        worker.silent = ask.silent;
+        worker.heard_at = now;
+        worker.leaves_at = ask.worker->leaves_in < 0 ? -1 : now + ask.worker->leaves_in;
+        if (ask.epoch == epoch_)
+            while (!worker.orders.empty() && worker.orders.front().number <= ask.taken) worker.orders.pop_front();
+        for (const OrderResult& result : ask.results) take_result(worker, result, now);
+        if (ask.report && ask.report->life == life && ask.report->fence == epoch_) take_report(worker, *ask.report, now, wall);
+        plan_wanted_ = true;
+    }
+    // `confirmed_at`: when a majority surely still followed this owner.
+    SideAnswer answer_side(const std::string& node, Micros confirmed_at, Micros now) {
+        SideAnswer answer;
+        answer.served = true;
+        answer.epoch = epoch_;
+        auto known = nodes_.find(node);
+        if (known == nodes_.end()) return answer;
+        WorkerEntry& worker = workers_[known->second];
+        answer.life = known->second;
+        answer.era = worker.era;
+        // A worker that answers nobody gets no longer hold: what runs there must lapse.
+        answer.allowance = worker.silent ? 0 : std::max<Micros>(0, confirmed_at + props_.hold - now);
+        if (answer.allowance > 0) worker.lapses_at = std::max(worker.lapses_at, props_.lapse_after(confirmed_at));
+        answer.seen = worker.seen;
+        answer.look = worker.look;
+        answer.orders.assign(worker.orders.begin(), worker.orders.end());
+        return answer;
+    }
+    // Whether a waiting ask should be answered now.
+    bool has_news(const std::string& node, Epoch epoch, std::uint64_t taken, std::uint64_t seen_told) const {
+        auto known = nodes_.find(node);
+        if (known == nodes_.end()) return false;
+        const WorkerEntry& worker = workers_.at(known->second);
+        if (epoch != epoch_ || worker.seen > seen_told || worker.look) return true;
+        return !worker.orders.empty() && worker.orders.back().number > taken;
+    }
+    std::uint64_t seen_of(const std::string& node) const {
+        auto known = nodes_.find(node);
+        return known == nodes_.end() ? 0 : workers_.at(known->second).seen;
+    }
+
+    // --- time ---
+
+    // Lapses, due times and placements; to be called at least every few milliseconds while anything moves.
+    void pulse(Micros now, Micros wall, Micros confirmed_at) {
+        for (auto place = workers_.begin(); place != workers_.end();) {
+            auto next = std::next(place);
+            WorkerEntry& worker = place->second;
+            if (!worker.runs.empty() && now > worker.lapses_at) lapse(worker, now, wall);
+            else if (worker.reconciled && now - worker.heard_at > props_.lapse_after(0)) worker.reconciled = false, worker.look = true;
+            if (worker.runs.empty() && now - worker.heard_at > seconds(30) && !worker.node.empty() && nodes_[worker.node] != place->first) workers_.erase(place);
+            place = next;
+        }
+        if (now >= next_upkeep_) upkeep(now, wall);
+        begin_due(wall);
+        if (plan_wanted_ && now >= next_plan_) {
+            plan_wanted_ = false;
+            next_plan_ = now + milliseconds(2);
+            plan(now, confirmed_at);
+        }
+        flush();
+    }
+    // When `pulse` has something to do at the latest.
+    Micros next_pulse(Micros now, Micros wall) const {
+        Micros next = now + milliseconds(50);
+        if (plan_wanted_) next = std::min(next, std::max(now, next_plan_));
+        if (!due_.empty()) next = std::min(next, now + std::max<Micros>(0, due_.begin()->first - wall));
+        return next;
+    }
+
+private:
+    struct JobEntry {
+        Job job;
+        bool committed = false;  // a majority has it; only then anything starts
+        bool dirty = false;
+        std::vector<std::function<void()>> after;  // run once the present change is committed
+    };
+    using Rank = std::tuple<std::int64_t, Micros, std::string>;
+
+    Outcome problem(int code, const std::string& text) { return Outcome::json(code, boost::json::serialize(boost::json::object{{"error", text}})); }
+    static bool same_json(const std::string& left, const std::string& right) {
+        if (left == right) return true;
+        boost::system::error_code first, second;
+        auto one = boost::json::parse(left, first), two = boost::json::parse(right, second);
+        return !first && !second && one == two;
+    }
+    static std::string key_of(const std::string& id) { return "job/" + id; }
+    void confirmed(const std::string& key, Outcome outcome, Done done) {
+        ledger_.confirm(key, [outcome = std::move(outcome), done = std::move(done)](bool sure) {
+            if (sure) done(CallFate::settled, outcome);
+            else done(CallFate::elsewhere, Outcome::later(503, 1));
+        });
+    }
+    bool same_lane(const Job& job, const Lane& lane) const { return job.fixed.host == lane.host && job.fixed.prefix == lane.prefix; }
+
+    void accept(const Lane& lane, const std::string& id, const std::string& body, Micros now, Micros wall, Done done) {
+        if (auto found = jobs_.find(id); found != jobs_.end()) {
+            if (!same_lane(found->second.job, lane)) return confirmed(key_of(id), problem(409, "id: is taken by another queue"), std::move(done));
+            ledger_.confirm(key_of(id), [done](bool sure) {
+                done(sure ? CallFate::settled : CallFate::doubtful, Outcome::plain(sure ? 200 : 504));
+            });
+            return;
+        }
+        Findings findings;
+        JobSpec spec = parse_job(body, {}, findings);
+        if (!findings.empty()) {
+            counters().add("jobs_invalid");
+            return done(CallFate::settled, problem(400, findings.text()));
+        }
+        if (jobs_.size() >= props_.jobs_most) {
+            counters().add("jobs_refused");
+            return done(CallFate::settled, Outcome::later(429, 1));
+        }
+        JobFixed fixed;
+        fixed.id = id;
+        fixed.host = lane.host;
+        fixed.prefix = lane.prefix;
+        fixed.service = lane.service;
+        fixed.priority = lane.priority;
+        fixed.sends_most = lane.sends_most;
+        fixed.extension = lane.extension;
+        fixed.extension_thousandths = std::uint64_t(lane.extension * 1000);
+        fixed.target = lane.target;
+        fixed.accepted_wall = wall;
+        fixed.spec = std::move(spec);
+        JobEntry& entry = jobs_[id];
+        entry.job = Job::accept(std::move(fixed));
+        (void)now;
+        counters().add("jobs_accepted");
+        ledger_.propose(key_of(id), entry.job.packed_fixed(), entry.job.packed_moving(), [this, id, done](bool committed) {
+            if (committed) {
+                auto found = jobs_.find(id);
+                if (found != jobs_.end()) {
+                    found->second.committed = true;
+                    index(found->second);
+                    plan_wanted_ = true;
+                }
+            }
+            done(committed ? CallFate::settled : CallFate::doubtful, Outcome::plain(committed ? 200 : 504));
+        });
+    }
+    void show(const Lane& lane, const std::string& id, Done done) {
+        auto found = jobs_.find(id);
+        if (found == jobs_.end() || !same_lane(found->second.job, lane)) return confirmed(key_of(id), Outcome::plain(410), std::move(done));
+        flush_one(found->second);
+        confirmed(key_of(id), Outcome::json(200, fmt::format("{{\"phase\":\"{}\"}}", found->second.job.phase())), std::move(done));
+    }
+    void cancel(const Lane& lane, const std::string& id, Micros wall, Done done) {
+        auto found = jobs_.find(id);
+        if (found == jobs_.end() || !same_lane(found->second.job, lane)) return confirmed(key_of(id), Outcome::plain(410), std::move(done));
+        JobEntry& entry = found->second;
+        if (!entry.job.ended()) {
+            entry.job.cancel(wall);
+            after_change(entry);
+            flush_one(entry);
+            counters().add("jobs_cancelled");
+        }
+        ledger_.confirm(key_of(id), [done](bool sure) { done(sure ? CallFate::settled : CallFate::doubtful, Outcome::plain(sure ? 200 : 504)); });
+    }
+    void count_pending(const Lane& lane, Done done) {
+        size_t pending = 0;
+        for (const auto& [rank, id] : active_) {
+            const Job& job = jobs_.at(id).job;
+            pending += same_lane(job, lane) && !job.ended();
+        }
+        confirmed("config", Outcome::json(200, fmt::format("{{\"pending\":{}}}", pending)), std::move(done));
+    }
+
+    // --- the jobs' order ---
+
+    void index(JobEntry& entry) {
+        if (!entry.job.ended()) active_[{entry.job.fixed.priority, entry.job.fixed.accepted_wall, entry.job.fixed.id}] = entry.job.fixed.id;
+        if (auto due = entry.job.next_due()) due_.emplace(*due, entry.job.fixed.id);
+    }
+    void unindex(JobEntry& entry) { active_.erase({entry.job.fixed.priority, entry.job.fixed.accepted_wall, entry.job.fixed.id}); }
+    void begin_due(Micros wall) {
+        while (!due_.empty() && due_.begin()->first <= wall) {
+            std::string id = due_.begin()->second;
+            due_.erase(due_.begin());
+            auto found = jobs_.find(id);
+            if (found == jobs_.end() || found->second.job.ended()) continue;
+            auto due = found->second.job.next_due();
+            if (!due) continue;
+            if (*due <= wall) {
+                found->second.job.add_time();
+                mark(found->second);
+                plan_wanted_ = true;
+                due = found->second.job.next_due();
+            }
+            if (due) due_.emplace(*due, id);
+        }
+    }
+
+    // --- changes ---
+
+    void mark(JobEntry& entry) {
+        if (!entry.dirty) dirty_.push_back(entry.job.fixed.id);
+        entry.dirty = true;
+    }
+    void after_change(JobEntry& entry) {
+        mark(entry);
+        if (!entry.job.ended()) return;
+        unindex(entry);
+        for (auto& [life, worker] : workers_)
+            for (auto& [name, run] : worker.runs)
+                if (name.job == entry.job.fixed.id) want_stop(worker, run);
+    }
+    void flush_one(JobEntry& entry) {
+        if (!entry.dirty) return;
+        entry.dirty = false;
+        auto after = std::make_shared<std::vector<std::function<void()>>>(std::move(entry.after));
+        entry.after.clear();
+        ledger_.propose(key_of(entry.job.fixed.id), std::nullopt, entry.job.packed_moving(), [after](bool committed) {
+            if (committed)
+                for (auto& each : *after) each();
+        });
+    }
+    void flush() {
+        std::vector<std::string> ids;
+        ids.swap(dirty_);
+        for (const std::string& id : ids)
+            if (auto found = jobs_.find(id); found != jobs_.end()) flush_one(found->second);
+    }
+
+    // --- runs ---
+
+    RunEntry& add_run(WorkerEntry& worker, JobEntry& entry, const RunName& name, RunState state, Micros now) {
+        const Step& step = entry.job.fixed.spec.steps[name.step];
+        RunEntry run;
+        run.name = name;
+        run.cpu = step.cpu;
+        run.memory = step.memory;
+        run.gpu = step.gpu;
+        run.state = state;
+        run.since = now;
+        run.estimate = step.estimate;
+        worker.cpu_used += run.cpu;
+        worker.memory_used += run.memory;
+        worker.gpu_used += run.gpu;
+        return worker.runs[name] = run;
+    }
+    void drop_run(WorkerEntry& worker, const RunName& name) {
+        auto found = worker.runs.find(name);
+        if (found == worker.runs.end()) return;
+        worker.cpu_used -= found->second.cpu;
+        worker.memory_used -= found->second.memory;
+        worker.gpu_used -= found->second.gpu;
+        worker.runs.erase(found);
+    }
+    void give_order(WorkerEntry& worker, Order order) {
+        order.number = ++worker.last_order;
+        order.life = worker.account.life;
+        worker.orders.push_back(std::move(order));
+    }
+    void order_start(const std::string& life, const RunName& name, Micros now) {
+        auto found = workers_.find(life);
+        auto job = jobs_.find(name.job);
+        if (found == workers_.end() || job == jobs_.end()) return;
+        auto run = found->second.runs.find(name);
+        if (run == found->second.runs.end() || run->second.stop_wanted) return;
+        Task* task = job->second.job.find_task(name);
+        if (!task) return;
+        run->second.state = RunState::ordered;
+        run->second.ordered_at = now;
+        give_order(found->second, {0, OrderKind::start, {}, name.task(), name.run, job->second.job.fixed.spec.text, task->saved});
+    }
+    void want_stop(WorkerEntry& worker, RunEntry& run) {
+        if (run.stop_wanted) return;
+        run.stop_wanted = true;
+        bool never_left = run.state == RunState::intended;
+        run.state = RunState::stopping;
+        // An intent that has not become an order is stopped all the same: the order is not given any more.
+        (void)never_left;
+        give_order(worker, {0, OrderKind::stop, {}, run.name.task(), run.name.run, {}, {}});
+        counters().add("stops_ordered");
+    }
+    std::uint32_t sends_most(const Job& job) const {
+        const Lane* lane = config_.find_exact(job.fixed.host, job.fixed.prefix);
+        return lane ? lane->sends_most : job.fixed.sends_most;
+    }
+    // The one place where a run leaves a worker; returns the job it changed.
+    JobEntry* end_run(WorkerEntry& worker, const RunName& name, End how, const std::string& saved, Micros wall) {
+        drop_run(worker, name);
+        auto found = jobs_.find(name.job);
+        if (found == jobs_.end()) return nullptr;
+        JobEntry& entry = found->second;
+        bool had_ended = entry.job.ended();
+        if (!entry.job.end(name, worker.account.life, how, saved, sends_most(entry.job), wall)) return nullptr;
+        counters().add(how == End::done ? "runs_done" : how == End::failed ? "runs_failed" : how == End::stopped ? "runs_stopped" : how == End::lapsed ? "runs_lapsed" : how == End::broken ? "runs_broken" : how == End::alone ? "runs_alone" : "runs_lost");
+        mark(entry);
+        const Step& step = entry.job.fixed.spec.steps[name.step];
+        if (entry.job.ended() && !had_ended) {
+            after_change(entry);
+            counters().add(entry.job.moving.ending == Ending::done ? "jobs_done" : "jobs_failed");
+        } else if (step.gang || step.duplicate_ok) {
+            stop_rest(entry, name);
+        }
+        return &entry;
+    }
+    // The other members of a gang's run, or the other copies of a task that is done.
+    void stop_rest(JobEntry& entry, const RunName& name) {
+        const Step& step = entry.job.fixed.spec.steps[name.step];
+        for (auto& [life, worker] : workers_)
+            for (auto& [other, run] : worker.runs) {
+                if (other.job != name.job || other.time != name.time || other.step != name.step) continue;
+                bool member = step.gang && other.run <= name.run;
+                const Task* task = entry.job.find_task(other);
+                if (member || (other.index == name.index && task && task->done)) want_stop(worker, run);
+            }
+    }
+
+    void take_result(WorkerEntry& worker, const OrderResult& result, Micros now) {
+        auto name = RunName::parse(result.task, result.run);
+        if (!name) return;
+        auto found = worker.runs.find(*name);
+        if (found == worker.runs.end()) return;
+        RunEntry& run = found->second;
+        if (result.fate == OrderFate::started) {
+            if (run.state == RunState::ordered) {
+                run.state = RunState::running;
+                run.since = now;
+            }
+        } else {
+            counters().add(result.reason == "room" ? "starts_without_room" : "starts_turned_away");
+            if (result.reason != "old" && result.reason != "draining") worker.avoided_until = now + milliseconds(500);
+            // What was turned away may have had an earlier try: only a stop and a look make it sure.
+            want_stop(worker, run);
+        }
+    }
+    void take_report(WorkerEntry& worker, const HoldReport& report, Micros now, Micros wall) {
+        worker.look = false;
+        std::set<RunName> shown;
+        for (const ActiveRun& active : report.active) {
+            auto name = RunName::parse(active.task, active.run);
+            if (!name) continue;
+            shown.insert(*name);
+            auto found = worker.runs.find(*name);
+            if (found == worker.runs.end()) {
+                stop_stranger(worker, *name, now);
+                continue;
+            }
+            RunEntry& run = found->second;
+            if (run.state == RunState::ordered) run.state = RunState::running, run.since = now;
+            if (run.state == RunState::running || run.state == RunState::stopping) {
+                if (!active.saved.empty()) run.saved = active.saved;
+                run.percent = active.percent;
+            }
+            run.missing = 0;
+        }
+        for (const FinishedRun& finished : report.finished) {
+            if (finished.number <= worker.noted) continue;
+            worker.noted = finished.number;
+            worker.ends[finished.number] = false;
+            auto name = RunName::parse(finished.task, finished.run);
+            auto how = parse_end(finished.how);
+            JobEntry* entry = name && how ? end_run(worker, *name, *how, finished.saved, wall) : nullptr;
+            if (name) shown.insert(*name);
+            if (entry) entry->after.push_back([this, life = worker.account.life, number = finished.number] { commit_end(life, number); });
+            else commit_end(worker.account.life, finished.number);
+        }
+        std::set<std::string> stopped(report.stops.begin(), report.stops.end());
+        std::vector<RunName> gone;
+        for (auto& [name, run] : worker.runs) {
+            if (shown.contains(name)) continue;
+            if (run.state == RunState::stopping && stopped.contains(fmt::format("{} {}", name.task(), name.run))) gone.push_back(name);
+            else if (run.state == RunState::ordered && !worker.reconciled) order_start(worker.account.life, name, now);
+            else if (run.state == RunState::stopping && !worker.reconciled)
+                give_order(worker, {0, OrderKind::stop, {}, name.task(), name.run, {}, {}});
+            else if (run.state == RunState::running && ++run.missing >= 3) want_stop(worker, run);
+        }
+        // A stop that was answered and a later look without it: it never began, or its end was noted.
+        for (const RunName& name : gone) end_run(worker, name, End::stopped, {}, wall);
+        worker.reconciled = true;
+    }
+    // A run that the record does not know here (any more).
+    void stop_stranger(WorkerEntry& worker, const RunName& name, Micros now) {
+        Micros& last = strangers_[{worker.account.life, name}];
+        if (last != 0 && now - last < milliseconds(500)) return;
+        last = now;
+        if (strangers_.size() > 10000) strangers_.clear();
+        counters().add("strangers_stopped");
+        give_order(worker, {0, OrderKind::stop, {}, name.task(), name.run, {}, {}});
+    }
+    void commit_end(const std::string& life, std::uint64_t number) {
+        auto found = workers_.find(life);
+        if (found == workers_.end()) return;
+        WorkerEntry& worker = found->second;
+        worker.ends[number] = true;
+        while (!worker.ends.empty() && worker.ends.begin()->second) {
+            worker.seen = worker.ends.begin()->first;
+            worker.ends.erase(worker.ends.begin());
+        }
+    }
+    // Everything that ran on this life is over.
+    void clear_runs(WorkerEntry& worker, End how, Micros wall) {
+        std::vector<RunName> names;
+        for (const auto& [name, run] : worker.runs) names.push_back(name);
+        for (const RunName& name : names) {
+            auto found = worker.runs.find(name);
+            if (found == worker.runs.end()) continue;
+            std::string saved = found->second.saved;
+            end_run(worker, name, how, saved, wall);
+        }
+        worker.orders.clear();
+        plan_wanted_ = true;
+    }
+    void end_life(const std::string& life, Micros now, Micros wall) {
+        auto found = workers_.find(life);
+        if (found == workers_.end()) return;
+        (void)now;
+        clear_runs(found->second, End::lost, wall);
+        if (auto known = nodes_.find(found->second.node); known != nodes_.end() && known->second == life) nodes_.erase(known);
+        workers_.erase(found);
+        counters().add("lives_ended");
+    }
+    void lapse(WorkerEntry& worker, Micros now, Micros wall) {
+        (void)now;
+        log_line("board", "the hold of {} on {} has lapsed with {} runs", worker.account.life, worker.node, worker.runs.size());
+        worker.reconciled = false;
+        worker.look = true;
+        ++worker.era;
+        clear_runs(worker, End::lapsed, wall);
+    }
+    void upkeep(Micros now, Micros wall) {
+        next_upkeep_ = now + milliseconds(250);
+        std::vector<std::string> old;
+        for (auto& [id, entry] : jobs_)
+            if (entry.job.ended() && wall - entry.job.moving.ended_wall > props_.status_kept + seconds(30) && !entry.job.has_placements()) old.push_back(id);
+        for (const std::string& id : old) {
+            jobs_.erase(id);
+            ledger_.bury(key_of(id));
+        }
+        plan_wanted_ = true;
+    }
+
+    // --- placement ---
+
+    void plan(Micros now, Micros confirmed_at) {
+        if (confirmed_at < 0 || now - confirmed_at > props_.hold / 2) return;
+        std::vector<Room> rooms;
+        for (auto& [life, worker] : workers_) {
+            if (!worker.reconciled || worker.silent || worker.account.draining || now - worker.heard_at > props_.fresh || now < worker.avoided_until) continue;
+            rooms.push_back({life, worker.account.service, worker.account.labels, worker.account.cpu - worker.cpu_used, worker.account.memory - worker.memory_used,
+                             worker.account.gpu - worker.gpu_used, worker.account.cpu, worker.account.memory});
+        }
+        if (rooms.empty()) return;
+        for (const auto& [rank, id] : active_) {
+            JobEntry& entry = jobs_.at(id);
+            if (!entry.committed || entry.job.ended()) continue;
+            place_job(entry, rooms, now);
+        }
+    }
+    void place_job(JobEntry& entry, std::vector<Room>& rooms, Micros now) {
+        Job& job = entry.job;
+        const Lane* lane = config_.find_exact(job.fixed.host, job.fixed.prefix);
+        const std::string& service = lane ? lane->service : job.fixed.service;
+        for (Time& time : job.moving.times) {
+            for (size_t step = 0; step < time.steps.size(); ++step) {
+                std::vector<size_t> waiting;
+                bool any_placed = false;
+                for (size_t index = 0; index < time.steps[step].tasks.size(); ++index) {
+                    const Task& task = time.steps[step].tasks[index];
+                    if (task.waiting()) waiting.push_back(index);
+                    any_placed = any_placed || !task.placements.empty();
+                }
+                if (waiting.empty() || !job.turn_has_come(time, step)) continue;
+                const Step& wanted = job.fixed.spec.steps[step];
+                if (wanted.gang && (any_placed || waiting.size() != time.steps[step].tasks.size())) continue;
+                std::map<std::string, std::uint32_t> on_worker;
+                if (wanted.anti_affinity)
+                    for (const Task& task : time.steps[step].tasks)
+                        for (const Placement& placement : task.placements) on_worker[job.moving.workers[placement.worker]]++;
+                std::vector<std::pair<size_t, std::string>> chosen = place_tasks(props_.placer, wanted, service, waiting, on_worker, rooms);
+                for (const auto& [index, life] : chosen) {
+                    std::uint32_t run = wanted.gang ? 0 : job.next_run(time, step, index);
+                    if (wanted.gang) run = gang_run(job, time, step, chosen.front().first == index);
+                    job.place(time, step, index, run, life);
+                    RunName name{job.fixed.id, time.number, std::uint32_t(step), std::uint32_t(index), run};
+                    add_run(workers_.at(life), entry, name, RunState::intended, now);
+                    entry.after.push_back([this, life = life, name, now] { order_start(life, name, now); });
+                    counters().add("runs_intended");
+                }
+                if (!chosen.empty()) mark(entry);
+            }
+        }
+    }
+    std::uint32_t gang_run(const Job& job, const Time& time, size_t step, bool first) {
+        if (first) gang_run_ = job.next_run(time, step, 0);
+        return gang_run_;
+    }
+
+    BoardProps props_;
+    L& ledger_;
+    Epoch epoch_;
+    Micros begun_at_ = 0;
+    Config config_;
+    std::unordered_map<std::string, JobEntry> jobs_;
+    std::map<Rank, std::string> active_;
+    std::multimap<Micros, std::string> due_;
+    std::vector<std::string> dirty_;
+    std::map<std::string, WorkerEntry> workers_;
+    std::map<std::string, std::string> nodes_;  // side machine -> life of its worker
+    std::map<std::pair<std::string, RunName>, Micros> strangers_;
+    bool plan_wanted_ = false;
+    Micros next_plan_ = 0, next_upkeep_ = 0;
+    std::uint32_t gang_run_ = 0;
+};
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/control/jobs/job.hpp
@@ -0,0 +1,281 @@
+// The record of one job, and its changes as pure functions.
+#pragma once
+#include "common.hpp"
+#include "control/jobs/spec.hpp"
+#include "shared/wire/cbor.hpp"
+
+namespace calicostall {
+
+// The part that never changes after acceptance.
+struct JobFixed {
+    std::string id, host, prefix, service;
+    std::int64_t priority = 0;
+    std::uint32_t sends_most = 1;
+    double extension = 1.5;
+    Micros target = 0;
+    Micros accepted_wall = 0;
+    JobSpec spec;
+    std::uint64_t extension_thousandths = 1500;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) {
+        visit(id), visit(host), visit(prefix), visit(service), visit(priority), visit(sends_most), visit(extension_thousandths),
+            visit(target), visit(accepted_wall), visit(spec);
+    }
+};
+
+// One run of a task that may be on a worker: its intent is in the record before the order leaves.
+struct Placement {
+    std::uint32_t run = 0;
+    std::uint32_t worker = 0;  // place in the job's list of worker lives
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(run), visit(worker); }
+};
+
+struct Task {
+    bool done = false;
+    std::uint32_t last_run = 0, failures = 0;
+    std::string saved;
+    std::vector<Placement> placements;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(done), visit(last_run), visit(failures), visit(saved), visit(placements); }
+    bool waiting() const { return !done && placements.empty(); }
+};
+
+struct StepState {
+    std::vector<Task> tasks;
+    std::uint32_t failed_run = 0;  // the last run of a gang that counted as failed
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(tasks), visit(failed_run); }
+    bool done() const {
+        return std::all_of(tasks.begin(), tasks.end(), [](const Task& task) { return task.done; });
+    }
+};
+
+// One time of a job; a job without times has only time 0.
+struct Time {
+    std::uint64_t number = 0;
+    std::vector<StepState> steps;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(number), visit(steps); }
+    bool done() const {
+        return std::all_of(steps.begin(), steps.end(), [](const StepState& step) { return step.done(); });
+    }
+};
+
+enum class Ending { none, done, failed, cancelled };
+
+struct JobMoving {
+    Ending ending = Ending::none;
+    Micros ended_wall = 0;
+    bool begun = false;
+    std::uint64_t next_time = 0;
+    std::vector<std::string> workers;
+    std::vector<Time> times;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(ending), visit(ended_wall), visit(begun), visit(next_time), visit(workers), visit(times); }
+};
+
+// Names one run of one task anywhere.
+struct RunName {
+    std::string job;
+    std::uint64_t time = 0;
+    std::uint32_t step = 0, index = 0, run = 0;
+    auto operator<=>(const RunName&) const = default;
+    // Example: "5c0e7a21d94b36f8.0.1.17"
+    std::string task() const { return fmt::format("{}.{}.{}.{}", job, time, step, index); }
+    static std::optional<RunName> parse(std::string_view task, std::uint32_t run) {
+        std::array<std::string_view, 4> parts;
+        for (size_t place = 0; place < 4; ++place) {
+            size_t dot = place == 3 ? task.size() : task.find('.');
+            if (dot == std::string_view::npos) return std::nullopt;
+            parts[place] = task.substr(0, dot);
+            task.remove_prefix(std::min(task.size(), dot + 1));
+        }
+        auto whole = [](std::string_view text) -> std::optional<std::uint64_t> {
+            if (text.empty() || text.size() > 18) return std::nullopt;
+            std::uint64_t number = 0;
+            for (char letter : text) {
+                if (letter < '0' || letter > '9') return std::nullopt;
+                number = number * 10 + std::uint64_t(letter - '0');
+            }
+            return number;
+        };
+        auto time = whole(parts[1]), step = whole(parts[2]), index = whole(parts[3]);
+        if (!time || !step || !index) return std::nullopt;
+        return RunName{std::string(parts[0]), *time, std::uint32_t(*step), std::uint32_t(*index), run};
+    }
+};
+
+enum class End { done, failed, stopped, lapsed, broken, alone, lost };
+
+inline std::optional<End> parse_end(std::string_view how) {
+    static const std::map<std::string_view, End> table = {{"done", End::done},     {"failed", End::failed}, {"stopped", End::stopped},
+                                                          {"lapsed", End::lapsed}, {"broken", End::broken}, {"alone", End::alone}};
+    auto found = table.find(how);
+    return found == table.end() ? std::nullopt : std::optional(found->second);
+}
+
+// A job in memory; every change of state goes through `apply`-like functions below.
+class Job {
+public:
+    JobFixed fixed;
+    JobMoving moving;
+
+    // Example: Job job = Job::accept(fixed);
+    static Job accept(JobFixed fixed) {
+        Job job;
+        job.fixed = std::move(fixed);
+        if (job.fixed.spec.repeats == 0) job.add_time();
+        return job;
+    }
+    std::string packed_fixed() const { return pack(fixed); }
+    std::string packed_moving() const { return pack(moving); }
+    static std::optional<Job> unpacked(const std::string& fixed, const std::string& moving) {
+        auto first = unpack<JobFixed>(fixed);
+        auto second = unpack<JobMoving>(moving);
+        if (!first || !second) return std::nullopt;
+        Job job;
+        job.fixed = std::move(*first);
+        job.fixed.extension = double(job.fixed.extension_thousandths) / 1000;
+        job.moving = std::move(*second);
+        return job;
+    }
+
+    bool ended() const { return moving.ending != Ending::none; }
+    bool has_placements() const {
+        for (const Time& time : moving.times)
+            for (const StepState& step : time.steps)
+                for (const Task& task : step.tasks)
+                    if (!task.placements.empty()) return true;
+        return false;
+    }
+    const char* phase() const {
+        switch (moving.ending) {
+            case Ending::done: return "done";
+            case Ending::failed: return "failed";
+            case Ending::cancelled: return "cancelled";
+            case Ending::none: break;
+        }
+        return moving.begun ? "running" : "queued";
+    }
+    std::uint64_t times_in_all() const { return std::max<std::uint64_t>(1, fixed.spec.repeats); }
+    bool timed() const { return fixed.spec.repeats > 0; }
+    // When the next time that has not begun falls due, by the wall clock.
+    std::optional<Micros> next_due() const {
+        if (!timed() || ended() || moving.next_time >= fixed.spec.repeats) return std::nullopt;
+        return fixed.spec.first_at + Micros(moving.next_time) * fixed.spec.interval;
+    }
+    Time& add_time() {
+        Time time;
+        time.number = moving.next_time++;
+        for (const Step& step : fixed.spec.steps) {
+            StepState state;
+            state.tasks.resize(step.count);
+            time.steps.push_back(std::move(state));
+        }
+        moving.times.push_back(std::move(time));
+        return moving.times.back();
+    }
+    Time* find_time(std::uint64_t number) {
+        for (Time& time : moving.times)
+            if (time.number == number) return &time;
+        return nullptr;
+    }
+    // Whether every step that this one depends on is done.
+    bool turn_has_come(const Time& time, size_t step) const {
+        for (std::uint32_t earlier : fixed.spec.steps[step].depends)
+            if (!time.steps[earlier].done()) return false;
+        return true;
+    }
+    std::uint32_t worker_place(const std::string& life) {
+        for (size_t place = 0; place < moving.workers.size(); ++place)
+            if (moving.workers[place] == life) return std::uint32_t(place);
+        moving.workers.push_back(life);
+        return std::uint32_t(moving.workers.size() - 1);
+    }
+    Task* find_task(const RunName& name) {
+        Time* time = find_time(name.time);
+        if (!time || name.step >= time->steps.size() || name.index >= time->steps[name.step].tasks.size()) return nullptr;
+        return &time->steps[name.step].tasks[name.index];
+    }
+    Placement* find_placement(const RunName& name, const std::string& life) {
+        Task* task = find_task(name);
+        if (!task) return nullptr;
+        for (Placement& placement : task->placements)
+            if (placement.run == name.run && moving.workers[placement.worker] == life) return &placement;
+        return nullptr;
+    }
+    std::uint32_t place(Time& time, size_t step, size_t index, std::uint32_t run, const std::string& life) {
+        Task& task = time.steps[step].tasks[index];
+        task.last_run = std::max(task.last_run, run);
+        task.placements.push_back({run, worker_place(life)});
+        moving.begun = true;
+        return run;
+    }
+    std::uint32_t next_run(const Time& time, size_t step, size_t index) const {
+        if (!fixed.spec.steps[step].gang) return time.steps[step].tasks[index].last_run + 1;
+        std::uint32_t last = 0;
+        for (const Task& task : time.steps[step].tasks) last = std::max(last, task.last_run);
+        return last + 1;
+    }
+
+    // The one function for the end of a run. Returns false when the run is not one of this job's.
+    bool end(const RunName& name, const std::string& life, End how, const std::string& saved, std::uint32_t sends_most, Micros wall) {
+        Placement* placement = find_placement(name, life);
+        if (!placement) return false;
+        Time& time = *find_time(name.time);
+        StepState& state = time.steps[name.step];
+        Task& task = state.tasks[name.index];
+        const Step& step = fixed.spec.steps[name.step];
+        std::erase_if(task.placements, [&](const Placement& each) { return each.run == name.run && moving.workers[each.worker] == life; });
+        if (!saved.empty()) {
+            task.saved = saved;
+            if (step.gang)
+                for (Task& member : state.tasks) member.saved = saved;
+        }
+        if (ended()) return true;
+        if (how == End::done && !step.long_running) {
+            if (step.gang)
+                for (Task& member : state.tasks) member.done = true;
+            task.done = true;
+        } else if (how == End::failed && !step.long_running && !task.done) {
+            if (step.gang) {
+                if (state.failed_run < name.run) {
+                    state.failed_run = name.run;
+                    for (Task& member : state.tasks) member.failures++;
+                }
+            } else {
+                task.failures++;
+            }
+            if (task.failures >= sends_most) finish(Ending::failed, wall);
+        }
+        if (!ended() && moving.next_time >= times_in_all() &&
+            std::all_of(moving.times.begin(), moving.times.end(), [](const Time& each) { return each.done(); }))
+            finish(Ending::done, wall);
+        if (!ended() && time.done() && moving.times.size() > 1) {
+            // A finished time is dropped once nothing of it may still run.
+            bool empty = true;
+            for (const StepState& each : time.steps)
+                for (const Task& member : each.tasks) empty = empty && member.placements.empty();
+            if (empty) std::erase_if(moving.times, [&](const Time& each) { return each.number == name.time; });
+        }
+        return true;
+    }
+    void cancel(Micros wall) {
+        if (!ended()) finish(Ending::cancelled, wall);
+    }
+
+private:
+    void finish(Ending ending, Micros wall) {
+        moving.ending = ending;
+        moving.ended_wall = wall;
+    }
+};
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/front.hpp
@@ -0,0 +1,177 @@
+// The role `front`: takes clients' calls and passes each to the owner of its job.
+#pragma once
+#include "common.hpp"
+#include "shared/http/listener.hpp"
+#include "shared/http/loop.hpp"
+#include "shared/http/slab.hpp"
+#include "shared/news/compass.hpp"
+#include "shared/settings/config.hpp"
+#include "shared/settings/props.hpp"
+
+namespace calicostall {
+
+struct FrontProps {
+    Props machine;
+    Micros send_patience = milliseconds(900);
+    Micros patience_most = milliseconds(1800);  // for one call, all sends together
+    Micros pause = milliseconds(60);
+    size_t waiting_most = 2000;
+};
+
+class Front {
+public:
+    Front(FrontProps props, Loop& loop)
+        : props_(std::move(props)),
+          loop_(loop),
+          compass_({props_.machine.node, replicas(props_.machine), 2, seconds(5), true}, loop, [this] { take_news(); }) {}
+
+    Findings open() {
+        Findings findings;
+        auto listen = [&](std::unique_ptr<Listener>& listener, const std::string& address, const char* place, size_t body, Listener::Take take) {
+            if (address.empty()) return;
+            try {
+                listener = std::make_unique<Listener>(address, Listener::Limits{.body_bytes = body}, std::move(take));
+                listener->open();
+            } catch (const std::exception& mishap) {
+                findings.add(place, fmt::format("{}: {}", address, mishap.what()));
+            }
+        };
+        listen(front_, props_.machine.front, "bind_addrs.front", 8 << 20, [this](Transaction transaction) { take(std::move(transaction)); });
+        listen(readiness_, props_.machine.readiness, "bind_addrs.readiness", 4096, [this](Transaction transaction) {
+            transaction.reply.send(Outcome::plain(transaction.path == "/ready" && ready() ? 200 : 503));
+        });
+        compass_.open();
+        return findings;
+    }
+    // Ready with a configuration and a path to control.
+    bool ready() const { return !draining_ && compass_.revision() > 0 && compass_.in_touch(steady_now()); }
+
+    // Drains: no new downstreams are sent here, those that are here are served to the end.
+    void leave(std::function<void()> then) {
+        log_line("front", "draining");
+        draining_ = true;
+        if (front_) front_->close_gently();
+        drain_until_ = steady_now() + props_.machine.grace - milliseconds(1300);
+        watch_drain(std::move(then));
+    }
+    void take_props(const Props& machine) { compass_.add_seeds(replicas(machine)); }
+
+    static std::vector<std::string> replicas(const Props& machine) {
+        std::vector<std::string> addresses;
+        for (const std::string& seed : machine.seeds) addresses.push_back(fmt::format("{}:{}", address_host(seed), machine.first_port));
+        return addresses;
+    }
+
+private:
+    struct Waiting {
+        Reply reply;
+        CallAsk ask;
+        Micros until = 0;
+        size_t sends = 0;
+        bool doubtful = false;  // a send may have been done
+    };
+    using Handle = Slab<Waiting>::Handle;
+
+    void watch_drain(std::function<void()> then) {
+        Micros now = steady_now();
+        bool quiet;
+        {
+            std::lock_guard guard(lock_);
+            quiet = waiting_.size() == 0 && now - last_call_ > milliseconds(2200);
+        }
+        if ((quiet && now > drain_until_ - props_.machine.grace / 3) || now > drain_until_) return then();
+        loop_.after(milliseconds(100), [this, then] { watch_drain(then); });
+    }
+    void take_news() {
+        std::string text = compass_.config();
+        std::lock_guard guard(lock_);
+        if (text != config_.text) {
+            Findings findings;
+            Config config = parse_config(text, findings);
+            if (findings.empty()) {
+                config_ = std::move(config);
+                log_line("front", "configuration {}", config_.revision);
+            }
+        }
+    }
+    void take(Transaction transaction) {
+        std::unique_lock guard(lock_);
+        last_call_ = steady_now();
+        counters().add("calls");
+        if (config_.revision == 0) return transaction.reply.send(Outcome::later(503, 1));
+        if (transaction.body.size() > config_.body_bytes) return transaction.reply.send(Outcome::plain(413));
+        if (waiting_.size() >= props_.waiting_most) {
+            counters().add("calls_refused");
+            return transaction.reply.send(Outcome::later(503, 1));
+        }
+        const Lane* lane = config_.find(transaction.host, transaction.path);
+        Micros patience = props_.patience_most;
+        if (!transaction.deadline_ms.empty()) patience = std::min(patience, Micros(std::atoll(transaction.deadline_ms.c_str())) * 1000 - milliseconds(100));
+        if (lane) patience = std::min(patience, lane->patience - milliseconds(100));
+        Waiting waiting;
+        waiting.reply = std::move(transaction.reply);
+        waiting.ask = {transaction.method, transaction.host, transaction.path, std::move(transaction.body), {}, false};
+        waiting.until = last_call_ + std::max(patience, milliseconds(100));
+        Handle handle = waiting_.insert(std::move(waiting));
+        guard.unlock();
+        send(handle);
+    }
+    void send(Handle handle) {
+        Ask ask;
+        {
+            std::lock_guard guard(lock_);
+            Waiting* waiting = waiting_.find(handle);
+            if (!waiting) return;
+            Micros left = waiting->until - steady_now();
+            if (left < milliseconds(5)) return give_up(handle);
+            std::string target = compass_.target(waiting->sends++);
+            ask.url = "http://" + target + "/inner/call";
+            ask.body = pack(waiting->ask);
+            ask.patience = std::min(left, props_.send_patience);
+        }
+        loop_.ask(std::move(ask), [this, handle](Answer answer) { settle(handle, std::move(answer)); });
+    }
+    void settle(Handle handle, Answer answer) {
+        auto frame = answer.good() ? unpack<CallAnswer>(answer.body) : std::nullopt;
+        {
+            std::lock_guard guard(lock_);
+            Waiting* waiting = waiting_.find(handle);
+            if (!waiting) return;
+            if (frame && frame->fate == CallFate::settled) {
+                // An earlier send of this call may have been done: then a refusal would be no truth.
+                bool refusal = frame->code == 429 || frame->code == 503;
+                Outcome outcome;
+                outcome.code = refusal && waiting->doubtful ? 504 : int(frame->code);
+                outcome.body = std::move(frame->body);
+                outcome.form = outcome.body.empty() ? Outcome::Form::none : Outcome::Form::json;
+                outcome.retry_after_s = int(frame->retry_after_s);
+                waiting_.take(handle)->reply.send(outcome);
+                return;
+            }
+            if (!(frame && frame->fate == CallFate::elsewhere) && answer.fate != Answer::Fate::refused) waiting->doubtful = true;
+            counters().add("sends_again");
+            if (waiting->sends % 4 == 0) waiting->sends = 0;
+        }
+        compass_.hurry();
+        loop_.after(props_.pause, [this, handle] { send(handle); });
+    }
+    void give_up(Handle handle) {
+        auto waiting = waiting_.take(handle);
+        if (!waiting) return;
+        counters().add("calls_given_up");
+        bool changes = waiting->ask.method == "POST" || waiting->ask.method == "DELETE";
+        waiting->reply.send(waiting->doubtful && changes ? Outcome::plain(504) : Outcome::later(503, 1));
+    }
+
+    FrontProps props_;
+    Loop& loop_;
+    std::recursive_mutex lock_;
+    Config config_;
+    Slab<Waiting> waiting_;
+    Compass compass_;
+    std::unique_ptr<Listener> front_, readiness_;
+    std::atomic<bool> draining_{false};
+    Micros last_call_ = 0, drain_until_ = 0;
+};
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/shared/http/listener.hpp
@@ -0,0 +1,101 @@
+// HTTP in, by Pistache: one Listener for each address that a role serves.
+#pragma once
+#include <pistache/endpoint.h>
+
+#include "common.hpp"
+#include "shared/http/outcome.hpp"
+#include "shared/record/log.hpp"
+
+namespace calicostall {
+
+// The one place that writes an answer; moved into a slab while a transaction waits.
+// Example: waiting.insert(std::move(reply)); ... reply.send(Outcome::plain(200));
+class Reply {
+public:
+    Reply() = default;
+    explicit Reply(Pistache::Http::ResponseWriter writer, bool closing = false) : writer_(std::make_shared<Pistache::Http::ResponseWriter>(std::move(writer))), closing_(closing) {}
+
+    void send(const Outcome& outcome) {
+        if (!writer_) return;
+        std::shared_ptr<Pistache::Http::ResponseWriter> writer = std::move(writer_);
+        try {
+            if (outcome.form == Outcome::Form::json) writer->setMime(MIME(Application, Json));
+            if (outcome.form == Outcome::Form::cbor) writer->setMime(MIME(Application, OctetStream));
+            if (outcome.form == Outcome::Form::text) writer->setMime(MIME(Text, Plain));
+            if (outcome.retry_after_s > 0)
+                writer->headers().addRaw({"Retry-After", std::to_string(outcome.retry_after_s)});
+            if (!outcome.location.empty()) writer->headers().add<Pistache::Http::Header::Location>(outcome.location);
+            if (closing_) writer->headers().add<Pistache::Http::Header::Connection>(Pistache::Http::ConnectionControl::Close);
+            writer->send(static_cast<Pistache::Http::Code>(outcome.code), outcome.body);
+        } catch (const std::exception&) {
+            counters().add("answers_undeliverable");
+        }
+    }
+    bool open() const { return bool(writer_); }
+
+private:
+    std::shared_ptr<Pistache::Http::ResponseWriter> writer_;
+    bool closing_ = false;
+};
+
+struct Transaction {
+    std::string method;
+    std::string path;
+    std::string host;
+    std::string if_match;
+    std::string deadline_ms;
+    std::string body;
+    Reply reply;
+};
+
+class Listener {
+public:
+    using Take = std::function<void(Transaction)>;
+    struct Limits {
+        size_t body_bytes = 1 << 20;
+        Micros head_wait = seconds(5);
+        Micros idle_wait = seconds(120);
+    };
+
+    // Example: Listener listener("10.0.0.4:8161", limits, [](Transaction transaction) { ... });
+    Listener(const std::string& address, const Limits& limits, Take take) : endpoint_(Pistache::Address(address)) {
+        auto options = Pistache::Http::Endpoint::options()
+                           .threads(1)
+                           .backlog(512)
+                           .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay)
+                           .maxRequestSize(limits.body_bytes + 65536)
+                           .headerTimeout(std::chrono::microseconds(limits.head_wait))
+                           .bodyTimeout(std::chrono::microseconds(limits.head_wait))
+                           .keepaliveTimeout(std::chrono::microseconds(limits.idle_wait));
+        endpoint_.init(options);
+        auto handler = std::make_shared<Handler>();
+        handler->take = std::make_shared<Take>(std::move(take));
+        handler->closing = closing_;
+        endpoint_.setHandler(handler);
+    }
+    void open() { endpoint_.serveThreaded(); }
+    // From now on each answer asks its downstream to leave.
+    void close_gently() { *closing_ = true; }
+
+private:
+    struct Handler : Pistache::Http::Handler {
+        HTTP_PROTOTYPE(Handler)
+        std::shared_ptr<Take> take;
+        std::shared_ptr<std::atomic<bool>> closing;
+        void onRequest(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter writer) override {
+            Transaction transaction;
+            transaction.method = Pistache::Http::methodString(request.method());
+            transaction.path = request.resource();
+            if (auto host = request.headers().tryGet<Pistache::Http::Header::Host>()) transaction.host = host->host();
+            if (auto raw = request.headers().tryGetRaw("If-Match")) transaction.if_match = raw->value();
+            if (auto raw = request.headers().tryGetRaw("X-Deadline-Ms")) transaction.deadline_ms = raw->value();
+            transaction.body = request.body();
+            transaction.reply = Reply(std::move(writer), *closing);
+            (*take)(std::move(transaction));
+        }
+    };
+    std::shared_ptr<std::atomic<bool>> closing_ = std::make_shared<std::atomic<bool>>(false);
+    Pistache::Http::Endpoint endpoint_;
+};
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/shared/record/log.hpp
@@ -0,0 +1,45 @@
+#pragma once
+#include "common.hpp"
+#include "shared/time/clock.hpp"
+
+namespace calicostall {
+
+// A line for a change of state; everything that recurs is counted instead.
+// Example: log_line("owner", "epoch {} taken over", epoch);
+template <class... Arguments>
+void log_line(std::string_view part, fmt::format_string<Arguments...> pattern, Arguments&&... arguments) {
+    std::string line =
+        fmt::format("{:.3f} {} {}\n", double(steady_now()) / 1e6, part, fmt::format(pattern, std::forward<Arguments>(arguments)...));
+    std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+// Named counters of one process, printed together when they changed.
+// Example: counters().add("sends_failed");
+class Counters {
+public:
+    void add(const char* name, std::uint64_t amount = 1) {
+        std::lock_guard guard(lock_);
+        table_[name] += amount;
+    }
+    // Example: "accepted=12 sends=40"; empty when nothing changed since the last call.
+    std::string changed_text() {
+        std::lock_guard guard(lock_);
+        if (table_ == shown_) return {};
+        shown_ = table_;
+        std::string text;
+        for (const auto& [name, count] : table_) text += fmt::format("{}{}={}", text.empty() ? "" : " ", name, count);
+        return text;
+    }
+
+private:
+    std::mutex lock_;
+    std::map<std::string, std::uint64_t> table_;
+    std::map<std::string, std::uint64_t> shown_;
+};
+
+inline Counters& counters() {
+    static Counters all;
+    return all;
+}
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/shared/settings/config.hpp
@@ -0,0 +1,105 @@
+// The operators' configuration: read whole, checked whole.
+#pragma once
+#include <boost/json.hpp>
+
+#include "common.hpp"
+#include "shared/settings/props.hpp"
+
+namespace calicostall {
+
+// A queue of jobs, found by host and longest prefix.
+struct Lane {
+    std::string name, host, prefix, service;
+    Micros patience = seconds(3);
+    Micros target = 0;
+    std::int64_t priority = 0;
+    std::uint32_t sends_most = 1;
+    double extension = 1.5;
+};
+
+struct Config {
+    std::uint64_t revision = 0;
+    std::string text;
+    std::vector<Lane> lanes;
+    std::map<std::string, bool> services;  // name -> guards
+    size_t body_bytes = 262144, header_bytes = 16384;
+    Micros header_wait = seconds(3), idle_wait = seconds(15);
+
+    // Example: const Lane* lane = config.find("nony24.example", "/lohu930/5c0e7a21d94b36f8");
+    const Lane* find(std::string_view host, std::string_view path) const {
+        const Lane* best = nullptr;
+        for (const Lane& lane : lanes)
+            if (lane.host == host && path.starts_with(lane.prefix) && (!best || lane.prefix.size() > best->prefix.size())) best = &lane;
+        return best;
+    }
+    const Lane* find_exact(std::string_view host, std::string_view prefix) const {
+        for (const Lane& lane : lanes)
+            if (lane.host == host && lane.prefix == prefix) return &lane;
+        return nullptr;
+    }
+};
+
+// Example: Findings findings; Config config = parse_config(body, findings); if (!findings.empty()) answer 400
+inline Config parse_config(std::string_view text, Findings& findings) {
+    Config config;
+    config.text = std::string(text);
+    boost::system::error_code mishap;
+    boost::json::value whole = boost::json::parse(text, mishap);
+    if (mishap || !whole.is_object()) {
+        findings.add("configuration", mishap ? "cannot be read as JSON: " + mishap.message() : "must be a table");
+        return config;
+    }
+    FieldReader reader(whole.as_object(), "", findings);
+    config.revision = std::uint64_t(reader.number("revision", std::nullopt));
+    if (const auto* list = reader.list("services", true)) {
+        for (size_t place = 0; place < list->size(); ++place) {
+            std::string where = fmt::format("services[{}]", place);
+            if (!(*list)[place].is_object()) {
+                findings.add(where, "must be a table");
+                continue;
+            }
+            FieldReader inner((*list)[place].as_object(), where, findings);
+            std::string name = inner.text("name", true);
+            bool guards = inner.flag("guards", false);
+            if (name.empty()) findings.add(where + ".name", "must not be empty");
+            else if (!config.services.emplace(name, guards).second) findings.add(where + ".name", fmt::format("'{}' is there twice", name));
+        }
+    }
+    if (const auto* list = reader.list("routes", true)) {
+        std::map<std::pair<std::string, std::string>, size_t> places;
+        for (size_t place = 0; place < list->size(); ++place) {
+            std::string where = fmt::format("routes[{}]", place);
+            if (!(*list)[place].is_object()) {
+                findings.add(where, "must be a table");
+                continue;
+            }
+            FieldReader inner((*list)[place].as_object(), where, findings);
+            Lane lane;
+            lane.name = inner.text("name", false);
+            lane.host = inner.text("host", true);
+            lane.prefix = inner.text("path_prefix", true);
+            lane.service = inner.text("service", true);
+            double patience = inner.number("timeout_ms", 3000);
+            if (patience <= 0) findings.add(where + ".timeout_ms", "must be above 0");
+            lane.patience = Micros(patience * 1000);
+            lane.target = Micros(inner.number("target_ms", 1000) * 1000);
+            lane.priority = std::int64_t(inner.number("priority", 0));
+            lane.sends_most = std::uint32_t(std::max(1.0, inner.number("max_attempts", 1)));
+            lane.extension = inner.number("extension", 1.5);
+            if (!config.services.contains(lane.service)) findings.add(where + ".service", fmt::format("'{}' is unknown", lane.service));
+            auto [other, fresh] = places.try_emplace({lane.host, lane.prefix}, place);
+            if (!fresh) findings.add(where, fmt::format("shares host and prefix with routes[{}]", other->second));
+            config.lanes.push_back(std::move(lane));
+        }
+    }
+    if (const auto* table = reader.table("limits", false)) {
+        FieldReader inner(*table, "limits", findings);
+        config.header_bytes = size_t(inner.number("max_header_bytes", 16384));
+        config.body_bytes = size_t(inner.number("max_body_bytes", 262144));
+        config.header_wait = Micros(inner.number("header_timeout_ms", 3000) * 1000);
+        config.idle_wait = Micros(inner.number("idle_timeout_ms", 15000) * 1000);
+    }
+    return config;
+}
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/shared/wire/frames.hpp
@@ -0,0 +1,183 @@
+// The frames between front, control and side.
+#pragma once
+#include "shared/wire/cbor.hpp"
+
+namespace calicostall {
+
+// "Tell me when there is something newer than this."
+struct NewsAsk {
+    std::uint64_t config_revision = 0;
+    Epoch epoch;
+    std::uint64_t core_mark = 0;
+    Micros wait = 0;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(config_revision), visit(epoch), visit(core_mark), visit(wait); }
+};
+
+struct NewsAnswer {
+    std::uint64_t config_revision = 0;
+    std::string config;  // empty when the asker has it
+    Epoch epoch;
+    std::string owner;  // address of the owner's replica, empty when unknown
+    std::uint64_t core_mark = 0;
+    std::vector<std::string> colleagues;  // addresses of the core
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(config_revision), visit(config), visit(epoch), visit(owner), visit(core_mark), visit(colleagues); }
+};
+
+// A client's or an operator's call on its way to the owner.
+struct CallAsk {
+    std::string method, host, path, body, if_match;
+    bool relayed = false;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(method), visit(host), visit(path), visit(body), visit(if_match), visit(relayed); }
+};
+
+// settled: `code` is the answer. elsewhere: surely nothing was done here. doubtful: it may have been done.
+enum class CallFate { settled, elsewhere, doubtful };
+
+struct CallAnswer {
+    CallFate fate = CallFate::elsewhere;
+    std::int64_t code = 0;
+    std::string body;
+    std::int64_t retry_after_s = 0;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(fate), visit(code), visit(body), visit(retry_after_s); }
+};
+
+struct WorkerAccount {
+    std::string life, service, address, zone;
+    std::int64_t cpu = 0, memory = 0, gpu = 0;
+    std::vector<std::string> labels;
+    bool draining = false;
+    Micros leaves_in = -1;  // counted from the sending of the frame; -1: not known
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) {
+        visit(life), visit(service), visit(address), visit(zone), visit(cpu), visit(memory), visit(gpu), visit(labels), visit(draining), visit(leaves_in);
+    }
+};
+
+struct ActiveRun {
+    std::string task;
+    std::uint32_t run = 0;
+    std::string saved;
+    std::int64_t percent = 0;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(task), visit(run), visit(saved), visit(percent); }
+};
+
+struct FinishedRun {
+    std::uint64_t number = 0;
+    std::string task;
+    std::uint32_t run = 0;
+    std::string how, saved;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(number), visit(task), visit(run), visit(how), visit(saved); }
+};
+
+// What a worker's `/hold` said, asked under `fence`.
+struct HoldReport {
+    std::string life;
+    Epoch fence;
+    std::vector<ActiveRun> active;
+    std::vector<FinishedRun> finished;
+    std::vector<std::string> stops;  // "TASK RUN" of the stops that were answered before this look began
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(life), visit(fence), visit(active), visit(finished), visit(stops); }
+};
+
+enum class OrderKind { start, stop };
+
+struct Order {
+    std::uint64_t number = 0;
+    OrderKind kind = OrderKind::start;
+    std::string life, task;
+    std::uint32_t run = 0;
+    std::string spec, saved;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(number), visit(kind), visit(life), visit(task), visit(run), visit(spec), visit(saved); }
+};
+
+// started: the worker has it. turned_away: it will not start by this order, and no earlier try is open.
+// doubtful: it may start yet.
+enum class OrderFate { started, turned_away, doubtful };
+
+struct OrderResult {
+    std::uint64_t number = 0;
+    OrderFate fate = OrderFate::started;
+    std::string task;
+    std::uint32_t run = 0;
+    std::string reason;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(number), visit(fate), visit(task), visit(run), visit(reason); }
+};
+
+struct SideAsk {
+    std::string node;
+    std::uint64_t sitting = 0;  // this process of the side daemon
+    std::uint64_t number = 0;   // rises with each ask
+    Epoch epoch;                // of the owner whose orders `taken` counts
+    std::uint64_t taken = 0;    // highest order number taken
+    std::uint64_t seen = 0;     // of the ends, as far as it was told
+    std::optional<WorkerAccount> worker;
+    std::vector<std::string> over;  // lives seen to have ended on this machine
+    std::optional<HoldReport> report;
+    std::vector<OrderResult> results;
+    bool silent = false;  // the worker does not answer
+    bool relayed = false;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) {
+        visit(node), visit(sitting), visit(number), visit(epoch), visit(taken), visit(seen), visit(worker), visit(over), visit(report), visit(results), visit(silent), visit(relayed);
+    }
+};
+
+struct SideAnswer {
+    bool served = false;  // false: no owner here
+    Epoch epoch;
+    Micros allowance = 0;  // the hold may last this long, counted from the sending of the ask
+    std::string life;
+    std::uint64_t era = 0;  // orders of an earlier era are void
+    std::uint64_t seen = 0;
+    bool look = false;  // a look at the worker is wanted now
+    std::vector<Order> orders;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(served), visit(epoch), visit(allowance), visit(life), visit(era), visit(seen), visit(look), visit(orders); }
+};
+
+struct AliveNote {
+    Identity from;
+    bool leaving = false;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(from), visit(leaving); }
+};
+
+struct JoinAsk {
+    Identity identity;
+    std::string address, control;
+    bool relayed = false;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(identity), visit(address), visit(control), visit(relayed); }
+};
+
+struct JoinAnswer {
+    bool heard = false;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(heard); }
+};
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/side.hpp
@@ -0,0 +1,527 @@
+// The role `side`: the agent of the worker on its machine; what it knows is gone with its process.
+#pragma once
+#include "common.hpp"
+#include "front.hpp"
+#include "shared/http/listener.hpp"
+#include "shared/http/loop.hpp"
+#include "shared/news/compass.hpp"
+#include "shared/settings/props.hpp"
+#include "shared/wire/frames.hpp"
+
+namespace calicostall {
+
+struct SideProps {
+    Props machine;
+    Micros ask_patience = milliseconds(1700);
+    Micros order_patience = milliseconds(400);
+    Micros look_wait = seconds(1);
+    Micros gather = milliseconds(15);   // between the end that a look showed and the next look
+    Micros unseen_wait = milliseconds(300);
+    size_t sends_most = 4;              // of one start without an answer
+};
+
+class Side {
+public:
+    Side(SideProps props, Loop& loop)
+        : props_(std::move(props)),
+          loop_(loop),
+          compass_({props_.machine.node, Front::replicas(props_.machine), 2, seconds(5), false}, loop, [this] { take_news(); }) {
+        std::random_device device;
+        sitting_ = (std::uint64_t(device()) << 31 | device()) | 1;
+    }
+    Findings open() {
+        Findings findings;
+        try {
+            control_ = std::make_unique<Listener>(props_.machine.control, Listener::Limits{.body_bytes = 4 << 20}, [this](Transaction transaction) { take(std::move(transaction)); });
+            control_->open();
+        } catch (const std::exception& mishap) {
+            findings.add("bind_addrs.control", fmt::format("{}: {}", props_.machine.control, mishap.what()));
+        }
+        compass_.open();
+        loop_.after(milliseconds(100), [this] { pulse(); });
+        return findings;
+    }
+    void leave(std::function<void()> then) {
+        log_line("side", "leaving");
+        loop_.after(milliseconds(200), std::move(then));
+    }
+    void take_props(const Props& machine) { compass_.add_seeds(Front::replicas(machine)); }
+
+private:
+    using RunKey = std::pair<std::string, std::uint32_t>;
+    struct Pending {
+        Order order;
+        size_t sends = 0;       // of this order
+        bool open = false;      // a send got no answer: it may be done yet
+        bool flying = false;
+        Micros next_at = 0;
+    };
+
+    // --- calls of the worker, by the table: PUT /workers/ID, DELETE /workers/ID ---
+
+    void take(Transaction transaction) {
+        constexpr std::string_view prefix = "/workers/";
+        if (!std::string_view(transaction.path).starts_with(prefix)) return transaction.reply.send(Outcome::plain(404));
+        std::string life = transaction.path.substr(prefix.size());
+        if (transaction.method == "PUT") return take_beat(life, std::move(transaction));
+        if (transaction.method == "DELETE") return take_leave(life, std::move(transaction));
+        transaction.reply.send(Outcome::plain(405));
+    }
+    void take_beat(const std::string& life, Transaction transaction) {
+        Findings findings;
+        boost::system::error_code mishap;
+        boost::json::value whole = boost::json::parse(transaction.body, mishap);
+        if (mishap || !whole.is_object()) {
+            counters().add("beats_unreadable");
+            return transaction.reply.send(Outcome::plain(400));
+        }
+        FieldReader reader(whole.as_object(), "", findings);
+        WorkerAccount account;
+        account.life = life;
+        account.service = reader.text("service", true);
+        account.address = reader.text("address", true);
+        account.zone = reader.text("zone", false);
+        account.draining = reader.text("phase", false) == "draining";
+        if (const auto* table = reader.table("capacity", false)) {
+            FieldReader inner(*table, "capacity", findings);
+            account.cpu = std::int64_t(inner.number("cpu", 0));
+            account.memory = std::int64_t(inner.number("task_mem_mb", 0));
+            account.gpu = std::int64_t(inner.number("gpu", 0));
+        }
+        if (const auto* list = reader.list("labels", false))
+            for (const auto& label : *list)
+                if (label.is_string()) account.labels.emplace_back(label.as_string());
+        double leaves = reader.number("leaves_at_ms", -1.0);
+        Micros now = steady_now();
+        std::uint64_t sequence = std::uint64_t(reader.number("call_seq", 0));
+        Micros clock = Micros(reader.number("clock_ms", 0) * 1000);
+        if (!findings.empty()) {
+            log_line("side", "beat refused: {}", findings.text());
+            return transaction.reply.send(Outcome::json(400, "{}"));
+        }
+        {
+            std::lock_guard guard(lock_);
+            if (std::find(over_.begin(), over_.end(), life) != over_.end() || (worker_ && worker_->life == life && sequence < beat_sequence_)) {
+                counters().add("beats_late");
+            } else {
+                bool fresh = !worker_ || worker_->life != life;
+                if (fresh) begin_life(life);
+                if (clock > 0) note_clock(clock, now);
+                if (leaves >= 0 && whole.as_object().contains("leaves_at_ms")) account.leaves_in = Micros(leaves * 1000);
+                bool news = fresh || account.draining != worker_->draining;
+                leaves_at_ = account.leaves_in < 0 ? -1 : now + account.leaves_in;
+                worker_ = std::move(account);
+                beat_sequence_ = sequence;
+                beat_at_ = now;
+                if (fresh) log_line("side", "worker {} of {} at {}", worker_->life, worker_->service, worker_->address);
+                if (news) ask_owner(true);
+            }
+        }
+        transaction.reply.send(Outcome::json(200, "{}"));
+    }
+    void take_leave(const std::string& life, Transaction transaction) {
+        {
+            std::lock_guard guard(lock_);
+            if (worker_ && worker_->life == life) {
+                log_line("side", "worker {} has left", life);
+                end_life();
+                ask_owner(true);
+            }
+        }
+        transaction.reply.send(Outcome::plain(200));
+    }
+    void begin_life(const std::string& life) {
+        if (worker_) end_life();
+        (void)life;
+        worker_.emplace();
+    }
+    void end_life() {
+        over_.push_back(worker_->life);
+        if (over_.size() > 16) over_.pop_front();
+        worker_.reset();
+        clear_orders();
+        active_ = 0;
+        seen_ = highest_end_ = 0;
+        clock_base_.reset();
+        silent_ = false;
+        look_mishaps_ = 0;
+        report_.reset();
+        beat_sequence_ = 0;
+        fence_shown_ = Epoch{};
+    }
+    void clear_orders() {
+        pending_.clear();
+        stops_.clear();
+        results_.clear();
+    }
+
+    // --- clocks and holds ---
+
+    void note_clock(Micros worker_clock, Micros now) { clock_base_ = std::pair(worker_clock, now); }
+    // The latest time on the worker's clock up to which the owner allows holds; 0 when there is none.
+    std::int64_t until_ms(Micros now) const {
+        if (!clock_base_ || allowed_until_ <= now + milliseconds(20)) return 0;
+        Micros until = clock_base_->first + (allowed_until_ - clock_base_->second);
+        Micros most = clock_base_->first + (now - clock_base_->second) + props_.machine.hold_most;
+        return std::min(until, most) / 1000;
+    }
+
+    // --- the owner ---
+
+    void take_news() {
+        std::lock_guard guard(lock_);
+        if (compass_.epoch() > epoch_) ask_owner(true);
+    }
+    // One ask always waits at the owner; a second one carries what cannot wait.
+    void ask_owner(bool pressing) {
+        if (asks_flying_ >= (pressing ? 2 : 1)) {
+            ask_wanted_ = ask_wanted_ || pressing;
+            return;
+        }
+        ask_wanted_ = false;
+        Micros now = steady_now();
+        SideAsk ask;
+        ask.node = props_.machine.node;
+        ask.sitting = sitting_;
+        ask.number = ++ask_number_;
+        ask.epoch = epoch_;
+        ask.taken = taken_;
+        ask.seen = seen_;
+        ask.silent = silent_;
+        ask.worker = worker_;
+        if (ask.worker) ask.worker->leaves_in = leaves_at_ < 0 ? -1 : std::max<Micros>(0, leaves_at_ - now);
+        ask.over.assign(over_.begin(), over_.end());
+        ask.report = report_;
+        ask.results = results_;
+        std::uint64_t report_mark = report_mark_;
+        size_t results_sent = results_.size();
+        std::uint64_t results_mark = results_dropped_ + results_sent;
+        ++asks_flying_;
+        std::string target = compass_.target(ask_tries_);
+        std::uint64_t number = ask.number;
+        loop_.ask({.url = "http://" + target + "/inner/side", .body = pack(ask), .patience = props_.ask_patience},
+                  [this, number, now, report_mark, results_mark](Answer answer) {
+                      std::lock_guard guard(lock_);
+                      --asks_flying_;
+                      auto frame = answer.good() ? unpack<SideAnswer>(answer.body) : std::nullopt;
+                      if (!frame || !frame->served) {
+                          ++ask_tries_;
+                          counters().add("asks_unserved");
+                          compass_.hurry();
+                          loop_.after(milliseconds(std::min<std::int64_t>(60 * ask_tries_, 300)), [this] {
+                              std::lock_guard inner(lock_);
+                              ask_owner(report_ || !results_.empty());
+                          });
+                          return;
+                      }
+                      ask_tries_ = 0;
+                      if (report_mark == report_mark_) report_.reset();
+                      while (results_dropped_ < results_mark && !results_.empty()) results_.erase(results_.begin()), ++results_dropped_;
+                      take_answer(number, now, *frame);
+                      ask_owner(ask_wanted_);
+                  });
+    }
+    void take_answer(std::uint64_t number, Micros asked_at, const SideAnswer& answer) {
+        if (answer.epoch < epoch_ || number < answered_) return;
+        answered_ = number;
+        if (answer.epoch > epoch_) {
+            // A new owner: the orders of the old one are void, and the worker is to learn the new fence first.
+            epoch_ = answer.epoch;
+            taken_ = 0;
+            era_ = 0;
+            allowed_until_ = 0;
+            clear_orders();
+            report_.reset();
+            ++report_mark_;
+        }
+        if (!worker_ || answer.life != worker_->life) return;
+        if (answer.era != era_) {
+            if (era_ != 0) clear_orders();
+            if (era_ != 0) allowed_until_ = 0;
+            era_ = answer.era;
+        }
+        if (answer.allowance > 0) allowed_until_ = std::max(allowed_until_, asked_at + answer.allowance);
+        seen_ = std::max(seen_, answer.seen);
+        for (const Order& order : answer.orders) {
+            if (order.number <= taken_ || order.life != worker_->life) continue;
+            taken_ = order.number;
+            take_order(order);
+        }
+        if (answer.look || fence_shown_ < epoch_) look(0);
+        work(steady_now());
+    }
+    void take_order(const Order& order) {
+        RunKey key{order.task, order.run};
+        if (order.kind == OrderKind::start) {
+            if (stops_.contains(key)) return;
+            Pending& pending = pending_[key];
+            pending.order = order;
+            pending.next_at = 0;
+        } else {
+            pending_.erase(key);
+            Pending& pending = stops_[key];
+            pending.order = order;
+            pending.next_at = 0;
+        }
+    }
+    void add_result(const Order& order, OrderFate fate, std::string reason) {
+        results_.push_back({order.number, fate, order.task, order.run, std::move(reason)});
+        if (fate != OrderFate::started) ask_owner(true);
+    }
+
+    // --- the worker ---
+
+    void pulse() {
+        std::lock_guard guard(lock_);
+        Micros now = steady_now();
+        if (asks_flying_ == 0 && ask_tries_ == 0) ask_owner(false);
+        work(now);
+        if (now - counted_at_ > seconds(5)) {
+            counted_at_ = now;
+            std::string text = counters().changed_text();
+            if (!text.empty()) log_line("counters", "{}", text);
+        }
+        loop_.after(milliseconds(pending_.empty() && stops_.empty() && active_ == 0 ? 200 : 50), [this] { pulse(); });
+    }
+    void work(Micros now) {
+        if (!worker_) return;
+        for (auto& [key, pending] : stops_)
+            if (!pending.flying && now >= pending.next_at) send_stop(key, pending);
+        if (fence_shown_ < epoch_) {
+            if (!looking_ && now >= next_look_) look(0);
+            return;
+        }
+        std::vector<RunKey> refused;
+        for (auto& [key, pending] : pending_) {
+            if (pending.flying || now < pending.next_at) continue;
+            if (worker_->draining) {
+                refused.push_back(key);
+                continue;
+            }
+            if (until_ms(now) == 0) continue;
+            send_start(key, pending, now);
+        }
+        for (const RunKey& key : refused) {
+            Order order = pending_[key].order;
+            bool open = pending_[key].open;
+            pending_.erase(key);
+            add_result(order, open ? OrderFate::doubtful : OrderFate::turned_away, "draining");
+        }
+        if (looking_ || now < next_look_) return;
+        if (active_ > 0 || any_open()) look(highest_end_ > seen_ && now - ended_at_ < props_.unseen_wait ? -1 : props_.look_wait);
+    }
+    bool any_open() const {
+        return std::any_of(pending_.begin(), pending_.end(), [](const auto& each) { return each.second.sends > 0; });
+    }
+    void send_start(const RunKey& key, Pending& pending, Micros now) {
+        pending.flying = true;
+        ++pending.sends;
+        boost::json::object body{{"task", pending.order.task}, {"run_id", pending.order.run}, {"job_spec", pending.order.spec}, {"until_ms", until_ms(now)}, {"fence", epoch_.value}};
+        if (!pending.order.saved.empty()) body["checkpoint"] = pending.order.saved;
+        std::string life = worker_->life;
+        Epoch epoch = epoch_;
+        std::uint64_t era = era_;
+        counters().add("starts_sent");
+        loop_.ask({.url = "http://" + worker_->address + "/run-start", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = props_.order_patience},
+                  [this, key, life, epoch, era](Answer answer) {
+                      std::lock_guard guard(lock_);
+                      if (!worker_ || worker_->life != life) return;
+                      Micros moment = steady_now();
+                      std::string reason = read_clock(answer, moment);
+                      if (epoch != epoch_ || era != era_) return;
+                      auto found = pending_.find(key);
+                      if (found == pending_.end()) {
+                          if (answer.good()) active_ = std::max<size_t>(active_, 1);
+                          return;
+                      }
+                      Pending& mine = found->second;
+                      mine.flying = false;
+                      if (answer.good()) {
+                          ++active_;
+                          Order order = mine.order;
+                          pending_.erase(found);
+                          add_result(order, OrderFate::started, {});
+                          return work(moment);
+                      }
+                      if (answer.fate != Answer::Fate::answered) {
+                          mine.open = mine.open || answer.fate == Answer::Fate::unknown;
+                          mine.next_at = moment + milliseconds(60);
+                          counters().add("starts_unanswered");
+                          if (mine.sends < props_.sends_most) return;
+                          reason = "silence";
+                      }
+                      if (answer.code == 421 || reason == "fence") {
+                          mine.next_at = moment + milliseconds(200);
+                          if (mine.sends < props_.sends_most) return;
+                      }
+                      if (reason == "late" && mine.sends < props_.sends_most) {
+                          mine.next_at = moment + milliseconds(30);
+                          return;
+                      }
+                      Order order = mine.order;
+                      bool open = mine.open;
+                      pending_.erase(found);
+                      add_result(order, open ? OrderFate::doubtful : OrderFate::turned_away, reason.empty() ? fmt::format("{}", answer.code) : reason);
+                  });
+    }
+    void send_stop(const RunKey& key, Pending& pending) {
+        pending.flying = true;
+        ++pending.sends;
+        boost::json::object body{{"task", pending.order.task}, {"run_id", pending.order.run}, {"fence", epoch_.value}};
+        std::string life = worker_->life;
+        Epoch epoch = epoch_;
+        counters().add("stops_sent");
+        loop_.ask({.url = "http://" + worker_->address + "/run-stop", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = props_.order_patience},
+                  [this, key, life, epoch](Answer answer) {
+                      std::lock_guard guard(lock_);
+                      if (!worker_ || worker_->life != life || epoch != epoch_) return;
+                      Micros moment = steady_now();
+                      read_clock(answer, moment);
+                      auto found = stops_.find(key);
+                      if (found == stops_.end()) return;
+                      found->second.flying = false;
+                      found->second.next_at = moment + milliseconds(200);
+                      if (answer.fate == Answer::Fate::answered && answer.code < 300) {
+                          stops_.erase(found);
+                          stopped_.push_back(fmt::format("{} {}", key.first, key.second));
+                          look(0);
+                      }
+                  });
+    }
+    std::string read_clock(const Answer& answer, Micros now) {
+        if (answer.fate != Answer::Fate::answered || answer.body.empty()) return {};
+        boost::system::error_code mishap;
+        boost::json::value whole = boost::json::parse(answer.body, mishap);
+        if (mishap || !whole.is_object()) return {};
+        const auto& object = whole.as_object();
+        if (const auto* clock = object.if_contains("clock_ms"); clock && clock->is_number()) note_clock(Micros(clock->to_number<double>() * 1000), now);
+        const auto* reason = object.if_contains("reason");
+        return reason && reason->is_string() ? std::string(reason->as_string()) : std::string();
+    }
+    // Asks the worker what runs and what ended; wait < 0: not now.
+    void look(Micros wait) {
+        if (!worker_ || wait < 0) return;
+        Micros now = steady_now();
+        if (looking_ && (wait > 0 || looking_short_)) {
+            if (wait == 0) look_again_ = true;
+            return;
+        }
+        bool is_short = wait == 0;
+        (is_short ? looking_short_ : looking_) = true;
+        boost::json::object body{{"fence", epoch_.value}, {"seen_at", seen_}};
+        std::int64_t until = until_ms(now);
+        if (silent_) wait = 0;
+        if (until > 0 && !silent_) {
+            body["until_ms"] = until;
+            wait = std::min<Micros>(wait, std::max<Micros>(milliseconds(100), (allowed_until_ - now) / 2));
+        }
+        if (wait > 0) body["wait_ms"] = wait / 1000;
+        std::string life = worker_->life;
+        Epoch epoch = epoch_;
+        std::vector<std::string> stopped = stopped_;
+        counters().add("looks");
+        loop_.ask({.url = "http://" + worker_->address + "/hold", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = wait + milliseconds(500)},
+                  [this, life, epoch, is_short, stopped](Answer answer) {
+                      std::lock_guard guard(lock_);
+                      (is_short ? looking_short_ : looking_) = false;
+                      if (!worker_ || worker_->life != life) return;
+                      Micros moment = steady_now();
+                      bool read = answer.good() && take_look(answer, epoch, stopped, moment);
+                      if (!read) {
+                          counters().add("looks_without_answer");
+                          next_look_ = moment + milliseconds(100);
+                          if (answer.fate != Answer::Fate::answered && ++look_mishaps_ >= 2 && !silent_) {
+                              silent_ = true;
+                              log_line("side", "worker {} does not answer", life);
+                              ask_owner(true);
+                          }
+                          if (silent_) next_look_ = moment + milliseconds(300);
+                      } else {
+                          look_mishaps_ = 0;
+                          if (silent_) {
+                              silent_ = false;
+                              ask_owner(true);
+                          }
+                      }
+                      if (look_again_ && read) {
+                          look_again_ = false;
+                          look(0);
+                      }
+                      work(moment);
+                  });
+    }
+    bool take_look(const Answer& answer, Epoch epoch, const std::vector<std::string>& stopped, Micros now) {
+        boost::system::error_code mishap;
+        boost::json::value whole = boost::json::parse(answer.body, mishap);
+        if (mishap || !whole.is_object()) return false;
+        const auto& object = whole.as_object();
+        if (const auto* clock = object.if_contains("clock_ms"); clock && clock->is_number()) note_clock(Micros(clock->to_number<double>() * 1000), now);
+        HoldReport report;
+        report.life = worker_->life;
+        report.fence = epoch;
+        const auto* active = object.if_contains("active");
+        const auto* finished = object.if_contains("finished");
+        if (!active || !active->is_array() || !finished || !finished->is_array()) return false;
+        for (const auto& each : active->as_array()) {
+            if (!each.is_array() || each.as_array().size() < 4) return false;
+            const auto& row = each.as_array();
+            if (!row[0].is_string() || !row[1].is_number()) return false;
+            report.active.push_back({std::string(row[0].as_string()), row[1].to_number<std::uint32_t>(), row[2].is_string() ? std::string(row[2].as_string()) : "", row[3].is_number() ? std::int64_t(row[3].to_number<double>()) : 0});
+        }
+        std::uint64_t highest = highest_end_;
+        for (const auto& each : finished->as_array()) {
+            if (!each.is_array() || each.as_array().size() < 5) return false;
+            const auto& row = each.as_array();
+            if (!row[0].is_number() || !row[1].is_string() || !row[2].is_number() || !row[3].is_string()) return false;
+            report.finished.push_back({row[0].to_number<std::uint64_t>(), std::string(row[1].as_string()), row[2].to_number<std::uint32_t>(), std::string(row[3].as_string()), row[4].is_string() ? std::string(row[4].as_string()) : ""});
+            highest = std::max(highest, report.finished.back().number);
+        }
+        bool ends = highest > highest_end_ || !report.finished.empty();
+        highest_end_ = highest;
+        active_ = report.active.size();
+        if (ends) {
+            ended_at_ = now;
+            next_look_ = now + props_.gather;
+        }
+        if (epoch != epoch_) return true;
+        bool first = fence_shown_ < epoch;
+        fence_shown_ = epoch;
+        report.stops = stopped;
+        std::erase_if(stopped_, [&](const std::string& each) { return std::find(stopped.begin(), stopped.end(), each) != stopped.end(); });
+        if (report_) report.stops.insert(report.stops.end(), report_->stops.begin(), report_->stops.end());
+        report_ = std::move(report);
+        ++report_mark_;
+        ask_owner(ends || first || !report_->stops.empty() || now - reported_at_ > milliseconds(900));
+        reported_at_ = now;
+        return true;
+    }
+
+    SideProps props_;
+    Loop& loop_;
+    std::recursive_mutex lock_;
+    Compass compass_;
+    std::unique_ptr<Listener> control_;
+    std::uint64_t sitting_ = 0;
+    std::optional<WorkerAccount> worker_;
+    std::deque<std::string> over_;
+    std::uint64_t beat_sequence_ = 0;
+    Micros beat_at_ = 0, leaves_at_ = -1;
+    std::optional<std::pair<Micros, Micros>> clock_base_;
+    Micros allowed_until_ = 0;
+    Epoch epoch_, fence_shown_;
+    std::uint64_t era_ = 0, taken_ = 0, seen_ = 0, highest_end_ = 0;
+    std::uint64_t ask_number_ = 0, answered_ = 0;
+    size_t asks_flying_ = 0, ask_tries_ = 0;
+    bool ask_wanted_ = false;
+    std::map<RunKey, Pending> pending_, stops_;
+    std::vector<std::string> stopped_;
+    std::vector<OrderResult> results_;
+    std::uint64_t results_dropped_ = 0, report_mark_ = 0;
+    std::optional<HoldReport> report_;
+    size_t active_ = 0;
+    bool looking_ = false, looking_short_ = false, look_again_ = false, silent_ = false;
+    size_t look_mishaps_ = 0;
+    Micros next_look_ = 0, ended_at_ = 0, reported_at_ = 0, counted_at_ = 0;
+};
+
+}  // namespace calicostall
--- /dev/null
+++ b/tests/detector.cpp
@@ -0,0 +1,145 @@
+// The design page's three tasks as tables, and its promise as a property.
+#include "control/detector/detector.hpp"
+
+#include "check.hpp"
+
+using namespace calicostall;
+using namespace calicostall::tests;
+
+namespace {
+
+constexpr Micros ms(std::int64_t count) { return milliseconds(count); }
+
+// Task 1: who beats to whom, by place and trust.
+void table_task_one() {
+    struct Row { size_t self, count; std::vector<size_t> beaten; };
+    for (const Row& row : {Row{0, 3, {1, 2}}, Row{0, 1, {}}, Row{1, 3, {}}, Row{2, 3, {}}, Row{0, 5, {1, 2, 3, 4}}}) {
+        Detector detector({}, row.self, row.count, 0);
+        EXPECT(detector.pulse(0) == row.beaten);
+        EXPECT(detector.pulse(ms(199)).empty());
+        EXPECT(detector.pulse(ms(200)) == row.beaten);
+    }
+    Detector silent({}, 0, 3, 0);
+    silent.set_silent(true);
+    EXPECT(silent.trusts_itself() && silent.pulse(0).empty());
+    silent.set_silent(false);
+    EXPECT(silent.pulse(ms(1)).size() == 2);
+}
+
+// Task 2: without a heartbeat trust moves to the next index after each timeout, never past the daemon itself.
+void table_task_two() {
+    Detector detector({}, 2, 4, 0);
+    struct Row { Micros at; size_t trusted; };
+    for (const Row& row : {Row{ms(999), 0}, Row{ms(1000), 1}, Row{ms(1999), 1}, Row{ms(2000), 2}, Row{ms(9000), 2}}) {
+        detector.pulse(row.at);
+        EXPECT_SAID(detector.trusted() == row.trusted, fmt::format("at {} trusts {}", row.at, detector.trusted()));
+    }
+    EXPECT(detector.trusts_itself());
+    Detector heard({}, 1, 3, 0);
+    heard.alive(0, ms(500));
+    heard.pulse(ms(1000));
+    EXPECT(heard.trusted() == 0);
+    heard.pulse(ms(2000));
+    EXPECT(heard.trusted() == 1);
+}
+
+// Task 3: equal sets the flag; lower lengthens the timeout and restores trust; higher is discarded.
+void table_task_three() {
+    Detector detector({}, 2, 4, 0);
+    EXPECT(detector.alive(0, 0));
+    EXPECT(!detector.alive(1, 0));
+    EXPECT(!detector.alive(3, 0));
+    EXPECT(detector.trusted() == 0 && detector.timeout_of(0) == ms(1000));
+    detector.pulse(ms(1000));
+    detector.pulse(ms(2000));
+    EXPECT(detector.trusted() == 1);
+    EXPECT(detector.alive(0, ms(2100)));
+    EXPECT(detector.trusted() == 0 && detector.timeout_of(0) == ms(1100) && detector.timeout_of(1) == ms(1000));
+    detector.pulse(ms(3199));
+    EXPECT(detector.trusted() == 0);
+}
+
+// The exceptions: a planned stop, a cap and a shrinking of timeouts, a changed order.
+void table_exceptions() {
+    Detector leaving({}, 1, 3, 0);
+    leaving.leaving(0, ms(10));
+    EXPECT(leaving.trusts_itself());
+    EXPECT(leaving.pulse(ms(10)) == std::vector<size_t>{2});
+    Detector other({}, 2, 3, 0);
+    other.leaving(1, 0);
+    EXPECT(other.trusted() == 0);
+
+    DetectorProps props;
+    Detector grown(props, 1, 2, 0);
+    Micros now = 0;
+    for (int round = 0; round < 50; ++round) {
+        now += grown.timeout_of(0);
+        grown.pulse(now);
+        EXPECT(grown.trusts_itself());
+        grown.alive(0, now);
+        now += grown.timeout_of(0);
+        grown.pulse(now);
+    }
+    EXPECT(grown.timeout_of(0) == props.timeout_most);
+    for (int round = 0; round < 40; ++round) {
+        now += props.calm;
+        grown.alive(0, now);
+        grown.pulse(now);
+    }
+    EXPECT(grown.timeout_of(0) == props.timeout);
+
+    Detector moved({}, 2, 3, 0);
+    moved.pulse(ms(1000));
+    EXPECT(moved.trusted() == 1);
+    moved.reorder(1, 2, 0, ms(1500));  // place 0 is gone, the trusted daemon is now the lowest
+    EXPECT(moved.trusted() == 0 && !moved.trusts_itself());
+}
+
+// With timing bounds restored all correct daemons trust the lowest, and only it sends, n - 1 messages a period.
+void property_stability() {
+    bool good = rc::check("all correct daemons come to trust the lowest", [] {
+        const size_t count = *rc::gen::inRange<size_t>(2, 6);
+        const std::vector<bool> down = *rc::gen::container<std::vector<bool>>(count, rc::gen::arbitrary<bool>());
+        const std::vector<int> delays = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 4000));
+        std::vector<bool> correct(count);
+        for (size_t place = 0; place < count; ++place) correct[place] = !down[place];
+        correct[count - 1] = true;
+        size_t lowest = size_t(std::find(correct.begin(), correct.end(), true) - correct.begin());
+        std::vector<Detector> daemons;
+        for (size_t place = 0; place < count; ++place) daemons.emplace_back(DetectorProps{}, place, count, 0);
+        std::multimap<Micros, std::pair<size_t, size_t>> wire;
+        size_t sent = 0, sent_by_others = 0, drawn = 0;
+        const Micros unstable = seconds(10), settled = seconds(40), end = seconds(50);
+        for (Micros now = 0; now < end; now += ms(10)) {
+            while (!wire.empty() && wire.begin()->first <= now) {
+                auto [from, to] = wire.begin()->second;
+                wire.erase(wire.begin());
+                daemons[to].alive(from, now);
+            }
+            for (size_t place = 0; place < count; ++place) {
+                if (!correct[place] && now > unstable) continue;
+                for (size_t to : daemons[place].pulse(now)) {
+                    Micros delay = now < unstable ? ms(delays[drawn++ % delays.size()]) : ms(20);
+                    if (correct[to] || now < unstable) wire.emplace(now + delay, std::pair(place, to));
+                    if (now >= settled) (place == lowest ? sent : sent_by_others)++;
+                }
+            }
+        }
+        for (size_t place = 0; place < count; ++place)
+            if (correct[place]) RC_ASSERT(daemons[place].trusted() == lowest);
+        RC_ASSERT(sent_by_others == 0u);
+        RC_ASSERT(sent == 50 * (count - 1 - lowest));
+    });
+    property("stability", good);
+}
+
+}  // namespace
+
+int main() {
+    table_task_one();
+    table_task_two();
+    table_task_three();
+    table_exceptions();
+    property_stability();
+    return result();
+}
