--- a/source/control/jobs/board.hpp
+++ b/source/control/jobs/board.hpp
@@ -61,7 +61,6 @@
     std::map<std::uint64_t, bool> ends;  // numbers noted and whether they are committed
     std::map<RunName, RunEntry> runs;
     std::deque<Order> orders;
-    std::uint64_t last_order = 0;
     bool look = true;
     std::uint64_t era = 1;     // rises with each lapse: orders of an earlier era are void
     bool silent = false;       // its side gets no answer from it
@@ -119,6 +118,7 @@
         nodes_.clear();
         config_ = Config{};
         epoch_ = Epoch{};
+        last_order_ = 0;
     }
     const Config& config() const { return config_; }
     const std::map<std::string, WorkerEntry>& workers() const { return workers_; }
@@ -459,7 +459,8 @@
         worker.runs.erase(found);
     }
     void give_order(WorkerEntry& worker, Order order) {
-        order.number = ++worker.last_order;
+        // One counter for all workers: a side that meets a new life has taken none of its orders yet.
+        order.number = ++last_order_;
         order.life = worker.account.life;
         worker.orders.push_back(std::move(order));
     }
@@ -715,6 +716,7 @@
     bool plan_wanted_ = false;
     Micros next_plan_ = 0, next_upkeep_ = 0;
     std::uint32_t gang_run_ = 0;
+    std::uint64_t last_order_ = 0;
 };
 
 }  // namespace calicostall
