--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -102,6 +102,10 @@
 int main(int count, char** words) {
     cxxopts::Options options("calicostall", "A cluster scheduler for jobs.\n\nCommands: front, control, side, check-settings FILE, check-config FILE\n");
     options.add_options()("h,help", "show this text")("settings", "the settings file (else $CALICOSTALL_BOOT)", cxxopts::value<std::string>())(
+        "heartbeat-ms", "control: how often the trusted daemon says that it is alive", cxxopts::value<std::int64_t>()->default_value("200"))(
+        "timeout-ms", "control: how long to wait for it at first", cxxopts::value<std::int64_t>()->default_value("1000"))(
+        "increment-ms", "control: how much longer after a false suspicion", cxxopts::value<std::int64_t>()->default_value("100"))(
+        "hold-ms", "control: how long a worker keeps what runs there without news", cxxopts::value<std::int64_t>()->default_value("3000"))(
         "command", "", cxxopts::value<std::string>())("file", "", cxxopts::value<std::string>());
     options.parse_positional({"command", "file"});
     options.positional_help("COMMAND [FILE]");
@@ -144,7 +148,18 @@
         if (command == "control") {
             ControlProps control;
             control.machine = props;
-            control.board.hold = std::min(control.board.hold, props.hold_most);
+            auto whole = [&](const char* name, std::int64_t least, std::int64_t most) {
+                std::int64_t number = given[name].as<std::int64_t>();
+                if (number < least || number > most) findings.add(fmt::format("--{}", name), fmt::format("must lie between {} and {}", least, most));
+                return milliseconds(number);
+            };
+            control.detector.heartbeat = whole("heartbeat-ms", 10, 60000);
+            control.detector.timeout = whole("timeout-ms", 50, 60000);
+            control.detector.increment = whole("increment-ms", 0, 60000);
+            control.detector.timeout_most = std::max(control.detector.timeout * 3, seconds(3));
+            control.board.hold = std::min(whole("hold-ms", 500, 600000), props.hold_most);
+            if (control.detector.timeout < 2 * control.detector.heartbeat) findings.add("--timeout-ms", "must be at least twice --heartbeat-ms");
+            if (!findings.empty()) return report(usage_mishap, findings);
             control.board.status_kept = props.status_kept;
             control.board.placer.remote_factor = props.remote_factor;
             auto role = std::make_unique<Control>(control, *loop);
--- a/source/control.hpp
+++ b/source/control.hpp
@@ -296,7 +296,7 @@
         size_t before = detector_.trusted();
         for (size_t place : detector_.pulse(now)) send_alive(place, false);
         if (before != detector_.trusted()) log_line("detector", "trusts place {} after {}", detector_.trusted(), before);
-        if (detector_.trusts_itself() && !catching_up && !stalled && owner_.state() == Owner::State::idle && now >= next_takeover_) {
+        if (detector_.trusts_itself() && !stalled && owner_.state() == Owner::State::idle && now >= next_takeover_) {
             next_takeover_ = now + milliseconds(150);
             owner_since_ = now;
             owner_.take_over(core_, std::max(replica_.promised, highest_epoch_));
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -132,6 +132,8 @@
             if (link.flying || now < link.not_before) continue;
             if (state_ == State::preparing) {
                 if (grants_.contains(identity) || learners_.contains(identity)) continue;
+                // The own promise is raised last: until the others trust this daemon, the present owner is left alone.
+                if (identity == self_ && grants_.size() + 1 < core_.majority()) continue;
                 errands.push_back(dispatch(link, now, PrepareAsk{self_, identity, epoch_}));
             } else {
                 std::optional<WriteAsk> ask = next_write(identity, link);
--- a/source/front.hpp
+++ b/source/front.hpp
@@ -68,6 +68,7 @@
         CallAsk ask;
         Micros until = 0;
         size_t sends = 0;
+        size_t flying = 0;
         bool doubtful = false;  // a send may have been done
     };
     using Handle = Slab<Waiting>::Handle;
@@ -85,6 +86,17 @@
     void take_news() {
         std::string text = compass_.config();
         std::lock_guard guard(lock_);
+        if (Epoch epoch = compass_.epoch(); epoch > epoch_) {
+            // What waits at an earlier owner is sent to the new one now; one ID stays one job.
+            epoch_ = epoch;
+            for (Handle handle : waiting_.handles()) {
+                Waiting* waiting = waiting_.find(handle);
+                waiting->sends = 0;
+                if (waiting->flying == 0) continue;
+                waiting->doubtful = true;
+                loop_.after(0, [this, handle] { send(handle); });
+            }
+        }
         if (text != config_.text) {
             Findings findings;
             Config config = parse_config(text, findings);
@@ -127,6 +139,7 @@
             std::string target = compass_.target(waiting->sends++);
             ask.url = "http://" + target + "/inner/call";
             ask.body = pack(waiting->ask);
+            ++waiting->flying;
             ask.patience = std::min(left, props_.send_patience);
         }
         loop_.ask(std::move(ask), [this, handle](Answer answer) { settle(handle, std::move(answer)); });
@@ -137,6 +150,7 @@
             std::lock_guard guard(lock_);
             Waiting* waiting = waiting_.find(handle);
             if (!waiting) return;
+            --waiting->flying;
             if (frame && frame->fate == CallFate::settled) {
                 // An earlier send of this call may have been done: then a refusal would be no truth.
                 bool refusal = frame->code == 429 || frame->code == 503;
@@ -150,6 +164,7 @@
             }
             if (!(frame && frame->fate == CallFate::elsewhere) && answer.fate != Answer::Fate::refused) waiting->doubtful = true;
             counters().add("sends_again");
+            if (waiting->flying > 0) return;
             if (waiting->sends % 4 == 0) waiting->sends = 0;
         }
         compass_.hurry();
@@ -168,6 +183,7 @@
     std::recursive_mutex lock_;
     Config config_;
     Slab<Waiting> waiting_;
+    Epoch epoch_;
     Compass compass_;
     std::unique_ptr<Listener> front_, readiness_;
     std::atomic<bool> draining_{false};
--- a/source/shared/http/slab.hpp
+++ b/source/shared/http/slab.hpp
@@ -42,6 +42,12 @@
         --held_;
         return out;
     }
+    std::vector<Handle> handles() const {
+        std::vector<Handle> all;
+        for (std::uint32_t place = 0; place < cells_.size(); ++place)
+            if (cells_[place].continuation) all.push_back({place, cells_[place].use});
+        return all;
+    }
     size_t size() const { return held_; }
 
 private:
