--- a/source/control.hpp
+++ b/source/control.hpp
@@ -24,6 +24,7 @@
     Micros probe_busy = milliseconds(300), probe_idle = milliseconds(800);
     Micros catching_up_most = milliseconds(1200);
     Micros gone_after = seconds(2);
+    Micros alone_after = milliseconds(1000);  // without a majority a daemon suspects itself
 };
 
 class Control {
@@ -291,17 +292,17 @@
     void elect(Micros now) {
         bool stalled = disk_.stalled_for(now) > milliseconds(600);
         bool catching_up = now < catching_up_until_;
-        bool alone = core_.members.size() > 1 && owner_.state() != Owner::State::idle && now - owner_since_ > seconds(1) && !owner_.reaches_majority(now - seconds(1));
+        if (!detector_.trusts_itself() || core_.members.size() < 2 || owner_.reaches_majority(now - props_.alone_after / 2)) majority_at_ = now;
+        bool alone = now - majority_at_ > props_.alone_after;
         detector_.set_silent(stalled || catching_up || alone);
         size_t before = detector_.trusted();
         for (size_t place : detector_.pulse(now)) send_alive(place, false);
         if (before != detector_.trusted()) log_line("detector", "trusts place {} after {}", detector_.trusted(), before);
         if (detector_.trusts_itself() && !stalled && owner_.state() == Owner::State::idle && now >= next_takeover_) {
             next_takeover_ = now + milliseconds(150);
-            owner_since_ = now;
             owner_.take_over(core_, std::max(replica_.promised, highest_epoch_));
         }
-        if ((!detector_.trusts_itself() || stalled) && owner_.state() != Owner::State::idle) {
+        if ((!detector_.trusts_itself() || stalled || (alone && owner_.acting())) && owner_.state() != Owner::State::idle) {
             log_line("control", "gives way, epoch {}", owner_.epoch().value);
             owner_.give_up();
         }
@@ -618,7 +619,7 @@
     Micros joiner_heard_ = 0, next_join_ = 0;
     bool core_changing_ = false;
     bool leaving_ = false, turning_ = false, turn_wanted_ = false;
-    Micros catching_up_until_ = 0, owner_since_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0, counted_at_ = 0, pulse_at_ = 0;
+    Micros catching_up_until_ = 0, majority_at_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0, counted_at_ = 0, pulse_at_ = 0;
     Epoch board_epoch_, highest_epoch_, known_epoch_;
     std::string known_owner_;
     Version config_version_;
--- a/source/shared/news/compass.hpp
+++ b/source/shared/news/compass.hpp
@@ -36,6 +36,7 @@
         colleagues_ = settings_.seeds;
     }
     void open() {
+        watching_.resize(settings_.watched);
         for (size_t watcher = 0; watcher < settings_.watched; ++watcher) watch(watcher, 0);
     }
     void add_seeds(const std::vector<std::string>& seeds) {
@@ -97,12 +98,21 @@
         std::string address;
         {
             std::lock_guard guard(lock_);
+            // The first choice that no other watcher has; after a mishap, the one after the last.
             std::vector<std::string> order = ranked();
-            if (!order.empty()) address = order[(watcher + tries * settings_.watched) % order.size()];
+            auto last = std::find(order.begin(), order.end(), watching_[watcher]);
+            size_t begin = last == order.end() ? 0 : size_t(last - order.begin()) + (tries > 0 ? 1 : 0);
+            for (size_t step = 0; step < order.size() && address.empty(); ++step) {
+                const std::string& choice = order[(begin + step) % order.size()];
+                bool taken = false;
+                for (size_t other = 0; other < watching_.size(); ++other) taken = taken || (other != watcher && watching_[other] == choice);
+                if (!taken) address = choice;
+            }
+            watching_[watcher] = address;
         }
         if (address.empty()) return loop_.after(seconds(1), [this, watcher] { watch(watcher, 0); });
         ask(address, settings_.wait, [this, watcher, tries](bool answered) {
-            if (answered) return watch(watcher, tries);
+            if (answered) return watch(watcher, 0);
             loop_.after(milliseconds(tries < 3 ? 100 : 500), [this, watcher, tries] { watch(watcher, tries + 1); });
         });
     }
@@ -128,6 +138,7 @@
                 epoch_ = news.epoch;
                 owner_ = news.owner;
                 changed = true;
+                log_line("compass", "owner {} under epoch {}", owner_, epoch_.value);
             }
             if (news.config_revision > revision_ && !news.config.empty()) {
                 revision_ = news.config_revision;
@@ -147,7 +158,7 @@
     Loop& loop_;
     Changed changed_;
     mutable std::mutex lock_;
-    std::vector<std::string> colleagues_;
+    std::vector<std::string> colleagues_, watching_;
     std::string owner_, config_;
     Epoch epoch_;
     std::uint64_t revision_ = 0, core_mark_ = 0;
