--- a/source/control.hpp
+++ b/source/control.hpp
@@ -291,6 +291,8 @@
     }
     void elect(Micros now) {
         bool stalled = disk_.stalled_for(now) > milliseconds(600);
+        // A majority that grants its epoch shows that nobody else is to be caught up from.
+        if (owner_.state() == Owner::State::handing || owner_.acting()) catching_up_until_ = 0;
         bool catching_up = now < catching_up_until_;
         if (!detector_.trusts_itself() || core_.members.size() < 2 || owner_.reaches_majority(now - props_.alone_after / 2)) majority_at_ = now;
         bool alone = now - majority_at_ > props_.alone_after;
--- a/source/control/jobs/board.hpp
+++ b/source/control/jobs/board.hpp
@@ -3,6 +3,7 @@
 #include "common.hpp"
 #include "control/jobs/job.hpp"
 #include "control/plan/placer.hpp"
+#include "control/plan/sense.hpp"
 #include "control/store/register.hpp"
 #include "shared/http/outcome.hpp"
 #include "shared/record/log.hpp"
@@ -45,6 +46,9 @@
     std::string saved;
     std::int64_t percent = 0;
     std::uint64_t missing = 0;  // reports in a row that did not show it
+    bool remote = false;        // away from its data
+    Micros moved_at = 0;        // when its percent was last seen to rise
+    bool judged = false;        // it has counted against its worker's pace
 };
 
 struct WorkerEntry {
@@ -62,6 +66,7 @@
     std::map<RunName, RunEntry> runs;
     std::deque<Order> orders;
     bool look = true;
+    Pace pace;
     std::uint64_t era = 1;     // rises with each lapse: orders of an earlier era are void
     bool silent = false;       // its side gets no answer from it
     std::int64_t cpu_used = 0, memory_used = 0, gpu_used = 0;
@@ -267,7 +272,7 @@
         if (plan_wanted_ && now >= next_plan_) {
             plan_wanted_ = false;
             next_plan_ = now + milliseconds(2);
-            plan(now, confirmed_at);
+            plan(now, wall, confirmed_at);
         }
         flush();
     }
@@ -285,6 +290,7 @@
         bool committed = false;  // a majority has it; only then anything starts
         bool dirty = false;
         std::vector<std::function<void()>> after;  // run once the present change is committed
+        std::map<std::uint32_t, std::pair<Micros, std::uint32_t>> took;  // step -> durations seen, in all and how many
     };
     using Rank = std::tuple<std::int64_t, Micros, std::string>;
 
@@ -445,6 +451,7 @@
         run.state = state;
         run.since = now;
         run.estimate = step.estimate;
+        run.remote = !step.affinity.empty() && std::find(worker.account.labels.begin(), worker.account.labels.end(), step.affinity) == worker.account.labels.end();
         worker.cpu_used += run.cpu;
         worker.memory_used += run.memory;
         worker.gpu_used += run.gpu;
@@ -491,7 +498,8 @@
         return lane ? lane->sends_most : job.fixed.sends_most;
     }
     // The one place where a run leaves a worker; returns the job it changed.
-    JobEntry* end_run(WorkerEntry& worker, const RunName& name, End how, const std::string& saved, Micros wall) {
+    JobEntry* end_run(WorkerEntry& worker, const RunName& name, End how, const std::string& saved, Micros wall, Micros now) {
+        if (how == End::done) note_duration(worker, name, now);
         drop_run(worker, name);
         auto found = jobs_.find(name.job);
         if (found == jobs_.end()) return nullptr;
@@ -555,7 +563,9 @@
             if (run.state == RunState::ordered) run.state = RunState::running, run.since = now;
             if (run.state == RunState::running || run.state == RunState::stopping) {
                 if (!active.saved.empty()) run.saved = active.saved;
+                if (active.percent > run.percent || run.moved_at == 0) run.moved_at = now;
                 run.percent = active.percent;
+                judge_progress(worker, run, now);
             }
             run.missing = 0;
         }
@@ -565,7 +575,7 @@
             worker.ends[finished.number] = false;
             auto name = RunName::parse(finished.task, finished.run);
             auto how = parse_end(finished.how);
-            JobEntry* entry = name && how ? end_run(worker, *name, *how, finished.saved, wall) : nullptr;
+            JobEntry* entry = name && how ? end_run(worker, *name, *how, finished.saved, wall, now) : nullptr;
             if (name) shown.insert(*name);
             if (entry) entry->after.push_back([this, life = worker.account.life, number = finished.number] { commit_end(life, number); });
             else commit_end(worker.account.life, finished.number);
@@ -581,7 +591,7 @@
             else if (run.state == RunState::running && ++run.missing >= 3) want_stop(worker, run);
         }
         // A stop that was answered and a later look without it: it never began, or its end was noted.
-        for (const RunName& name : gone) end_run(worker, name, End::stopped, {}, wall);
+        for (const RunName& name : gone) end_run(worker, name, End::stopped, {}, wall, now);
         worker.reconciled = true;
     }
     // A run that the record does not know here (any more).
@@ -604,14 +614,14 @@
         }
     }
     // Everything that ran on this life is over.
-    void clear_runs(WorkerEntry& worker, End how, Micros wall) {
+    void clear_runs(WorkerEntry& worker, End how, Micros wall, Micros now) {
         std::vector<RunName> names;
         for (const auto& [name, run] : worker.runs) names.push_back(name);
         for (const RunName& name : names) {
             auto found = worker.runs.find(name);
             if (found == worker.runs.end()) continue;
             std::string saved = found->second.saved;
-            end_run(worker, name, how, saved, wall);
+            end_run(worker, name, how, saved, wall, now);
         }
         worker.orders.clear();
         plan_wanted_ = true;
@@ -619,22 +629,21 @@
     void end_life(const std::string& life, Micros now, Micros wall) {
         auto found = workers_.find(life);
         if (found == workers_.end()) return;
-        (void)now;
-        clear_runs(found->second, End::lost, wall);
+        clear_runs(found->second, End::lost, wall, now);
         if (auto known = nodes_.find(found->second.node); known != nodes_.end() && known->second == life) nodes_.erase(known);
         workers_.erase(found);
         counters().add("lives_ended");
     }
     void lapse(WorkerEntry& worker, Micros now, Micros wall) {
-        (void)now;
         log_line("board", "the hold of {} on {} has lapsed with {} runs", worker.account.life, worker.node, worker.runs.size());
         worker.reconciled = false;
         worker.look = true;
         ++worker.era;
-        clear_runs(worker, End::lapsed, wall);
+        clear_runs(worker, End::lapsed, wall, now);
     }
     void upkeep(Micros now, Micros wall) {
         next_upkeep_ = now + milliseconds(250);
+        for (auto& [life, worker] : workers_) worker.pace.forget(0.02);
         std::vector<std::string> old;
         for (auto& [id, entry] : jobs_)
             if (entry.job.ended() && wall - entry.job.moving.ended_wall > props_.status_kept + seconds(30) && !entry.job.has_placements()) old.push_back(id);
@@ -645,22 +654,109 @@
         plan_wanted_ = true;
     }
 
+    // --- durations ---
+
+    std::string lane_key(const Job& job) const { return job.fixed.host + "|" + job.fixed.prefix; }
+    // How long a task of this step takes on a sound worker near its data.
+    Micros expect(JobEntry& entry, std::uint32_t step) {
+        auto took = entry.took.find(step);
+        if (took != entry.took.end() && took->second.second >= 2) return took->second.first / took->second.second;
+        return senses_[lane_key(entry.job)].expect(entry.job.fixed.spec.steps[step].estimate);
+    }
+    void note_duration(WorkerEntry& worker, const RunName& name, Micros now) {
+        auto run = worker.runs.find(name);
+        auto job = jobs_.find(name.job);
+        if (run == worker.runs.end() || job == jobs_.end()) return;
+        const Step& step = job->second.job.fixed.spec.steps[name.step];
+        Micros took = now - (run->second.state == RunState::running ? run->second.since : run->second.ordered_at ? run->second.ordered_at : now);
+        if (took <= 0 || step.long_running) return;
+        if (run->second.remote) took = Micros(double(took) / props_.placer.remote_factor);
+        Micros expected = expect(job->second, name.step);
+        auto& seen = job->second.took[name.step];
+        worker.pace.note(double(took) / double(expected), seen.second >= 2 ? 0.3 : 0.08);
+        if (worker.pace.slow()) return;  // a slow worker tells nothing of the job
+        seen.first += took;
+        seen.second++;
+        senses_[lane_key(job->second.job)].note(step.estimate, took);
+    }
+    // A run that takes far longer than its siblings speaks against its worker before it ends.
+    void judge_progress(WorkerEntry& worker, RunEntry& run, Micros now) {
+        auto job = jobs_.find(run.name.job);
+        if (job == jobs_.end() || run.state != RunState::running || run.judged || job->second.job.fixed.spec.steps[run.name.step].long_running) return;
+        Micros expected = expect(job->second, run.name.step);
+        if (run.remote) expected = Micros(double(expected) * props_.placer.remote_factor);
+        Micros elapsed = now - run.since;
+        if (elapsed < expected + milliseconds(200)) return;
+        double whole = run.percent > 0 ? double(elapsed) * 100 / double(run.percent) : double(elapsed) * 2;
+        if (whole < 2 * double(expected)) return;
+        run.judged = true;
+        auto took = job->second.took.find(run.name.step);
+        worker.pace.note(whole / double(expected), took != job->second.took.end() && took->second.second >= 2 ? 0.3 : 0.1);
+    }
+
     // --- placement ---
 
-    void plan(Micros now, Micros confirmed_at) {
+    // What a job still can earn: all, a part, or nothing any more.
+    enum class Hope { aim, late, none };
+    struct Turn {
+        Hope hope;
+        std::int64_t priority;
+        Micros order;
+        JobEntry* entry;
+        auto key() const { return std::tuple(hope == Hope::none, priority, hope, order); }
+    };
+    Turn turn_of(JobEntry& entry, Micros wall) {
+        Job& job = entry.job;
+        const Lane* lane = config_.find_exact(job.fixed.host, job.fixed.prefix);
+        Micros target = lane ? lane->target : job.fixed.target;
+        double extension = lane ? lane->extension : job.fixed.extension;
+        std::int64_t priority = lane ? lane->priority : job.fixed.priority;
+        // The longest chain of the whole job, and of what is left of its first open time.
+        std::vector<Micros> whole(job.fixed.spec.steps.size()), left(whole.size());
+        const Time* time = job.moving.times.empty() ? nullptr : &job.moving.times.front();
+        Micros chain = 0, rest = 0;
+        bool lasting = false;
+        for (std::uint32_t step = 0; step < whole.size(); ++step) {
+            Micros before = 0, before_left = 0;
+            for (std::uint32_t earlier : job.fixed.spec.steps[step].depends) before = std::max(before, whole[earlier]), before_left = std::max(before_left, left[earlier]);
+            Micros length = expect(entry, step);
+            whole[step] = before + length;
+            left[step] = before_left + (time && time->steps[step].done() ? 0 : length);
+            chain = std::max(chain, whole[step]);
+            rest = std::max(rest, left[step]);
+            lasting = lasting || job.fixed.spec.steps[step].long_running;
+        }
+        Micros begun = job.timed() ? job.fixed.spec.first_at + Micros(time ? time->number : 0) * job.fixed.spec.interval : job.fixed.accepted_wall;
+        Micros aim = Micros(extension * double(chain)) + target;
+        Micros due = begun + aim;
+        if (lasting) return {Hope::late, priority, begun, &entry};
+        if (wall + rest <= due) return {Hope::aim, priority, due - rest, &entry};
+        if (wall + rest <= begun + 3 * aim) return {Hope::late, priority, begun, &entry};
+        return {Hope::none, priority, begun, &entry};
+    }
+    static bool has_waiting(const Job& job) {
+        for (const Time& time : job.moving.times)
+            for (const StepState& step : time.steps)
+                for (const Task& task : step.tasks)
+                    if (task.waiting()) return true;
+        return false;
+    }
+    void plan(Micros now, Micros wall, Micros confirmed_at) {
         if (confirmed_at < 0 || now - confirmed_at > props_.hold / 2) return;
         std::vector<Room> rooms;
         for (auto& [life, worker] : workers_) {
             if (!worker.reconciled || worker.silent || worker.account.draining || now - worker.heard_at > props_.fresh || now < worker.avoided_until) continue;
             rooms.push_back({life, worker.account.service, worker.account.labels, worker.account.cpu - worker.cpu_used, worker.account.memory - worker.memory_used,
-                             worker.account.gpu - worker.gpu_used, worker.account.cpu, worker.account.memory});
+                             worker.account.gpu - worker.gpu_used, worker.account.cpu, worker.account.memory, worker.pace.value()});
         }
         if (rooms.empty()) return;
+        std::vector<Turn> turns;
         for (const auto& [rank, id] : active_) {
             JobEntry& entry = jobs_.at(id);
-            if (!entry.committed || entry.job.ended()) continue;
-            place_job(entry, rooms, now);
+            if (entry.committed && !entry.job.ended() && has_waiting(entry.job)) turns.push_back(turn_of(entry, wall));
         }
+        std::sort(turns.begin(), turns.end(), [](const Turn& left, const Turn& right) { return left.key() < right.key(); });
+        for (const Turn& turn : turns) place_job(*turn.entry, rooms, now);
     }
     void place_job(JobEntry& entry, std::vector<Room>& rooms, Micros now) {
         Job& job = entry.job;
@@ -712,6 +808,7 @@
     std::vector<std::string> dirty_;
     std::map<std::string, WorkerEntry> workers_;
     std::map<std::string, std::string> nodes_;  // side machine -> life of its worker
+    std::map<std::string, QueueSense> senses_;
     std::map<std::pair<std::string, RunName>, Micros> strangers_;
     bool plan_wanted_ = false;
     Micros next_plan_ = 0, next_upkeep_ = 0;
--- a/source/control/plan/placer.hpp
+++ b/source/control/plan/placer.hpp
@@ -15,6 +15,7 @@
     std::vector<std::string> labels;
     std::int64_t cpu = 0, memory = 0, gpu = 0;
     std::int64_t cpu_whole = 0, memory_whole = 0;
+    double pace = 1;
 
     bool fits(const Step& step) const { return step.cpu <= cpu && step.memory <= memory && step.gpu <= gpu; }
     bool has(const std::string& label) const { return std::find(labels.begin(), labels.end(), label) != labels.end(); }
@@ -47,7 +48,9 @@
                 if (step.anti_affinity && counts[room.life] >= step.anti_affinity) continue;
                 double score = room.share_left(step);
                 if (!step.affinity.empty() && room.has(step.affinity)) score += 2;
-                if (score > best_score) best = &room, best_score = score;
+                // A worker seen to be slow is taken when there is nothing else.
+                if (room.pace > 1.8) score -= 4 + room.pace;
+                if (!best || score > best_score) best = &room, best_score = score;
             }
             if (!best) break;
             best->take(step);
