--- a/source/common.hpp
+++ b/source/common.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
--- a/source/control.hpp
+++ b/source/control.hpp
@@ -330,7 +330,7 @@
     void schedule(Micros now) {
         Micros next = now + milliseconds(200);
         if (place_) next = std::min(next, detector_.next(now));
-        if (owner_.state() != Owner::State::idle) next = std::min(next, now + milliseconds(100));
+        if (owner_.state() != Owner::State::idle) next = std::min(next, now + (owner_.acting() ? milliseconds(100) : props_.owner.ask_again));
         if (acting()) next = std::min(next, board_.next_pulse(now, judge_.wall(wall_now(), now)));
         next = std::max(next, now + 500);
         if (pulse_at_ != 0 && pulse_at_ <= next + 500 && pulse_at_ > now - milliseconds(50)) return;
--- a/source/control/jobs/board.hpp
+++ b/source/control/jobs/board.hpp
@@ -20,6 +20,8 @@
     Micros early = 0;
     Micros resend_start = seconds(1);
     size_t jobs_most = 20000;
+    Micros urgent_memory = seconds(8);  // how fast the peak of urgent work is forgotten
+    double urgent_most = 0.4;           // at most this share is kept free for it
     PlacerProps placer;
     // When a hold that was last allowed at `allowed` has surely lapsed (a worker's clock may run 2% slow).
     Micros lapse_after(Micros confirmed) const { return confirmed + hold + hold / 50 + hold_margin; }
@@ -46,6 +48,7 @@
     std::string saved;
     std::int64_t percent = 0;
     std::uint64_t missing = 0;  // reports in a row that did not show it
+    std::int64_t priority = 0;
     bool remote = false;        // away from its data
     Micros moved_at = 0;        // when its percent was last seen to rise
     bool judged = false;        // it has counted against its worker's pace
@@ -103,9 +106,10 @@
                 for (std::uint32_t step = 0; step < time.steps.size(); ++step)
                     for (std::uint32_t place = 0; place < time.steps[step].tasks.size(); ++place)
                         for (const Placement& placement : time.steps[step].tasks[place].placements) {
-                            const std::string& life = entry.job.moving.workers[placement.worker];
+                            const std::string& life = entry.job.moving.workers[placement.worker].life;
                             auto [worker, fresh] = workers_.try_emplace(life);
                             if (fresh) {
+                                worker->second.node = entry.job.moving.workers[placement.worker].node;
                                 worker->second.account.life = life;
                                 worker->second.placeholder = true;
                                 worker->second.lapses_at = props_.lapse_after(now);
@@ -121,6 +125,8 @@
         dirty_.clear();
         workers_.clear();
         nodes_.clear();
+        sittings_.clear();
+        ended_.clear();
         config_ = Config{};
         epoch_ = Epoch{};
         last_order_ = 0;
@@ -194,18 +200,33 @@
 
     // What a side says; the answer is made by `answer_side` when there is something to tell.
     void take_side(const SideAsk& ask, Micros now, Micros wall) {
-        for (const std::string& life : ask.over) end_life(life, now, wall);
+        // What an earlier process of the side said late, or an ask that was overtaken, tells nothing new.
+        Sitting& sitting = sittings_[ask.node];
+        if (ask.sitting != sitting.present) {
+            if (std::find(sitting.past.begin(), sitting.past.end(), ask.sitting) != sitting.past.end()) return;
+            sitting.past.push_back(sitting.present);
+            if (sitting.past.size() > 32) sitting.past.pop_front();
+            sitting.present = ask.sitting;
+            sitting.number = 0;
+        }
+        if (ask.number < sitting.number) return;
+        sitting.number = ask.number;
+        for (const std::string& life : ask.over) end_life(life, now, wall), ended_.insert(life);
         if (!ask.worker) {
             nodes_.erase(ask.node);
             return;
         }
         const std::string& life = ask.worker->life;
-        auto known = nodes_.find(ask.node);
-        if (known != nodes_.end() && known->second != life) end_life(known->second, now, wall);
+        if (ended_.contains(life)) return;
+        // One machine has one worker: another life there means that the earlier one is over.
+        std::vector<std::string> earlier;
+        for (const auto& [other, worker] : workers_)
+            if (worker.node == ask.node && other != life) earlier.push_back(other);
+        for (const std::string& other : earlier) end_life(other, now, wall);
         nodes_[ask.node] = life;
         WorkerEntry& worker = workers_[life];
         bool restarted = worker.sitting != ask.sitting;
-        if (worker.placeholder || worker.node.empty() || restarted) {
+        if (worker.placeholder || restarted) {
             // Orders given to an earlier process of the side are given again: a start is the same start.
             worker.placeholder = false;
             worker.reconciled = false;
@@ -292,6 +313,10 @@
         std::vector<std::function<void()>> after;  // run once the present change is committed
         std::map<std::uint32_t, std::pair<Micros, std::uint32_t>> took;  // step -> durations seen, in all and how many
     };
+    struct Sitting {
+        std::uint64_t present = 0, number = 0;
+        std::deque<std::uint64_t> past;
+    };
     using Rank = std::tuple<std::int64_t, Micros, std::string>;
 
     Outcome problem(int code, const std::string& text) { return Outcome::json(code, boost::json::serialize(boost::json::object{{"error", text}})); }
@@ -451,6 +476,7 @@
         run.state = state;
         run.since = now;
         run.estimate = step.estimate;
+        run.priority = entry.job.fixed.priority;
         run.remote = !step.affinity.empty() && std::find(worker.account.labels.begin(), worker.account.labels.end(), step.affinity) == worker.account.labels.end();
         worker.cpu_used += run.cpu;
         worker.memory_used += run.memory;
@@ -626,12 +652,14 @@
         worker.orders.clear();
         plan_wanted_ = true;
     }
-    void end_life(const std::string& life, Micros now, Micros wall) {
+    void end_life(std::string life, Micros now, Micros wall) {
         auto found = workers_.find(life);
         if (found == workers_.end()) return;
         clear_runs(found->second, End::lost, wall, now);
         if (auto known = nodes_.find(found->second.node); known != nodes_.end() && known->second == life) nodes_.erase(known);
         workers_.erase(found);
+        if (ended_.size() > 4000) ended_.clear();
+        ended_.insert(life);
         counters().add("lives_ended");
     }
     void lapse(WorkerEntry& worker, Micros now, Micros wall) {
@@ -668,12 +696,13 @@
         auto job = jobs_.find(name.job);
         if (run == worker.runs.end() || job == jobs_.end()) return;
         const Step& step = job->second.job.fixed.spec.steps[name.step];
-        Micros took = now - (run->second.state == RunState::running ? run->second.since : run->second.ordered_at ? run->second.ordered_at : now);
+        Micros took = run->second.ordered_at > 0 ? now - run->second.ordered_at : 0;
         if (took <= 0 || step.long_running) return;
         if (run->second.remote) took = Micros(double(took) / props_.placer.remote_factor);
         Micros expected = expect(job->second, name.step);
         auto& seen = job->second.took[name.step];
-        worker.pace.note(double(took) / double(expected), seen.second >= 2 ? 0.3 : 0.08);
+        // Only siblings of the same step are a measure; an estimate is too rough to speak against a worker.
+        if (seen.second >= 2) worker.pace.note(double(took) / double(expected), 0.2);
         if (worker.pace.slow()) return;  // a slow worker tells nothing of the job
         seen.first += took;
         seen.second++;
@@ -685,13 +714,15 @@
         if (job == jobs_.end() || run.state != RunState::running || run.judged || job->second.job.fixed.spec.steps[run.name.step].long_running) return;
         Micros expected = expect(job->second, run.name.step);
         if (run.remote) expected = Micros(double(expected) * props_.placer.remote_factor);
-        Micros elapsed = now - run.since;
+        if (run.ordered_at == 0) return;
+        Micros elapsed = now - run.ordered_at;
         if (elapsed < expected + milliseconds(200)) return;
         double whole = run.percent > 0 ? double(elapsed) * 100 / double(run.percent) : double(elapsed) * 2;
         if (whole < 2 * double(expected)) return;
         run.judged = true;
         auto took = job->second.took.find(run.name.step);
-        worker.pace.note(whole / double(expected), took != job->second.took.end() && took->second.second >= 2 ? 0.3 : 0.1);
+        bool measured = took != job->second.took.end() && took->second.second >= 2;
+        if (measured) worker.pace.note(whole / double(expected), 0.2);
     }
 
     // --- placement ---
@@ -755,10 +786,44 @@
             JobEntry& entry = jobs_.at(id);
             if (entry.committed && !entry.job.ended() && has_waiting(entry.job)) turns.push_back(turn_of(entry, wall));
         }
+        measure_urgent(now);
         std::sort(turns.begin(), turns.end(), [](const Turn& left, const Turn& right) { return left.key() < right.key(); });
-        for (const Turn& turn : turns) place_job(*turn.entry, rooms, now);
+        for (const Turn& turn : turns) place_job(*turn.entry, turn.priority, rooms, now);
     }
-    void place_job(JobEntry& entry, std::vector<Room>& rooms, Micros now) {
+    // What urgent lanes use now and used lately: the others leave them room to come back to that.
+    void measure_urgent(Micros now) {
+        for (auto& [service, load] : loads_) load.whole_cpu = load.whole_memory = 0, load.used.clear();
+        for (auto& [life, worker] : workers_) {
+            if (worker.placeholder) continue;
+            Load& load = loads_[worker.account.service];
+            load.whole_cpu += double(worker.account.cpu);
+            load.whole_memory += double(worker.account.memory);
+        }
+        for (auto& [life, worker] : workers_) {
+            if (worker.placeholder) continue;
+            Load& load = loads_[worker.account.service];
+            for (auto& [name, run] : worker.runs) {
+                double share = std::max(load.whole_cpu > 0 ? double(run.cpu) / load.whole_cpu : 0, load.whole_memory > 0 ? double(run.memory) / load.whole_memory : 0);
+                load.used[run.priority] += share;
+            }
+        }
+        for (auto& [service, load] : loads_) {
+            double fade = std::exp(-double(now - load.at) / double(props_.urgent_memory));
+            load.at = now;
+            for (auto& [priority, peak] : load.peak) peak *= fade;
+            for (auto& [priority, used] : load.used) load.peak[priority] = std::max(load.peak[priority], used);
+        }
+    }
+    // The share of a service's room that a lane of this priority may still take.
+    double share_open(const std::string& service, std::int64_t priority) {
+        Load& load = loads_[service];
+        double open = 1;
+        for (const auto& [each, used] : load.used) open -= used;
+        for (const auto& [each, peak] : load.peak)
+            if (each < priority) open -= std::min(props_.urgent_most, std::max(0.0, peak - load.used[each]));
+        return open;
+    }
+    void place_job(JobEntry& entry, std::int64_t priority, std::vector<Room>& rooms, Micros now) {
         Job& job = entry.job;
         const Lane* lane = config_.find_exact(job.fixed.host, job.fixed.prefix);
         const std::string& service = lane ? lane->service : job.fixed.service;
@@ -777,14 +842,25 @@
                 std::map<std::string, std::uint32_t> on_worker;
                 if (wanted.anti_affinity)
                     for (const Task& task : time.steps[step].tasks)
-                        for (const Placement& placement : task.placements) on_worker[job.moving.workers[placement.worker]]++;
-                std::vector<std::pair<size_t, std::string>> chosen = place_tasks(props_.placer, wanted, service, waiting, on_worker, rooms);
+                        for (const Placement& placement : task.placements) on_worker[job.moving.workers[placement.worker].life]++;
+                Load& load = loads_[service];
+                double share = std::max(load.whole_cpu > 0 ? double(wanted.cpu) / load.whole_cpu : 0, load.whole_memory > 0 ? double(wanted.memory) / load.whole_memory : 0);
+                if (share > 0) {
+                    double open = share_open(service, priority);
+                    bool first = load.used[priority] <= 0;  // a lane is never shut out wholly
+                    size_t most = open <= 0 ? 0 : size_t(open / share);
+                    if (wanted.gang && most < waiting.size() && !first) continue;
+                    if (!wanted.gang && waiting.size() > most) waiting.resize(std::max<size_t>(most, first ? 1 : 0));
+                    if (waiting.empty()) continue;
+                }
+                std::vector<std::pair<size_t, std::string>> chosen = place_tasks(props_.placer, wanted, service, waiting, on_worker, rooms, priority == least_priority());
                 for (const auto& [index, life] : chosen) {
                     std::uint32_t run = wanted.gang ? 0 : job.next_run(time, step, index);
                     if (wanted.gang) run = gang_run(job, time, step, chosen.front().first == index);
-                    job.place(time, step, index, run, life);
+                    job.place(time, step, index, run, {life, workers_.at(life).node});
                     RunName name{job.fixed.id, time.number, std::uint32_t(step), std::uint32_t(index), run};
                     add_run(workers_.at(life), entry, name, RunState::intended, now);
+                    load.used[priority] += share;
                     entry.after.push_back([this, life = life, name, now] { order_start(life, name, now); });
                     counters().add("runs_intended");
                 }
@@ -792,6 +868,11 @@
             }
         }
     }
+    std::int64_t least_priority() const {
+        std::int64_t least = std::numeric_limits<std::int64_t>::max();
+        for (const Lane& lane : config_.lanes) least = std::min(least, lane.priority);
+        return least;
+    }
     std::uint32_t gang_run(const Job& job, const Time& time, size_t step, bool first) {
         if (first) gang_run_ = job.next_run(time, step, 0);
         return gang_run_;
@@ -808,6 +889,14 @@
     std::vector<std::string> dirty_;
     std::map<std::string, WorkerEntry> workers_;
     std::map<std::string, std::string> nodes_;  // side machine -> life of its worker
+    std::map<std::string, Sitting> sittings_;
+    std::set<std::string> ended_;  // lives known to be over
+    struct Load {
+        double whole_cpu = 0, whole_memory = 0;
+        std::map<std::int64_t, double> used, peak;  // by priority, as shares of the whole
+        Micros at = 0;
+    };
+    std::map<std::string, Load> loads_;
     std::map<std::string, QueueSense> senses_;
     std::map<std::pair<std::string, RunName>, Micros> strangers_;
     bool plan_wanted_ = false;
--- a/source/control/jobs/job.hpp
+++ b/source/control/jobs/job.hpp
@@ -69,12 +69,20 @@
 
 enum class Ending { none, done, failed, cancelled };
 
+// A life of a worker, and the machine it lives on.
+struct LifeName {
+    std::string life, node;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(life), visit(node); }
+};
+
 struct JobMoving {
     Ending ending = Ending::none;
     Micros ended_wall = 0;
     bool begun = false;
     std::uint64_t next_time = 0;
-    std::vector<std::string> workers;
+    std::vector<LifeName> workers;
     std::vector<Time> times;
     using IsFrame = void;
     template <class Visitor>
@@ -193,10 +201,10 @@
             if (!time.steps[earlier].done()) return false;
         return true;
     }
-    std::uint32_t worker_place(const std::string& life) {
+    std::uint32_t worker_place(const LifeName& name) {
         for (size_t place = 0; place < moving.workers.size(); ++place)
-            if (moving.workers[place] == life) return std::uint32_t(place);
-        moving.workers.push_back(life);
+            if (moving.workers[place].life == name.life) return std::uint32_t(place);
+        moving.workers.push_back(name);
         return std::uint32_t(moving.workers.size() - 1);
     }
     Task* find_task(const RunName& name) {
@@ -208,10 +216,10 @@
         Task* task = find_task(name);
         if (!task) return nullptr;
         for (Placement& placement : task->placements)
-            if (placement.run == name.run && moving.workers[placement.worker] == life) return &placement;
+            if (placement.run == name.run && moving.workers[placement.worker].life == life) return &placement;
         return nullptr;
     }
-    std::uint32_t place(Time& time, size_t step, size_t index, std::uint32_t run, const std::string& life) {
+    std::uint32_t place(Time& time, size_t step, size_t index, std::uint32_t run, const LifeName& life) {
         Task& task = time.steps[step].tasks[index];
         task.last_run = std::max(task.last_run, run);
         task.placements.push_back({run, worker_place(life)});
@@ -233,7 +241,7 @@
         StepState& state = time.steps[name.step];
         Task& task = state.tasks[name.index];
         const Step& step = fixed.spec.steps[name.step];
-        std::erase_if(task.placements, [&](const Placement& each) { return each.run == name.run && moving.workers[each.worker] == life; });
+        std::erase_if(task.placements, [&](const Placement& each) { return each.run == name.run && moving.workers[each.worker].life == life; });
         if (!saved.empty()) {
             task.saved = saved;
             if (step.gang)
--- a/source/control/plan/placer.hpp
+++ b/source/control/plan/placer.hpp
@@ -33,7 +33,7 @@
 // A gang is placed whole or not at all; other tasks as far as there is room. `rooms` is reduced by what was placed.
 inline std::vector<std::pair<size_t, std::string>> place_tasks(const PlacerProps& props, const Step& step, const std::string& service,
                                                                const std::vector<size_t>& tasks, std::map<std::string, std::uint32_t> on_worker,
-                                                               std::vector<Room>& rooms) {
+                                                               std::vector<Room>& rooms, bool spread = true) {
     (void)props;
     auto attempt = [&](std::vector<Room> trial, const std::string& only_rack) {
         std::vector<std::pair<size_t, std::string>> chosen;
@@ -46,7 +46,8 @@
                 if (!step.needs.empty() && !room.has(step.needs)) continue;
                 if (!only_rack.empty() && room.rack() != only_rack) continue;
                 if (step.anti_affinity && counts[room.life] >= step.anti_affinity) continue;
-                double score = room.share_left(step);
+                // Urgent work is spread, so that it starts at once; the rest is packed and leaves whole workers free.
+                double score = spread ? room.share_left(step) : 1 - room.share_left(step);
                 if (!step.affinity.empty() && room.has(step.affinity)) score += 2;
                 // A worker seen to be slow is taken when there is nothing else.
                 if (room.pace > 1.8) score -= 4 + room.pace;
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -7,6 +7,7 @@
 
 struct OwnerProps {
     Micros retry = milliseconds(100);
+    Micros ask_again = milliseconds(30);  // a daemon that does not trust this one yet
     size_t batch_bytes = 512 * 1024;
 };
 
@@ -157,6 +158,7 @@
             if (answer->promised > epoch_) return outbid(answer->promised);
             if (answer->verdict == Verdict::stranger) link->gone = true;
             hold_off(*link, now);
+            if (answer->verdict == Verdict::untrusted) link->not_before = now + props_.ask_again;
         }
     }
     void take(std::uint64_t ticket, const WriteAnswer* answer, Micros now) {
