--- a/source/control.hpp
+++ b/source/control.hpp
@@ -23,6 +23,7 @@
     Micros side_wait = seconds(1);
     Micros probe_busy = milliseconds(300), probe_idle = milliseconds(800);
     Micros catching_up_most = milliseconds(1200);
+    Micros count_every = seconds(5);
     Micros gone_after = seconds(2);
     Micros alone_after = milliseconds(1000);  // without a majority a daemon suspects itself
 };
@@ -283,10 +284,11 @@
         for (Errand& errand : owner_.pump(now)) carry(std::move(errand));
         answer_sides(now);
         answer_news(now);
-        if (now - counted_at_ > seconds(5)) {
+        if (now - counted_at_ > props_.count_every) {
             counted_at_ = now;
             std::string text = counters().changed_text();
             if (!text.empty()) log_line("counters", "{}", text);
+            if (!text.empty() && acting()) log_line("gauges", "{}", board_.gauges());
         }
     }
     void elect(Micros now) {
--- a/source/control/jobs/board.hpp
+++ b/source/control/jobs/board.hpp
@@ -21,6 +21,7 @@
     Micros resend_start = seconds(1);
     size_t jobs_most = 20000;
     Micros urgent_memory = seconds(8);  // how fast the peak of urgent work is forgotten
+    Micros urgent_length = seconds(4);  // a task this long keeps clear of all of it
     double urgent_most = 0.4;           // at most this share is kept free for it
     PlacerProps placer;
     // When a hold that was last allowed at `allowed` has surely lapsed (a worker's clock may run 2% slow).
@@ -138,6 +139,34 @@
         auto found = jobs_.find(id);
         return found == jobs_.end() ? nullptr : &found->second.job;
     }
+    // Example: "jobs_open=31 tasks_waiting=p0:12,p2:40 room_used=cpu:0.71,memory:0.55 workers=11"
+    std::string gauges() const {
+        std::map<std::int64_t, size_t> waiting, running;
+        for (const auto& [rank, id] : active_)
+            for (const Time& time : jobs_.at(id).job.moving.times)
+                for (size_t step = 0; step < time.steps.size(); ++step)
+                    for (const Task& task : time.steps[step].tasks)
+                        if (task.waiting() && jobs_.at(id).job.turn_has_come(time, step)) waiting[std::get<0>(rank)]++;
+        double cpu = 0, memory = 0, cpu_used = 0, memory_used = 0;
+        size_t usable = 0;
+        std::string slow, away;
+        for (const auto& [life, worker] : workers_) {
+            cpu += double(worker.account.cpu), memory += double(worker.account.memory);
+            cpu_used += double(worker.cpu_used), memory_used += double(worker.memory_used);
+            usable += worker.reconciled && !worker.silent && !worker.account.draining;
+            if (!worker.reconciled) away += fmt::format("{}{}", away.empty() ? "" : ",", worker.node.empty() ? life : worker.node + (worker.placeholder ? "(unheard)" : worker.silent ? "(silent)" : ""));
+            if (worker.pace.slow()) slow += fmt::format("{}{}:{:.1f}", slow.empty() ? "" : ",", worker.node, worker.pace.value());
+            for (const auto& [name, run] : worker.runs) running[run.priority]++;
+        }
+        std::string text = fmt::format("jobs_open={} tasks_waiting=", active_.size());
+        for (const auto& [priority, count] : waiting) text += fmt::format("p{}:{},", priority, count);
+        text += " tasks_placed=";
+        for (const auto& [priority, count] : running) text += fmt::format("p{}:{},", priority, count);
+        text += fmt::format(" room_used=cpu:{:.2f},memory:{:.2f} workers={}/{}", cpu > 0 ? cpu_used / cpu : 0, memory > 0 ? memory_used / memory : 0, usable, workers_.size());
+        if (!away.empty()) text += " unreconciled=" + away;
+        if (!slow.empty()) text += " slow=" + slow;
+        return text;
+    }
     bool anything_held() const {
         for (const auto& [life, worker] : workers_)
             if (!worker.runs.empty()) return true;
@@ -313,6 +342,15 @@
         std::vector<std::function<void()>> after;  // run once the present change is committed
         std::map<std::uint32_t, std::pair<Micros, std::uint32_t>> took;  // step -> durations seen, in all and how many
     };
+    struct Share {
+        double cpu = 0, memory = 0;
+        void add(const Share& more) { cpu += more.cpu, memory += more.memory; }
+    };
+    struct Load {
+        double whole_cpu = 0, whole_memory = 0;
+        std::map<std::int64_t, Share> used, peak;  // by priority, as shares of the whole
+        Micros at = 0;
+    };
     struct Sitting {
         std::uint64_t present = 0, number = 0;
         std::deque<std::uint64_t> past;
@@ -564,7 +602,8 @@
         if (result.fate == OrderFate::started) {
             if (run.state == RunState::ordered) {
                 run.state = RunState::running;
-                run.since = now;
+                run.since = now - result.ago;
+                run.ordered_at = run.since;
             }
         } else {
             counters().add(result.reason == "room" ? "starts_without_room" : "starts_turned_away");
@@ -802,31 +841,43 @@
         for (auto& [life, worker] : workers_) {
             if (worker.placeholder) continue;
             Load& load = loads_[worker.account.service];
-            for (auto& [name, run] : worker.runs) {
-                double share = std::max(load.whole_cpu > 0 ? double(run.cpu) / load.whole_cpu : 0, load.whole_memory > 0 ? double(run.memory) / load.whole_memory : 0);
-                load.used[run.priority] += share;
-            }
+            for (auto& [name, run] : worker.runs) load.used[run.priority].add(share_of(load, run.cpu, run.memory));
         }
         for (auto& [service, load] : loads_) {
             double fade = std::exp(-double(now - load.at) / double(props_.urgent_memory));
             load.at = now;
-            for (auto& [priority, peak] : load.peak) peak *= fade;
-            for (auto& [priority, used] : load.used) load.peak[priority] = std::max(load.peak[priority], used);
+            for (auto& [priority, peak] : load.peak) peak.cpu *= fade, peak.memory *= fade;
+            for (auto& [priority, used] : load.used) {
+                Share& peak = load.peak[priority];
+                peak = {std::max(peak.cpu, used.cpu), std::max(peak.memory, used.memory)};
+            }
         }
     }
-    // The share of a service's room that a lane of this priority may still take.
-    double share_open(const std::string& service, std::int64_t priority) {
-        Load& load = loads_[service];
-        double open = 1;
-        for (const auto& [each, used] : load.used) open -= used;
-        for (const auto& [each, peak] : load.peak)
-            if (each < priority) open -= std::min(props_.urgent_most, std::max(0.0, peak - load.used[each]));
-        return open;
+    static Share share_of(const Load& load, std::int64_t cpu, std::int64_t memory) {
+        return {load.whole_cpu > 0 ? double(cpu) / load.whole_cpu : 0, load.whole_memory > 0 ? double(memory) / load.whole_memory : 0};
+    }
+    // How many tasks of this size a lane of this priority may still place.
+    size_t tasks_open(Load& load, std::int64_t priority, const Share& each, Micros length) {
+        // Short tasks are soon out of the way, only long ones need to leave room.
+        double patience = std::clamp(double(length) / double(props_.urgent_length), 0.0, 1.0);
+        Share open{1, 1};
+        for (const auto& [other, used] : load.used) open.cpu -= used.cpu, open.memory -= used.memory;
+        for (const auto& [other, peak] : load.peak) {
+            if (other >= priority) continue;
+            const Share& used = load.used[other];
+            open.cpu -= patience * std::clamp(peak.cpu - used.cpu, 0.0, props_.urgent_most);
+            open.memory -= patience * std::clamp(peak.memory - used.memory, 0.0, props_.urgent_most);
+        }
+        double most = 1e9;
+        if (each.cpu > 0) most = std::min(most, open.cpu / each.cpu);
+        if (each.memory > 0) most = std::min(most, open.memory / each.memory);
+        return most <= 0 ? 0 : size_t(most);
     }
     void place_job(JobEntry& entry, std::int64_t priority, std::vector<Room>& rooms, Micros now) {
         Job& job = entry.job;
         const Lane* lane = config_.find_exact(job.fixed.host, job.fixed.prefix);
         const std::string& service = lane ? lane->service : job.fixed.service;
+        const std::int64_t urgent = least_priority();
         for (Time& time : job.moving.times) {
             for (size_t step = 0; step < time.steps.size(); ++step) {
                 std::vector<size_t> waiting;
@@ -844,23 +895,22 @@
                     for (const Task& task : time.steps[step].tasks)
                         for (const Placement& placement : task.placements) on_worker[job.moving.workers[placement.worker].life]++;
                 Load& load = loads_[service];
-                double share = std::max(load.whole_cpu > 0 ? double(wanted.cpu) / load.whole_cpu : 0, load.whole_memory > 0 ? double(wanted.memory) / load.whole_memory : 0);
-                if (share > 0) {
-                    double open = share_open(service, priority);
-                    bool first = load.used[priority] <= 0;  // a lane is never shut out wholly
-                    size_t most = open <= 0 ? 0 : size_t(open / share);
+                Share share = share_of(load, wanted.cpu, wanted.memory);
+                if (priority > urgent) {
+                    bool first = load.used[priority].cpu <= 0 && load.used[priority].memory <= 0;  // a lane is never shut out wholly
+                    size_t most = tasks_open(load, priority, share, expect(entry, std::uint32_t(step)));
                     if (wanted.gang && most < waiting.size() && !first) continue;
                     if (!wanted.gang && waiting.size() > most) waiting.resize(std::max<size_t>(most, first ? 1 : 0));
                     if (waiting.empty()) continue;
                 }
-                std::vector<std::pair<size_t, std::string>> chosen = place_tasks(props_.placer, wanted, service, waiting, on_worker, rooms, priority == least_priority());
+                std::vector<std::pair<size_t, std::string>> chosen = place_tasks(props_.placer, wanted, service, waiting, on_worker, rooms, priority == urgent);
                 for (const auto& [index, life] : chosen) {
                     std::uint32_t run = wanted.gang ? 0 : job.next_run(time, step, index);
                     if (wanted.gang) run = gang_run(job, time, step, chosen.front().first == index);
                     job.place(time, step, index, run, {life, workers_.at(life).node});
                     RunName name{job.fixed.id, time.number, std::uint32_t(step), std::uint32_t(index), run};
                     add_run(workers_.at(life), entry, name, RunState::intended, now);
-                    load.used[priority] += share;
+                    load.used[priority].add(share);
                     entry.after.push_back([this, life = life, name, now] { order_start(life, name, now); });
                     counters().add("runs_intended");
                 }
@@ -891,11 +941,6 @@
     std::map<std::string, std::string> nodes_;  // side machine -> life of its worker
     std::map<std::string, Sitting> sittings_;
     std::set<std::string> ended_;  // lives known to be over
-    struct Load {
-        double whole_cpu = 0, whole_memory = 0;
-        std::map<std::int64_t, double> used, peak;  // by priority, as shares of the whole
-        Micros at = 0;
-    };
     std::map<std::string, Load> loads_;
     std::map<std::string, QueueSense> senses_;
     std::map<std::pair<std::string, RunName>, Micros> strangers_;
--- a/source/front.hpp
+++ b/source/front.hpp
@@ -68,6 +68,7 @@
         CallAsk ask;
         Micros until = 0;
         size_t sends = 0;
+        size_t choice = 0;  // which daemon is asked: the owner first
         size_t flying = 0;
         bool doubtful = false;  // a send may have been done
     };
@@ -91,7 +92,7 @@
             epoch_ = epoch;
             for (Handle handle : waiting_.handles()) {
                 Waiting* waiting = waiting_.find(handle);
-                waiting->sends = 0;
+                waiting->choice = 0;
                 if (waiting->flying == 0) continue;
                 waiting->doubtful = true;
                 loop_.after(0, [this, handle] { send(handle); });
@@ -136,7 +137,8 @@
             if (!waiting) return;
             Micros left = waiting->until - steady_now();
             if (left < milliseconds(5)) return give_up(handle);
-            std::string target = compass_.target(waiting->sends++);
+            std::string target = compass_.target(waiting->choice);
+            ++waiting->sends;
             ask.url = "http://" + target + "/inner/call";
             ask.body = pack(waiting->ask);
             ++waiting->flying;
@@ -165,7 +167,8 @@
             if (!(frame && frame->fate == CallFate::elsewhere) && answer.fate != Answer::Fate::refused) waiting->doubtful = true;
             counters().add("sends_again");
             if (waiting->flying > 0) return;
-            if (waiting->sends % 4 == 0) waiting->sends = 0;
+            // An owner that has just been elected says so for a moment; silence is a reason to go elsewhere.
+            if (!frame || waiting->sends % 6 == 0) waiting->choice = (waiting->choice + 1) % 4;
         }
         compass_.hurry();
         loop_.after(props_.pause, [this, handle] { send(handle); });
--- a/source/shared/wire/frames.hpp
+++ b/source/shared/wire/frames.hpp
@@ -117,9 +117,10 @@
     std::string task;
     std::uint32_t run = 0;
     std::string reason;
+    Micros ago = 0;  // how long before the sending of the frame
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(number), visit(fate), visit(task), visit(run), visit(reason); }
+    void describe(Visitor& visit) { visit(number), visit(fate), visit(task), visit(run), visit(reason), visit(ago); }
 };
 
 struct SideAsk {
--- a/source/side.hpp
+++ b/source/side.hpp
@@ -170,7 +170,14 @@
 
     void take_news() {
         std::lock_guard guard(lock_);
-        if (compass_.epoch() > epoch_) ask_owner(true);
+        if (compass_.epoch() > epoch_ && compass_.epoch() > news_epoch_) {
+            // Asks that wait at an earlier owner are given up: the new one is to hear from here at once.
+            news_epoch_ = compass_.epoch();
+            ++ask_generation_;
+            asks_flying_ = 0;
+            ask_tries_ = ask_choice_ = 0;
+            ask_owner(true);
+        }
     }
     // One ask always waits at the owner; a second one carries what cannot wait.
     void ask_owner(bool pressing) {
@@ -193,28 +200,33 @@
         ask.over.assign(over_.begin(), over_.end());
         ask.report = report_;
         ask.results = results_;
+        for (OrderResult& result : ask.results) result.ago = now - result.ago;  // kept as a moment, sent as an age
         std::uint64_t report_mark = report_mark_;
         size_t results_sent = results_.size();
         std::uint64_t results_mark = results_dropped_ + results_sent;
         ++asks_flying_;
-        std::string target = compass_.target(ask_tries_);
-        std::uint64_t number = ask.number;
+        std::string target = compass_.target(ask_choice_);
+        std::uint64_t number = ask.number, generation = ask_generation_;
         loop_.ask({.url = "http://" + target + "/inner/side", .body = pack(ask), .patience = props_.ask_patience},
-                  [this, number, now, report_mark, results_mark](Answer answer) {
+                  [this, number, generation, now, report_mark, results_mark](Answer answer) {
                       std::lock_guard guard(lock_);
+                      if (generation != ask_generation_) return;
                       --asks_flying_;
                       auto frame = answer.good() ? unpack<SideAnswer>(answer.body) : std::nullopt;
                       if (!frame || !frame->served) {
+                          // An owner that has just been elected answers so for a moment; silence is a reason to go elsewhere.
+                          bool heard = frame.has_value();
                           ++ask_tries_;
+                          if (!heard || ask_tries_ % 8 == 0) ++ask_choice_;
                           counters().add("asks_unserved");
                           compass_.hurry();
-                          loop_.after(milliseconds(std::min<std::int64_t>(60 * ask_tries_, 300)), [this] {
+                          loop_.after(milliseconds(std::min<std::int64_t>(20 * std::int64_t(ask_tries_), 300)), [this] {
                               std::lock_guard inner(lock_);
                               ask_owner(report_ || !results_.empty());
                           });
                           return;
                       }
-                      ask_tries_ = 0;
+                      ask_tries_ = ask_choice_ = 0;
                       if (report_mark == report_mark_) report_.reset();
                       while (results_dropped_ < results_mark && !results_.empty()) results_.erase(results_.begin()), ++results_dropped_;
                       take_answer(number, now, *frame);
@@ -265,7 +277,7 @@
         }
     }
     void add_result(const Order& order, OrderFate fate, std::string reason) {
-        results_.push_back({order.number, fate, order.task, order.run, std::move(reason)});
+        results_.push_back({order.number, fate, order.task, order.run, std::move(reason), steady_now()});
         if (fate != OrderFate::started) ask_owner(true);
     }
 
@@ -511,7 +523,9 @@
     Epoch epoch_, fence_shown_;
     std::uint64_t era_ = 0, taken_ = 0, seen_ = 0, highest_end_ = 0;
     std::uint64_t ask_number_ = 0, answered_ = 0;
-    size_t asks_flying_ = 0, ask_tries_ = 0;
+    size_t asks_flying_ = 0, ask_tries_ = 0, ask_choice_ = 0;
+    Epoch news_epoch_;
+    std::uint64_t ask_generation_ = 0;
     bool ask_wanted_ = false;
     std::map<RunKey, Pending> pending_, stops_;
     std::vector<std::string> stopped_;
