--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -161,6 +161,7 @@
             if (control.detector.timeout < 2 * control.detector.heartbeat) findings.add("--timeout-ms", "must be at least twice --heartbeat-ms");
             if (!findings.empty()) return report(usage_mishap, findings);
             control.board.status_kept = props.status_kept;
+            control.board.stop_grace = props.stop_grace;
             control.board.placer.remote_factor = props.remote_factor;
             auto role = std::make_unique<Control>(control, *loop);
             return run_role(*role, *loop, path, text);
--- a/source/control/jobs/board.hpp
+++ b/source/control/jobs/board.hpp
@@ -20,6 +20,8 @@
     Micros early = 0;
     Micros resend_start = seconds(1);
     size_t jobs_most = 20000;
+    Micros stop_grace = milliseconds(900);
+    Micros still_least = milliseconds(1500);  // a run without progress for so long stands still
     Micros urgent_memory = seconds(8);  // how fast the peak of urgent work is forgotten
     Micros urgent_length = seconds(4);  // a task this long keeps clear of all of it
     double urgent_most = 0.4;           // at most this share is kept free for it
@@ -52,6 +54,7 @@
     std::int64_t priority = 0;
     bool remote = false;        // away from its data
     Micros moved_at = 0;        // when its percent was last seen to rise
+    bool doubled = false;       // a copy may run beside it
     bool judged = false;        // it has counted against its worker's pace
 };
 
@@ -115,7 +118,8 @@
                                 worker->second.placeholder = true;
                                 worker->second.lapses_at = props_.lapse_after(now);
                             }
-                            add_run(worker->second, entry, {entry.job.fixed.id, time.number, step, place, placement.run}, RunState::ordered, now);
+                            RunEntry& run = add_run(worker->second, entry, {entry.job.fixed.id, time.number, step, place, placement.run}, RunState::ordered, now);
+                            if (!entry.job.wanted(time, step, place, placement.run)) run.stop_wanted = true, run.state = RunState::stopping;
                         }
         }
         plan_wanted_ = true;
@@ -337,6 +341,7 @@
 private:
     struct JobEntry {
         Job job;
+        Micros moved_at = 0;     // when a run of it was last moved
         bool committed = false;  // a majority has it; only then anything starts
         bool dirty = false;
         std::vector<std::function<void()>> after;  // run once the present change is committed
@@ -710,7 +715,10 @@
     }
     void upkeep(Micros now, Micros wall) {
         next_upkeep_ = now + milliseconds(250);
-        for (auto& [life, worker] : workers_) worker.pace.forget(0.02);
+        for (auto& [life, worker] : workers_) {
+            worker.pace.forget(0.02);
+            for (auto& [name, run] : worker.runs) tend_run(worker, run, now);
+        }
         std::vector<std::string> old;
         for (auto& [id, entry] : jobs_)
             if (entry.job.ended() && wall - entry.job.moving.ended_wall > props_.status_kept + seconds(30) && !entry.job.has_placements()) old.push_back(id);
@@ -764,6 +772,48 @@
         if (measured) worker.pace.note(whole / double(expected), 0.2);
     }
 
+    // Runs that stand still, crawl, or cannot end before their worker leaves are moved or doubled.
+    void tend_run(WorkerEntry& worker, RunEntry& run, Micros now) {
+        if (run.state != RunState::running || run.stop_wanted || !worker.reconciled || worker.silent) return;
+        auto job = jobs_.find(run.name.job);
+        if (job == jobs_.end() || job->second.job.ended()) return;
+        const Step& step = job->second.job.fixed.spec.steps[run.name.step];
+        Micros expected = expect(job->second, run.name.step);
+        if (run.remote) expected = Micros(double(expected) * props_.placer.remote_factor);
+        Micros elapsed = now - run.ordered_at;
+        Micros left = run.percent > 0 ? elapsed * (100 - run.percent) / run.percent : std::max<Micros>(expected - elapsed, 0);
+        if (worker.account.draining && worker.leaves_at >= 0 && !step.gang) {
+            Micros room = worker.leaves_at - now;
+            if (step.long_running || left > room) {
+                counters().add("runs_moved_off_leaving");
+                return want_stop(worker, run);
+            }
+        }
+        if (step.long_running || step.gang || run.ordered_at == 0 || run.moved_at == 0) return;
+        bool still = now - run.moved_at > std::max(props_.still_least, expected) && now - worker.heard_at < seconds(1) && elapsed > 2 * expected;
+        bool crawls = worker.pace.slow() && elapsed > 2 * expected && left > 2 * (expected + props_.stop_grace);
+        if (!still && !crawls) return;
+        if (step.duplicate_ok) {
+            if (!run.doubled) counters().add("runs_doubled"), plan_wanted_ = true;
+            run.doubled = true;
+            return;
+        }
+        if (now - job->second.moved_at < seconds(2)) return;
+        job->second.moved_at = now;
+        counters().add(still ? "runs_moved_standing" : "runs_moved_crawling");
+        worker.pace.note(6, 0.3);
+        want_stop(worker, run);
+    }
+    // Whether a task that is placed once is to get a copy elsewhere: its only run is far behind.
+    bool wants_copy(const Job& job, const Time& time, size_t step, size_t index) const {
+        const Task& task = time.steps[step].tasks[index];
+        if (task.done || task.placements.size() != 1 || !job.fixed.spec.steps[step].duplicate_ok || job.fixed.spec.steps[step].gang) return false;
+        auto worker = workers_.find(job.moving.workers[task.placements[0].worker].life);
+        if (worker == workers_.end()) return false;
+        auto run = worker->second.runs.find({job.fixed.id, time.number, std::uint32_t(step), std::uint32_t(index), task.placements[0].run});
+        return run != worker->second.runs.end() && run->second.doubled;
+    }
+
     // --- placement ---
 
     // What a job still can earn: all, a part, or nothing any more.
@@ -804,11 +854,16 @@
         if (wall + rest <= begun + 3 * aim) return {Hope::late, priority, begun, &entry};
         return {Hope::none, priority, begun, &entry};
     }
-    static bool has_waiting(const Job& job) {
+    bool has_waiting(const Job& job) const {
         for (const Time& time : job.moving.times)
             for (const StepState& step : time.steps)
                 for (const Task& task : step.tasks)
                     if (task.waiting()) return true;
+        for (const Time& time : job.moving.times)
+            for (size_t step = 0; step < time.steps.size(); ++step)
+                if (job.fixed.spec.steps[step].duplicate_ok)
+                    for (size_t index = 0; index < time.steps[step].tasks.size(); ++index)
+                        if (wants_copy(job, time, step, index)) return true;
         return false;
     }
     void plan(Micros now, Micros wall, Micros confirmed_at) {
@@ -884,13 +939,16 @@
                 bool any_placed = false;
                 for (size_t index = 0; index < time.steps[step].tasks.size(); ++index) {
                     const Task& task = time.steps[step].tasks[index];
-                    if (task.waiting()) waiting.push_back(index);
+                    if (task.waiting() || wants_copy(job, time, step, index)) waiting.push_back(index);
                     any_placed = any_placed || !task.placements.empty();
                 }
                 if (waiting.empty() || !job.turn_has_come(time, step)) continue;
                 const Step& wanted = job.fixed.spec.steps[step];
                 if (wanted.gang && (any_placed || waiting.size() != time.steps[step].tasks.size())) continue;
                 std::map<std::string, std::uint32_t> on_worker;
+                std::map<size_t, std::string> apart;  // a copy never goes to the worker it is to outrun
+                for (size_t index : waiting)
+                    if (!time.steps[step].tasks[index].placements.empty()) apart[index] = job.moving.workers[time.steps[step].tasks[index].placements[0].worker].life;
                 if (wanted.anti_affinity)
                     for (const Task& task : time.steps[step].tasks)
                         for (const Placement& placement : task.placements) on_worker[job.moving.workers[placement.worker].life]++;
@@ -903,7 +961,7 @@
                     if (!wanted.gang && waiting.size() > most) waiting.resize(std::max<size_t>(most, first ? 1 : 0));
                     if (waiting.empty()) continue;
                 }
-                std::vector<std::pair<size_t, std::string>> chosen = place_tasks(props_.placer, wanted, service, waiting, on_worker, rooms, priority == urgent);
+                std::vector<std::pair<size_t, std::string>> chosen = place_tasks(props_.placer, wanted, service, waiting, on_worker, rooms, priority == urgent, apart);
                 for (const auto& [index, life] : chosen) {
                     std::uint32_t run = wanted.gang ? 0 : job.next_run(time, step, index);
                     if (wanted.gang) run = gang_run(job, time, step, chosen.front().first == index);
--- a/source/control/jobs/job.hpp
+++ b/source/control/jobs/job.hpp
@@ -275,6 +275,16 @@
         }
         return true;
     }
+    // Whether a run in the record is still wanted: not of an ended job, a done task, or a gang that is broken up.
+    bool wanted(const Time& time, size_t step, size_t index, std::uint32_t run) const {
+        const StepState& state = time.steps[step];
+        if (ended() || state.tasks[index].done) return false;
+        if (!fixed.spec.steps[step].gang) return true;
+        if (state.failed_run >= run) return false;
+        return std::all_of(state.tasks.begin(), state.tasks.end(), [&](const Task& member) {
+            return std::any_of(member.placements.begin(), member.placements.end(), [&](const Placement& each) { return each.run == run; });
+        });
+    }
     void cancel(Micros wall) {
         if (!ended()) finish(Ending::cancelled, wall);
     }
--- a/source/control/plan/placer.hpp
+++ b/source/control/plan/placer.hpp
@@ -33,7 +33,8 @@
 // A gang is placed whole or not at all; other tasks as far as there is room. `rooms` is reduced by what was placed.
 inline std::vector<std::pair<size_t, std::string>> place_tasks(const PlacerProps& props, const Step& step, const std::string& service,
                                                                const std::vector<size_t>& tasks, std::map<std::string, std::uint32_t> on_worker,
-                                                               std::vector<Room>& rooms, bool spread = true) {
+                                                               std::vector<Room>& rooms, bool spread = true,
+                                                               const std::map<size_t, std::string>& apart = {}) {
     (void)props;
     auto attempt = [&](std::vector<Room> trial, const std::string& only_rack) {
         std::vector<std::pair<size_t, std::string>> chosen;
@@ -45,6 +46,7 @@
                 if (room.service != service || !room.fits(step)) continue;
                 if (!step.needs.empty() && !room.has(step.needs)) continue;
                 if (!only_rack.empty() && room.rack() != only_rack) continue;
+                if (auto other = apart.find(task); other != apart.end() && other->second == room.life) continue;
                 if (step.anti_affinity && counts[room.life] >= step.anti_affinity) continue;
                 // Urgent work is spread, so that it starts at once; the rest is packed and leaves whole workers free.
                 double score = spread ? room.share_left(step) : 1 - room.share_left(step);
--- a/source/side.hpp
+++ b/source/side.hpp
@@ -141,7 +141,8 @@
         worker_.reset();
         clear_orders();
         active_ = 0;
-        seen_ = highest_end_ = 0;
+        seen_ = highest_end_ = era_ = 0;
+        allowed_until_ = 0;
         clock_base_.reset();
         silent_ = false;
         look_mishaps_ = 0;
