forecast: what the lanes will need, checked against the queues that followed

Control writes the queues' history to its log when told to (--history-s); the command reads the logs of every node, forecasts accelerator time by lane, urgent work apart from work that can wait, warns before demand outgrows the fleet, and says of each time urgent work waited whether it had been warned of.

--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -6,6 +6,7 @@
 
 #include "common.hpp"
 #include "control.hpp"
+#include "forecast/demand.hpp"
 #include "front.hpp"
 #include "side.hpp"
 
@@ -97,16 +98,52 @@
     return 0;
 }
 
+// Prints what the lanes will need, and how past forecasts did against the queues that followed.
+int forecast(const std::vector<std::string>& files, const ForecastProps& props) {
+    Findings findings;
+    History history;
+    for (const std::string& file : files) {
+        std::optional<std::string> text = read_file(file);
+        if (!text) findings.add(file, "cannot be read");
+        else read_history(*text, file, history, findings);
+    }
+    if (findings.empty() && history.empty()) findings.add("history", "no line of it in these files; was control run with --history-s?");
+    if (!findings.empty()) return report(usage_mishap, findings);
+    Forecast next = forecast_demand(history, history.last + 1, props);
+    double minutes = double(history.length) / 60e6;
+    fmt::print("history: {} lanes, {} spans of {:.2f} minutes, a fleet of {:.1f} accelerators (8 cores count as one)\n\n", history.lanes.size(), history.last - history.first + 1, minutes, next.fleet);
+    fmt::print("{:<44} {:<8} {:>12} {:>12} {:>12}\n", "accelerators needed by lane", "kind", "next span", "last span", "at most");
+    for (const LaneForecast& lane : next.lanes)
+        fmt::print("{:<44} {:<8} {:>12.2f} {:>12.2f} {:>12.2f}\n", lane.lane, lane.urgent ? "urgent" : "can wait", lane.mean.front(), lane.mean.back(), *std::max_element(lane.upper.begin(), lane.upper.end()));
+    fmt::print("\nurgent work, at most:     {:.2f} accelerators within {} spans\n", *std::max_element(next.urgent_upper.begin(), next.urgent_upper.end()), props.ahead);
+    fmt::print("work that can wait, mean: {:.2f} accelerators within {} spans\n", *std::max_element(next.waiting_mean.begin(), next.waiting_mean.end()), props.ahead);
+    if (next.fleet <= 0) fmt::print("no fleet is known, so nothing is said of whether it is enough\n");
+    else if (next.warns) fmt::print("WARNING: in {} spans ({:.1f} minutes) demand reaches {:.0f}% of the fleet; urgent work is then expected to wait\n", next.first_warned, double(next.first_warned) * minutes, 100 * next.pressure[next.first_warned - 1]);
+    else fmt::print("no warning: demand stays below {:.0f}% of the fleet\n", 100 * props.pressure);
+    Backtest past = check_past(history, props);
+    fmt::print("\npast forecasts against later queues: {} forecasts, {} of them warned, {} without urgent waiting after it; the next span was off by {:.0f}%\n", past.forecasts, past.warnings, past.false_warnings, 100 * past.mean_off);
+    for (const Event& event : past.events) {
+        if (event.warned_before) fmt::print("  span {}: urgent tasks waited {:.1f} task-seconds, warned {} spans before\n", event.span, event.waited, *event.warned_before);
+        else fmt::print("  span {}: urgent tasks waited {:.1f} task-seconds, NOT warned\n", event.span, event.waited);
+    }
+    fmt::print("{} times urgent work began to wait, {} of them warned of\n", past.events.size(), past.events.size() - past.missed());
+    return 0;
+}
+
 }  // namespace
 
 int main(int count, char** words) {
-    cxxopts::Options options("calicostall", "A cluster scheduler for jobs.\n\nCommands: front, control, side, check-settings FILE, check-config FILE\n");
+    cxxopts::Options options("calicostall", "A cluster scheduler for jobs.\n\nCommands: front, control, side, check-settings FILE, check-config FILE, forecast LOG...\n");
     options.add_options()("h,help", "show this text")("settings", "the settings file (else $CALICOSTALL_BOOT)", cxxopts::value<std::string>())(
         "heartbeat-ms", "control: how often the trusted daemon says that it is alive", cxxopts::value<std::int64_t>()->default_value("200"))(
         "timeout-ms", "control: how long to wait for it at first", cxxopts::value<std::int64_t>()->default_value("1000"))(
         "increment-ms", "control: how much longer after a false suspicion", cxxopts::value<std::int64_t>()->default_value("100"))(
         "hold-ms", "control: how long a worker keeps what runs there without news", cxxopts::value<std::int64_t>()->default_value("3000"))(
-        "command", "", cxxopts::value<std::string>())("file", "", cxxopts::value<std::string>());
+        "history-s", "control: write the queues' history to the log, a line a lane each so many seconds (0: no)", cxxopts::value<std::int64_t>()->default_value("0"))(
+        "ahead", "forecast: how many spans ahead", cxxopts::value<std::int64_t>()->default_value("6"))(
+        "season", "forecast: how many spans make a season, as 24 for days of hours (0: none)", cxxopts::value<std::int64_t>()->default_value("0"))(
+        "pressure", "forecast: the share of the fleet from which urgent work is expected to wait", cxxopts::value<double>()->default_value("0.85"))(
+        "command", "", cxxopts::value<std::string>())("file", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"command", "file"});
     options.positional_help("COMMAND [FILE]");
     Findings findings;
@@ -117,7 +154,7 @@
             return 0;
         }
         std::string command = given.count("command") ? given["command"].as<std::string>() : "";
-        std::string file = given.count("file") ? given["file"].as<std::string>() : "";
+        std::string file = given.count("file") ? given["file"].as<std::vector<std::string>>().front() : "";
         if (command == "check-settings" || command == "check-config") {
             if (file.empty()) {
                 findings.add(command, "needs a file");
@@ -125,6 +162,20 @@
             }
             return command == "check-settings" ? check_settings(file) : check_config(file);
         }
+        if (command == "forecast") {
+            ForecastProps props;
+            std::int64_t ahead = given["ahead"].as<std::int64_t>(), season = given["season"].as<std::int64_t>();
+            props.pressure = given["pressure"].as<double>();
+            if (file.empty()) findings.add(command, "needs at least one log");
+            if (ahead < 1 || ahead > 1000) findings.add("--ahead", "must lie between 1 and 1000");
+            if (season < 0 || season > 100000) findings.add("--season", "must lie between 0 and 100000");
+            if (!(props.pressure > 0) || props.pressure > 10) findings.add("--pressure", "must lie above 0 and at most 10");
+            if (!findings.empty()) return report(usage_mishap, findings);
+            props.ahead = size_t(ahead);
+            props.season = size_t(season);
+            props.warm_up = std::max<size_t>(6, 2 * props.season);
+            return forecast(given["file"].as<std::vector<std::string>>(), props);
+        }
         if (command != "front" && command != "control" && command != "side") {
             findings.add("command", command.empty() ? "is missing; see --help" : fmt::format("'{}' is unknown; see --help", command));
             return report(usage_mishap, findings);
@@ -157,6 +208,7 @@
             control.detector.timeout = whole("timeout-ms", 50, 60000);
             control.detector.increment = whole("increment-ms", 0, 60000);
             control.detector.timeout_most = std::max(control.detector.timeout * 3, seconds(3));
+            control.board.history_span = whole("history-s", 0, 86400) * 1000;
             control.board.hold = std::min(whole("hold-ms", 500, 600000), props.hold_most);
             if (control.detector.timeout < 2 * control.detector.heartbeat) findings.add("--timeout-ms", "must be at least twice --heartbeat-ms");
             if (!findings.empty()) return report(usage_mishap, findings);
--- a/source/control/jobs/board.hpp
+++ b/source/control/jobs/board.hpp
@@ -4,6 +4,7 @@
 #include "control/jobs/job.hpp"
 #include "control/plan/placer.hpp"
 #include "control/plan/sense.hpp"
+#include "forecast/history.hpp"
 #include "control/store/register.hpp"
 #include "shared/http/outcome.hpp"
 #include "shared/record/log.hpp"
@@ -22,6 +23,7 @@
     size_t jobs_most = 20000;
     Micros stop_grace = milliseconds(900);
     Micros still_least = milliseconds(1500);  // a run without progress for so long stands still
+    Micros history_span = 0;              // how long a span of the history is; 0: none is kept
     Micros urgent_memory = seconds(8);  // how fast the peak of urgent work is forgotten
     Micros urgent_length = seconds(4);  // a task this long keeps clear of all of it
     double urgent_most = 0.4;           // at most this share is kept free for it
@@ -135,6 +137,9 @@
         config_ = Config{};
         epoch_ = Epoch{};
         last_order_ = 0;
+        spans_.clear();
+        span_now_ = 0;
+        span_whole_ = false;
     }
     const Config& config() const { return config_; }
     const std::map<std::string, WorkerEntry>& workers() const { return workers_; }
@@ -417,6 +422,7 @@
                 auto found = jobs_.find(id);
                 if (found != jobs_.end()) {
                     found->second.committed = true;
+                    if (!found->second.job.timed()) note_arrival(found->second);
                     index(found->second);
                     plan_wanted_ = true;
                 }
@@ -468,6 +474,7 @@
             if (!due) continue;
             if (*due <= wall) {
                 found->second.job.add_time();
+                note_arrival(found->second);
                 mark(found->second);
                 plan_wanted_ = true;
                 due = found->second.job.next_due();
@@ -476,6 +483,56 @@
         }
     }
 
+    // --- history ---
+
+    double accelerators(const Step& step) const { return double(step.gpu) + double(step.cpu) / 1000 / cores_per_accelerator; }
+    void note_arrival(JobEntry& entry) {
+        if (props_.history_span == 0) return;
+        LaneSpan& span = spans_[lane_key(entry.job)];
+        span.priority = entry.job.fixed.priority;
+        for (std::uint32_t step = 0; step < entry.job.fixed.spec.steps.size(); ++step) {
+            const Step& wanted = entry.job.fixed.spec.steps[step];
+            if (!wanted.long_running) span.arrived += accelerators(wanted) * wanted.count * double(expect(entry, step)) / 1e6;
+        }
+    }
+    void note_use(const RunEntry& run, JobEntry& entry, Micros now) {
+        if (props_.history_span == 0 || run.ordered_at == 0) return;
+        spans_[lane_key(entry.job)].used += accelerators(entry.job.fixed.spec.steps[run.name.step]) * double(now - run.ordered_at) / 1e6;
+    }
+    void note_waiting(Micros passed) {
+        if (props_.history_span == 0) return;
+        for (const auto& [rank, id] : active_) {
+            JobEntry& entry = jobs_.at(id);
+            LaneSpan& span = spans_[lane_key(entry.job)];
+            span.priority = entry.job.fixed.priority;
+            for (const Time& time : entry.job.moving.times)
+                for (size_t step = 0; step < time.steps.size(); ++step)
+                    for (const Task& task : time.steps[step].tasks)
+                        if (task.waiting() && entry.job.turn_has_come(time, step)) span.waited += double(passed) / 1e6;
+        }
+    }
+    // Writes the spans that are over to the log, from where `forecast` reads them.
+    void tell_history(Micros wall) {
+        if (props_.history_span == 0) return;
+        std::int64_t span = wall / props_.history_span;
+        if (span == span_now_) return;
+        double fleet = 0;
+        for (const auto& [life, worker] : workers_)
+            if (!worker.placeholder) fleet += double(worker.account.gpu) + double(worker.account.cpu) / 1000 / cores_per_accelerator;
+        for (auto& [lane, each] : spans_) {
+            each.span = span_now_;
+            each.length = props_.history_span;
+            each.lane = lane;
+            each.fleet = fleet;
+            each.whole = span_whole_;
+            if (span_now_ != 0) log_line("history", "{}", each.line());
+        }
+        span_whole_ = span_now_ != 0;
+        span_now_ = span;
+        spans_.clear();
+        for (const Lane& lane : config_.lanes) spans_[lane.host + "|" + lane.prefix].priority = lane.priority;
+    }
+
     // --- changes ---
 
     void mark(JobEntry& entry) {
@@ -569,6 +626,8 @@
     // The one place where a run leaves a worker; returns the job it changed.
     JobEntry* end_run(WorkerEntry& worker, const RunName& name, End how, const std::string& saved, Micros wall, Micros now) {
         if (how == End::done) note_duration(worker, name, now);
+        if (auto run = worker.runs.find(name); run != worker.runs.end())
+            if (auto job = jobs_.find(name.job); job != jobs_.end()) note_use(run->second, job->second, now);
         drop_run(worker, name);
         auto found = jobs_.find(name.job);
         if (found == jobs_.end()) return nullptr;
@@ -715,6 +774,8 @@
     }
     void upkeep(Micros now, Micros wall) {
         next_upkeep_ = now + milliseconds(250);
+        note_waiting(milliseconds(250));
+        tell_history(wall);
         for (auto& [life, worker] : workers_) {
             worker.pace.forget(0.02);
             for (auto& [name, run] : worker.runs) tend_run(worker, run, now);
@@ -1006,6 +1067,9 @@
     Micros next_plan_ = 0, next_upkeep_ = 0;
     std::uint32_t gang_run_ = 0;
     std::uint64_t last_order_ = 0;
+    std::map<std::string, LaneSpan> spans_;
+    std::int64_t span_now_ = 0;
+    bool span_whole_ = false;
 };
 
 }  // namespace calicostall
--- /dev/null
+++ b/source/forecast/history.hpp
@@ -0,0 +1,111 @@
+// The queues' history as the owners write it, a line for each lane and span, and its reading.
+#pragma once
+#include <boost/json.hpp>
+
+#include "common.hpp"
+#include "shared/record/finding.hpp"
+
+namespace calicostall {
+
+// Eight core-seconds count as one accelerator-second.
+constexpr double cores_per_accelerator = 8;
+
+// What one owner saw of one lane in one span.
+struct LaneSpan {
+    std::int64_t span = 0;        // number of the span since 1970
+    Micros length = 0;
+    std::string lane;
+    std::int64_t priority = 0;
+    double arrived = 0;           // accelerator-seconds of the tasks that came, as expected from what was learnt
+    double used = 0;              // accelerator-seconds of the runs that ended
+    double waited = 0;            // task-seconds that tasks were ready and had no worker
+    double fleet = 0;             // accelerators in the fleet, mean over the span
+    bool whole = true;            // false: this owner held the record for a part of the span only
+
+    // Example: "{"span":4,"length_ms":60000,"lane":"a.example/q/","priority":0,"arrived":12.5,...}"
+    std::string line() const {
+        return boost::json::serialize(boost::json::object{{"span", span}, {"length_ms", length / 1000}, {"lane", lane}, {"priority", priority}, {"arrived", arrived}, {"used", used}, {"waited", waited}, {"fleet", fleet}, {"whole", whole}});
+    }
+};
+
+// The history of all lanes, put together from the lines of every node.
+struct History {
+    Micros length = 0;
+    std::int64_t first = 0, last = 0;
+    struct Lane {
+        std::int64_t priority = 0;
+        std::map<std::int64_t, LaneSpan> spans;
+    };
+    std::map<std::string, Lane> lanes;
+    std::map<std::int64_t, double> fleet;
+
+    bool empty() const { return lanes.empty(); }
+    std::int64_t most_urgent() const {
+        std::int64_t least = std::numeric_limits<std::int64_t>::max();
+        for (const auto& [name, lane] : lanes) least = std::min(least, lane.priority);
+        return least;
+    }
+};
+
+// Adds the lines of one node's log. Other lines are passed over; a broken history line is a finding.
+// Example: Findings findings; History history; read_history(text, "node-1.log", history, findings);
+inline void read_history(std::string_view text, const std::string& name, History& history, Findings& findings) {
+    size_t line_number = 0;
+    while (!text.empty()) {
+        size_t end = text.find('\n');
+        std::string_view line = text.substr(0, end);
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+        ++line_number;
+        size_t mark = line.find("history {");
+        std::string_view body = mark != std::string_view::npos ? line.substr(mark + 8) : line.starts_with('{') ? line : std::string_view();
+        if (body.empty()) continue;
+        std::string where = fmt::format("{}:{}", name, line_number);
+        boost::system::error_code mishap;
+        boost::json::value value = boost::json::parse(body, mishap);
+        if (mishap || !value.is_object()) {
+            findings.add(where, "cannot be read as JSON");
+            continue;
+        }
+        const auto& object = value.as_object();
+        auto number = [&](std::string_view field) {
+            const auto* found = object.if_contains(field);
+            if (!found || !found->is_number()) return findings.add(where, fmt::format("'{}' is missing or no number", field)), 0.0;
+            double read = found->to_number<double>();
+            if (!(read >= 0) || read > 1e15) findings.add(where, fmt::format("'{}' is out of range", field));
+            return read;
+        };
+        LaneSpan span;
+        size_t before = findings.list().size();
+        span.span = std::int64_t(number("span"));
+        span.length = Micros(number("length_ms")) * 1000;
+        span.priority = std::int64_t(number("priority"));
+        span.arrived = number("arrived");
+        span.used = number("used");
+        span.waited = number("waited");
+        span.fleet = number("fleet");
+        const auto* lane = object.if_contains("lane");
+        if (!lane || !lane->is_string()) findings.add(where, "'lane' is missing or no text");
+        else span.lane = std::string(lane->as_string());
+        const auto* whole = object.if_contains("whole");
+        span.whole = !whole || !whole->is_bool() || whole->as_bool();
+        if (span.length <= 0) findings.add(where, "'length_ms' must be above 0");
+        if (history.length != 0 && span.length > 0 && span.length != history.length) findings.add(where, "has another length than the spans before it");
+        if (findings.list().size() != before) continue;
+        if (history.empty()) history.first = history.last = span.span;
+        history.length = span.length;
+        history.first = std::min(history.first, span.span);
+        history.last = std::max(history.last, span.span);
+        History::Lane& mine = history.lanes[span.lane];
+        mine.priority = span.priority;
+        history.fleet[span.span] = std::max(history.fleet[span.span], span.fleet);
+        auto [place, fresh] = mine.spans.try_emplace(span.span, span);
+        if (!fresh) {
+            // The record changed hands in this span: each owner counted its own part.
+            place->second.arrived += span.arrived;
+            place->second.used += span.used;
+            place->second.waited += span.waited;
+        }
+    }
+}
+
+}  // namespace calicostall
