--- a/source/control/jobs/board.hpp
+++ b/source/control/jobs/board.hpp
@@ -77,6 +77,7 @@
     bool look = true;
     Pace pace;
     std::uint64_t era = 1;     // rises with each lapse: orders of an earlier era are void
+    bool measurable = true;    // its last report came without a gap before it
     bool silent = false;       // its side gets no answer from it
     std::int64_t cpu_used = 0, memory_used = 0, gpu_used = 0;
 };
@@ -678,6 +679,7 @@
     }
     void take_report(WorkerEntry& worker, const HoldReport& report, Micros now, Micros wall) {
         worker.look = false;
+        worker.measurable = !report.after_gap;
         std::set<RunName> shown;
         for (const ActiveRun& active : report.active) {
             auto name = RunName::parse(active.task, active.run);
@@ -805,7 +807,7 @@
         if (run == worker.runs.end() || job == jobs_.end()) return;
         const Step& step = job->second.job.fixed.spec.steps[name.step];
         Micros took = run->second.ordered_at > 0 ? now - run->second.ordered_at : 0;
-        if (took <= 0 || step.long_running) return;
+        if (took <= 0 || step.long_running || !worker.measurable) return;
         if (run->second.remote) took = Micros(double(took) / props_.placer.remote_factor);
         Micros expected = expect(job->second, name.step);
         auto& seen = job->second.took[name.step];
@@ -822,7 +824,7 @@
         if (job == jobs_.end() || run.state != RunState::running || run.judged || job->second.job.fixed.spec.steps[run.name.step].long_running) return;
         Micros expected = expect(job->second, run.name.step);
         if (run.remote) expected = Micros(double(expected) * props_.placer.remote_factor);
-        if (run.ordered_at == 0) return;
+        if (run.ordered_at == 0 || !worker.measurable) return;
         Micros elapsed = now - run.ordered_at;
         if (elapsed < expected + milliseconds(200)) return;
         double whole = run.percent > 0 ? double(elapsed) * 100 / double(run.percent) : double(elapsed) * 2;
--- a/source/shared/wire/frames.hpp
+++ b/source/shared/wire/frames.hpp
@@ -89,9 +89,10 @@
     std::vector<ActiveRun> active;
     std::vector<FinishedRun> finished;
     std::vector<std::string> stops;  // "TASK RUN" of the stops that were answered before this look began
+    bool after_gap = false;          // the look before it had no answer: the ends may be older than they seem
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(life), visit(fence), visit(active), visit(finished), visit(stops); }
+    void describe(Visitor& visit) { visit(life), visit(fence), visit(active), visit(finished), visit(stops), visit(after_gap); }
 };
 
 enum class OrderKind { start, stop };
--- a/source/side.hpp
+++ b/source/side.hpp
@@ -13,8 +13,12 @@
 struct SideProps {
     Props machine;
     Micros ask_patience = milliseconds(1700);
-    Micros order_patience = milliseconds(400);
-    Micros look_wait = seconds(1);
+    Micros order_patience = milliseconds(200);
+    Micros look_wait = milliseconds(700);
+    Micros look_slack = milliseconds(250);      // beyond the wait, until a look counts as unanswered
+    // After a call without an answer looks are short for a while: a lost one hides the ends that came meanwhile.
+    Micros wary_for = seconds(6), wary_wait = milliseconds(200), wary_slack = milliseconds(150);
+    size_t silent_after = 3;                    // looks without an answer in a row
     Micros gather = milliseconds(15);   // between the end that a look showed and the next look
     Micros unseen_wait = milliseconds(300);
     size_t sends_most = 4;              // of one start without an answer
@@ -359,6 +363,7 @@
                       if (answer.fate != Answer::Fate::answered) {
                           mine.open = mine.open || answer.fate == Answer::Fate::unknown;
                           mine.next_at = moment + milliseconds(60);
+                          wary_until_ = moment + props_.wary_for;
                           counters().add("starts_unanswered");
                           if (mine.sends < props_.sends_most) return;
                           reason = "silence";
@@ -428,12 +433,13 @@
             body["until_ms"] = until;
             wait = std::min<Micros>(wait, std::max<Micros>(milliseconds(100), (allowed_until_ - now) / 2));
         }
+        if (now < wary_until_) wait = std::min(wait, props_.wary_wait);
         if (wait > 0) body["wait_ms"] = wait / 1000;
         std::string life = worker_->life;
         Epoch epoch = epoch_;
         std::vector<std::string> stopped = stopped_;
         counters().add("looks");
-        loop_.ask({.url = "http://" + worker_->address + "/hold", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = wait + milliseconds(500)},
+        loop_.ask({.url = "http://" + worker_->address + "/hold", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = wait + (now < wary_until_ ? props_.wary_slack : props_.look_slack)},
                   [this, life, epoch, is_short, stopped](Answer answer) {
                       std::lock_guard guard(lock_);
                       (is_short ? looking_short_ : looking_) = false;
@@ -442,8 +448,10 @@
                       bool read = answer.good() && take_look(answer, epoch, stopped, moment);
                       if (!read) {
                           counters().add("looks_without_answer");
-                          next_look_ = moment + milliseconds(100);
-                          if (answer.fate != Answer::Fate::answered && ++look_mishaps_ >= 2 && !silent_) {
+                          next_look_ = moment + milliseconds(20);
+                          after_gap_ = true;
+                          if (answer.fate != Answer::Fate::answered) wary_until_ = moment + props_.wary_for;
+                          if (answer.fate != Answer::Fate::answered && ++look_mishaps_ >= props_.silent_after && !silent_) {
                               silent_ = true;
                               log_line("side", "worker {} does not answer", life);
                               ask_owner(true);
@@ -500,6 +508,8 @@
         bool first = fence_shown_ < epoch;
         fence_shown_ = epoch;
         report.stops = stopped;
+        report.after_gap = after_gap_ || (report_ && report_->after_gap);
+        after_gap_ = false;
         std::erase_if(stopped_, [&](const std::string& each) { return std::find(stopped.begin(), stopped.end(), each) != stopped.end(); });
         if (report_) report.stops.insert(report.stops.end(), report_->stops.begin(), report_->stops.end());
         report_ = std::move(report);
@@ -536,6 +546,8 @@
     size_t active_ = 0;
     bool looking_ = false, looking_short_ = false, look_again_ = false, silent_ = false;
     size_t look_mishaps_ = 0;
+    bool after_gap_ = false;
+    Micros wary_until_ = 0;
     Micros next_look_ = 0, ended_at_ = 0, reported_at_ = 0, counted_at_ = 0;
 };
 
