--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -55,10 +55,14 @@
 
 // What the workers together know to be true.
 struct Oracle {
+    explicit Oracle(World& world) : world(world) {}
     World& world;
     std::map<std::string, int> running;             // task -> runs on workers that are up
     std::set<std::string> done, noted_done;         // tasks
     std::map<std::string, std::uint32_t> noted_failed;
+    std::map<std::pair<std::string, std::uint32_t>, std::set<std::string>> gangs;  // "ID.K.STEP" and run -> members present
+    std::set<std::pair<std::string, std::uint32_t>> ended_gangs;                    // a member of this run ended other than done
+    size_t alone = 0;
     std::map<std::string, Job> sent;                // jobs as clients sent them, by ID
     std::uint32_t sends_most = 3;
 };
@@ -71,7 +75,7 @@
     Epoch fence;
     Micros hold_until = 0;
     std::int64_t cpu = 8000, cpu_used = 0;
-    struct Run { std::uint32_t run; Micros ends_at; bool fails; std::int64_t cpu; std::string gang; };
+    struct Run { std::uint32_t run; Micros ends_at; bool fails; std::int64_t cpu; std::string gang; std::uint32_t members = 0; Micros begun = 0; };
     std::map<std::string, Run> runs;
     std::map<std::string, std::uint32_t> closed;    // task -> highest run that ended or was stopped here
     std::vector<FinishedRun> finished;
@@ -79,7 +83,10 @@
 
     Worker(World& world, Oracle& oracle, size_t number) : world(world), oracle(oracle), number(number) { begin(0); }
     void begin(std::uint64_t birth) {
-        for (auto& [task, run] : runs) oracle.running[task]--;
+        for (auto& [task, run] : runs) {
+            oracle.running[task]--;
+            if (!run.gang.empty()) oracle.gangs[{run.gang, run.run}].erase(task), oracle.ended_gangs.insert({run.gang, run.run});
+        }
         life = fmt::format("i-{}-{}", number, birth);
         fence = Epoch{};
         hold_until = 0;
@@ -87,9 +94,15 @@
         runs.clear(), closed.clear(), finished.clear();
         last_end = seen = lapsed_to = 0;
     }
+    static std::string gang_of(const std::string& task) { return task.substr(0, task.rfind('.')); }
     void end(const std::string& task, const char* how) {
         Run run = runs.at(task);
         runs.erase(task);
+        if (!run.gang.empty()) {
+            oracle.gangs[{run.gang, run.run}].erase(task);
+            if (std::string_view(how) != "done") oracle.ended_gangs.insert({run.gang, run.run});
+            else for (std::uint32_t index = 0; index < run.members; ++index) oracle.done.insert(fmt::format("{}.{}", run.gang, index));
+        }
         cpu_used -= run.cpu;
         oracle.running[task]--;
         closed[task] = std::max(closed[task], run.run);
@@ -102,6 +115,12 @@
         std::vector<std::pair<std::string, const char*>> ends;
         for (auto& [task, run] : runs)
             if (world.now >= hold_until) ends.emplace_back(task, "lapsed");
+            else if (!run.gang.empty() && oracle.ended_gangs.contains({run.gang, run.run})) ends.emplace_back(task, "broken");
+            else if (!run.gang.empty() && run.ends_at == 0) {
+                // A gang works only once every member of this run is present.
+                if (oracle.gangs[{run.gang, run.run}].size() == run.members) run.ends_at = world.now + ms(600);
+                else if (world.now - run.begun > seconds(3)) ends.emplace_back(task, "alone"), ++oracle.alone;
+            }
             else if (world.now >= run.ends_at) ends.emplace_back(task, run.fails ? "failed" : "done");
         for (auto& [task, how] : ends) end(task, how);
     }
@@ -130,7 +149,12 @@
                 world.check(oracle.done.contains(RunName{name->job, name->time, earlier, index, 0}.task()), "ORDER start before its steps of " + order.task);
         oracle.running[order.task]++;
         cpu_used += step.cpu;
-        runs[order.task] = {order.run, world.now + world.dice.between(ms(50), ms(1500)), world.dice.roll(12) == 0, step.cpu, ""};
+        runs[order.task] = {order.run, step.gang ? 0 : world.now + world.dice.between(ms(50), ms(1500)), world.dice.roll(12) == 0, step.cpu, "", 0, world.now};
+        if (step.gang) {
+            runs[order.task].gang = gang_of(order.task);
+            runs[order.task].members = step.count;
+            oracle.gangs[{gang_of(order.task), order.run}].insert(order.task);
+        }
         return "";
     }
     bool stop(const std::string& task, std::uint32_t run, Epoch under) {
@@ -410,7 +434,7 @@
 
 struct Run {
     World world;
-    Oracle oracle{world, {}, {}, {}, {}, {}, 3};
+    Oracle oracle{world};
     std::vector<std::unique_ptr<Daemon>> daemons;
     std::vector<std::unique_ptr<Worker>> workers;
     std::vector<std::unique_ptr<SideDouble>> sides;
@@ -458,7 +482,9 @@
         Daemon* daemon = owner();
         if (!daemon) return;
         std::string body;
-        switch (world.dice.roll(4)) {
+        switch (world.dice.roll(6)) {
+            case 4: body = R"({"job_spec":"x","steps":[{"count":3,"cpu":2500,"gang":true}]})"; break;
+            case 5: body = R"({"job_spec":"x","steps":[{"count":1,"cpu":500},{"count":2,"cpu":1500,"gang":true,"same_rack":true,"depends_on":[0]},{"count":2,"cpu":500,"depends_on":[1]}]})"; break;
             case 0: body = R"({"job_spec":"x","steps":[{"count":3,"cpu":2000,"estimate_ms":500},{"count":2,"cpu":3000,"estimate_ms":500,"depends_on":[0]}]})"; break;
             case 1: body = R"({"job_spec":"x","steps":[{"count":4,"cpu":3500,"estimate_ms":500,"anti_affinity":2}]})"; break;
             case 2: body = R"({"job_spec":"x","steps":[{"count":1,"cpu":7000,"estimate_ms":900,"requires":"a"}]})"; break;
@@ -598,6 +624,8 @@
 bool play_and_tell(std::uint64_t seed, const std::vector<Fault>& faults) {
     Run run(seed);
     std::vector<std::string> broken = run.play(faults);
+    // Without trouble no member of a gang waits for the others in vain.
+    if (faults.empty() && run.oracle.alone > 0) broken.push_back(fmt::format("GANG {} runs ended alone", run.oracle.alone));
     for (const std::string& each : broken) fmt::print(stderr, "  seed {}: {}\n", seed, each);
     return broken.empty();
 }
