--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -113,8 +113,16 @@
     double minutes = double(history.length) / 60e6;
     fmt::print("history: {} lanes, {} spans of {:.2f} minutes, a fleet of {:.1f} accelerators (8 cores count as one)\n\n", history.lanes.size(), history.last - history.first + 1, minutes, next.fleet);
     fmt::print("{:<44} {:<8} {:>12} {:>12} {:>12}\n", "accelerators needed by lane", "kind", "next span", "last span", "at most");
-    for (const LaneForecast& lane : next.lanes)
+    size_t idle = 0;
+    for (const LaneForecast& lane : next.lanes) {
+        const auto& spans = history.lanes.at(lane.lane).spans;
+        if (std::all_of(spans.begin(), spans.end(), [](const auto& each) { return each.second.arrived <= 0; })) {
+            ++idle;
+            continue;
+        }
         fmt::print("{:<44} {:<8} {:>12.2f} {:>12.2f} {:>12.2f}\n", lane.lane, lane.urgent ? "urgent" : "can wait", lane.mean.front(), lane.mean.back(), *std::max_element(lane.upper.begin(), lane.upper.end()));
+    }
+    if (idle) fmt::print("{} lanes had no demand in this time\n", idle);
     fmt::print("\nurgent work, at most:     {:.2f} accelerators within {} spans\n", *std::max_element(next.urgent_upper.begin(), next.urgent_upper.end()), props.ahead);
     fmt::print("work that can wait, mean: {:.2f} accelerators within {} spans\n", *std::max_element(next.waiting_mean.begin(), next.waiting_mean.end()), props.ahead);
     if (next.fleet <= 0) fmt::print("no fleet is known, so nothing is said of whether it is enough\n");
