--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr int usage_mishap = 2, run_mishap = 1;
+constexpr int usage_error = 2, run_error = 1;
 
 std::atomic<bool> stop_asked{false}, settings_asked{false};
 
@@ -34,20 +34,20 @@
     return path ? path : "/etc/calicostall/settings.json";
 }
 
-Props load_props(const std::string& path, Findings& findings, std::string* text_read = nullptr) {
+Settings load_settings(const std::string& path, Findings& findings, std::string* text_read = nullptr) {
     std::optional<std::string> text = read_file(path);
     if (!text) {
         findings.add(path, "cannot be read");
         return {};
     }
     if (text_read) *text_read = *text;
-    return parse_props(*text, findings);
+    return parse_settings(*text, findings);
 }
 
 // Runs a role until it is told to stop; the settings file is looked at again on SIGHUP and now and then.
 template <class Role>
 int run_role(Role& role, Loop& loop, const std::string& path, std::string text) {
-    if (Findings findings = role.open(); !findings.empty()) return report(run_mishap, findings);
+    if (Findings findings = role.open(); !findings.empty()) return report(run_error, findings);
     bool leaving = false;
     Micros next_look = steady_now() + seconds(2);
     std::function<void()> watch = [&] {
@@ -63,11 +63,11 @@
             next_look = steady_now() + seconds(2);
             Findings findings;
             std::string fresh;
-            Props props = load_props(path, findings, &fresh);
+            Settings settings = load_settings(path, findings, &fresh);
             if (fresh != text && findings.empty()) {
                 text = fresh;
                 log_line("process", "settings taken again");
-                role.take_props(props);
+                role.take_settings(settings);
             } else if (fresh != text) {
                 text = fresh;
                 log_line("process", "changed settings are not taken: {}", findings.text());
@@ -82,8 +82,8 @@
 
 int check_settings(const std::string& path) {
     Findings findings;
-    load_props(path, findings);
-    if (!findings.empty()) return report(run_mishap, findings);
+    load_settings(path, findings);
+    if (!findings.empty()) return report(run_error, findings);
     fmt::print("{}: sound\n", path);
     return 0;
 }
@@ -93,13 +93,13 @@
     std::optional<std::string> text = read_file(path);
     if (!text) findings.add(path, "cannot be read");
     else parse_config(*text, findings);
-    if (!findings.empty()) return report(run_mishap, findings);
+    if (!findings.empty()) return report(run_error, findings);
     fmt::print("{}: sound\n", path);
     return 0;
 }
 
-// Prints what the lanes will need, and how past forecasts did against the queues that followed.
-int forecast(const std::vector<std::string>& files, const ForecastProps& props) {
+// Prints what the queues will need, and how past forecasts did against the queues that followed.
+int forecast(const std::vector<std::string>& files, const ForecastSettings& settings) {
     Findings findings;
     History history;
     for (const std::string& file : files) {
@@ -108,27 +108,27 @@
         else read_history(*text, file, history, findings);
     }
     if (findings.empty() && history.empty()) findings.add("history", "no line of it in these files; was control run with --history-s?");
-    if (!findings.empty()) return report(usage_mishap, findings);
-    Forecast next = forecast_demand(history, history.last + 1, props);
+    if (!findings.empty()) return report(usage_error, findings);
+    Forecast next = forecast_demand(history, history.last + 1, settings);
     double minutes = double(history.length) / 60e6;
-    fmt::print("history: {} lanes, {} spans of {:.2f} minutes, a fleet of {:.1f} accelerators (8 cores count as one)\n\n", history.lanes.size(), history.last - history.first + 1, minutes, next.fleet);
-    fmt::print("{:<44} {:<8} {:>12} {:>12} {:>12}\n", "accelerators needed by lane", "kind", "next span", "last span", "at most");
+    fmt::print("history: {} queues, {} spans of {:.2f} minutes, a fleet of {:.1f} accelerators (8 cores count as one)\n\n", history.queues.size(), history.last - history.first + 1, minutes, next.fleet);
+    fmt::print("{:<44} {:<8} {:>12} {:>12} {:>12}\n", "accelerators needed by queue", "kind", "next span", "last span", "at most");
     size_t idle = 0;
-    for (const LaneForecast& lane : next.lanes) {
-        const auto& spans = history.lanes.at(lane.lane).spans;
+    for (const QueueForecast& queue : next.queues) {
+        const auto& spans = history.queues.at(queue.queue).spans;
         if (std::all_of(spans.begin(), spans.end(), [](const auto& each) { return each.second.arrived <= 0; })) {
             ++idle;
             continue;
         }
-        fmt::print("{:<44} {:<8} {:>12.2f} {:>12.2f} {:>12.2f}\n", lane.lane, lane.urgent ? "urgent" : "can wait", lane.mean.front(), lane.mean.back(), *std::max_element(lane.upper.begin(), lane.upper.end()));
+        fmt::print("{:<44} {:<8} {:>12.2f} {:>12.2f} {:>12.2f}\n", queue.queue, queue.urgent ? "urgent" : "can wait", queue.mean.front(), queue.mean.back(), *std::max_element(queue.upper.begin(), queue.upper.end()));
     }
-    if (idle) fmt::print("{} lanes had no demand in this time\n", idle);
-    fmt::print("\nurgent work, at most:     {:.2f} accelerators within {} spans\n", *std::max_element(next.urgent_upper.begin(), next.urgent_upper.end()), props.ahead);
-    fmt::print("work that can wait, mean: {:.2f} accelerators within {} spans\n", *std::max_element(next.waiting_mean.begin(), next.waiting_mean.end()), props.ahead);
+    if (idle) fmt::print("{} queues had no demand in this time\n", idle);
+    fmt::print("\nurgent work, at most:     {:.2f} accelerators within {} spans\n", *std::max_element(next.urgent_upper.begin(), next.urgent_upper.end()), settings.ahead);
+    fmt::print("work that can wait, mean: {:.2f} accelerators within {} spans\n", *std::max_element(next.waiting_mean.begin(), next.waiting_mean.end()), settings.ahead);
     if (next.fleet <= 0) fmt::print("no fleet is known, so nothing is said of whether it is enough\n");
     else if (next.warns) fmt::print("WARNING: in {} spans ({:.1f} minutes) demand reaches {:.0f}% of the fleet; urgent work is then expected to wait\n", next.first_warned, double(next.first_warned) * minutes, 100 * next.pressure[next.first_warned - 1]);
-    else fmt::print("no warning: demand stays below {:.0f}% of the fleet\n", 100 * props.pressure);
-    Backtest past = check_past(history, props);
+    else fmt::print("no warning: demand stays below {:.0f}% of the fleet\n", 100 * settings.pressure);
+    Backtest past = check_past(history, settings);
     fmt::print("\npast forecasts against later queues: {} forecasts, {} of them warned, {} without urgent waiting after it; the next span was off by {:.0f}%\n", past.forecasts, past.warnings, past.false_warnings, 100 * past.mean_off);
     for (const Event& event : past.events) {
         if (event.warned_before) fmt::print("  span {}: urgent tasks waited {:.1f} task-seconds, warned {} spans before\n", event.span, event.waited, *event.warned_before);
@@ -147,7 +147,7 @@
         "timeout-ms", "control: how long to wait for it at first", cxxopts::value<std::int64_t>()->default_value("1000"))(
         "increment-ms", "control: how much longer after a false suspicion", cxxopts::value<std::int64_t>()->default_value("100"))(
         "hold-ms", "control: how long a worker keeps what runs there without news", cxxopts::value<std::int64_t>()->default_value("3000"))(
-        "history-s", "control: write the queues' history to the log, a line a lane each so many seconds (0: no)", cxxopts::value<std::int64_t>()->default_value("0"))(
+        "history-s", "control: write the queues' history to the log, a line a queue each so many seconds (0: no)", cxxopts::value<std::int64_t>()->default_value("0"))(
         "ahead", "forecast: how many spans ahead", cxxopts::value<std::int64_t>()->default_value("6"))(
         "season", "forecast: how many spans make a season, as 24 for days of hours (0: none)", cxxopts::value<std::int64_t>()->default_value("0"))(
         "pressure", "forecast: the share of the fleet from which urgent work is expected to wait", cxxopts::value<double>()->default_value("0.85"))(
@@ -166,47 +166,47 @@
         if (command == "check-settings" || command == "check-config") {
             if (file.empty()) {
                 findings.add(command, "needs a file");
-                return report(usage_mishap, findings);
+                return report(usage_error, findings);
             }
             return command == "check-settings" ? check_settings(file) : check_config(file);
         }
         if (command == "forecast") {
-            ForecastProps props;
+            ForecastSettings settings;
             std::int64_t ahead = given["ahead"].as<std::int64_t>(), season = given["season"].as<std::int64_t>();
-            props.pressure = given["pressure"].as<double>();
+            settings.pressure = given["pressure"].as<double>();
             if (file.empty()) findings.add(command, "needs at least one log");
             if (ahead < 1 || ahead > 1000) findings.add("--ahead", "must lie between 1 and 1000");
             if (season < 0 || season > 100000) findings.add("--season", "must lie between 0 and 100000");
-            if (!(props.pressure > 0) || props.pressure > 10) findings.add("--pressure", "must lie above 0 and at most 10");
-            if (!findings.empty()) return report(usage_mishap, findings);
-            props.ahead = size_t(ahead);
-            props.season = size_t(season);
-            props.warm_up = std::max<size_t>(6, 2 * props.season);
-            return forecast(given["file"].as<std::vector<std::string>>(), props);
+            if (!(settings.pressure > 0) || settings.pressure > 10) findings.add("--pressure", "must lie above 0 and at most 10");
+            if (!findings.empty()) return report(usage_error, findings);
+            settings.ahead = size_t(ahead);
+            settings.season = size_t(season);
+            settings.warm_up = std::max<size_t>(6, 2 * settings.season);
+            return forecast(given["file"].as<std::vector<std::string>>(), settings);
         }
         if (command != "front" && command != "control" && command != "side") {
             findings.add("command", command.empty() ? "is missing; see --help" : fmt::format("'{}' is unknown; see --help", command));
-            return report(usage_mishap, findings);
+            return report(usage_error, findings);
         }
         std::string path = settings_path(given), text;
-        Props props = load_props(path, findings, &text);
-        if (findings.empty() && command == "front" && props.front.empty()) findings.add("bind_addrs.front", "is missing");
-        if (findings.empty() && command != "front" && props.control.empty()) findings.add("bind_addrs.control", "is missing");
-        if (!findings.empty()) return report(run_mishap, findings);
+        Settings settings = load_settings(path, findings, &text);
+        if (findings.empty() && command == "front" && settings.front.empty()) findings.add("bind_addrs.front", "is missing");
+        if (findings.empty() && command != "front" && settings.control.empty()) findings.add("bind_addrs.control", "is missing");
+        if (!findings.empty()) return report(run_error, findings);
         std::signal(SIGTERM, take_signal);
         std::signal(SIGINT, take_signal);
         std::signal(SIGHUP, take_signal);
         std::signal(SIGPIPE, SIG_IGN);
         auto loop = std::make_unique<Loop>();
         if (command == "front") {
-            FrontProps front;
-            front.machine = props;
+            FrontSettings front;
+            front.machine = settings;
             auto role = std::make_unique<Front>(front, *loop);
             return run_role(*role, *loop, path, text);
         }
         if (command == "control") {
-            ControlProps control;
-            control.machine = props;
+            ControlSettings control;
+            control.machine = settings;
             auto whole = [&](const char* name, std::int64_t least, std::int64_t most) {
                 std::int64_t number = given[name].as<std::int64_t>();
                 if (number < least || number > most) findings.add(fmt::format("--{}", name), fmt::format("must lie between {} and {}", least, most));
@@ -216,22 +216,22 @@
             control.detector.timeout = whole("timeout-ms", 50, 60000);
             control.detector.increment = whole("increment-ms", 0, 60000);
             control.detector.timeout_most = std::max(control.detector.timeout * 3, seconds(3));
-            control.board.history_span = whole("history-s", 0, 86400) * 1000;
-            control.board.hold = std::min(whole("hold-ms", 500, 600000), props.hold_most);
+            control.scheduler.history_span = whole("history-s", 0, 86400) * 1000;
+            control.scheduler.hold = std::min(whole("hold-ms", 500, 600000), settings.hold_most);
             if (control.detector.timeout < 2 * control.detector.heartbeat) findings.add("--timeout-ms", "must be at least twice --heartbeat-ms");
-            if (!findings.empty()) return report(usage_mishap, findings);
-            control.board.status_kept = props.status_kept;
-            control.board.stop_grace = props.stop_grace;
-            control.board.placer.remote_factor = props.remote_factor;
+            if (!findings.empty()) return report(usage_error, findings);
+            control.scheduler.status_kept = settings.status_kept;
+            control.scheduler.stop_grace = settings.stop_grace;
+            control.scheduler.placer.remote_factor = settings.remote_factor;
             auto role = std::make_unique<Control>(control, *loop);
             return run_role(*role, *loop, path, text);
         }
-        SideProps side;
-        side.machine = props;
+        SideSettings side;
+        side.machine = settings;
         auto role = std::make_unique<Side>(side, *loop);
         return run_role(*role, *loop, path, text);
-    } catch (const cxxopts::exceptions::exception& mishap) {
-        findings.add("command line", mishap.what());
-        return report(usage_mishap, findings);
+    } catch (const cxxopts::exceptions::exception& error) {
+        findings.add("command line", error.what());
+        return report(usage_error, findings);
     }
 }
--- a/source/control.hpp
+++ b/source/control.hpp
@@ -2,23 +2,23 @@
 #pragma once
 #include "common.hpp"
 #include "control/detector/detector.hpp"
-#include "control/jobs/board.hpp"
+#include "control/jobs/scheduler.hpp"
 #include "control/store/disk.hpp"
 #include "control/store/owner.hpp"
 #include "control/store/replica.hpp"
 #include "shared/http/listener.hpp"
 #include "shared/http/loop.hpp"
 #include "shared/http/slab.hpp"
-#include "shared/settings/props.hpp"
+#include "shared/settings/settings.hpp"
 #include "shared/time/judge.hpp"
 
 namespace calicostall {
 
-struct ControlProps {
-    Props machine;
-    DetectorProps detector;
-    OwnerProps owner;
-    BoardProps board;
+struct ControlSettings {
+    Settings machine;
+    DetectorSettings detector;
+    OwnerSettings owner;
+    SchedulerSettings scheduler;
     Micros write_patience = milliseconds(700);
     Micros side_wait = seconds(1);
     Micros probe_busy = milliseconds(300), probe_idle = milliseconds(800);
@@ -30,49 +30,49 @@
 
 class Control {
 public:
-    Control(ControlProps props, Loop& loop)
-        : props_(std::move(props)),
+    Control(ControlSettings settings, Loop& loop)
+        : settings_(std::move(settings)),
           loop_(loop),
-          disk_(props_.machine.folder, props_.machine.disk_mb),
-          detector_(props_.detector, 0, 1, steady_now()),
-          owner_(props_.owner, Identity{}),
+          disk_(settings_.machine.folder, settings_.machine.disk_mb),
+          detector_(settings_.detector, 0, 1, steady_now()),
+          owner_(settings_.owner, Identity{}),
           ledger_{this},
-          board_(props_.board, ledger_) {}
+          scheduler_(settings_.scheduler, ledger_) {}
 
     // Opens disk and listeners; returns what went wrong.
     Findings open() {
         Findings findings;
         std::lock_guard guard(lock_);
         Micros now = steady_now();
-        own_address_ = replica_address(props_.machine.control);
-        if (std::string mishap = disk_.open(replica_); !mishap.empty()) {
-            findings.add("data_dir", mishap);
+        own_address_ = replica_address(settings_.machine.control);
+        if (std::string error = disk_.open(replica_); !error.empty()) {
+            findings.add("data_dir", error);
             return findings;
         }
         bool first = replica_.identity.value == 0;
         if (first) found_identity();
         if (first && !disk_.write_identity(replica_.identity)) findings.add("data_dir", "takes no writes");
-        owner_ = Owner(props_.owner, replica_.identity);
+        owner_ = Owner(settings_.owner, replica_.identity);
         owner_.unpack_core = [](const std::string& packed) { return unpack<Core>(packed); };
         disk_.start();
-        bool fresh = first && props_.machine.first_start;
-        catching_up_until_ = fresh ? now : now + props_.catching_up_most;
+        bool fresh = first && settings_.machine.first_start;
+        catching_up_until_ = fresh ? now : now + settings_.catching_up_most;
         learn_core(now);
         log_line("control", "identity {:x}, {} registers, promised {}, {}", replica_.identity.value, replica_.registers.size(), replica_.promised.value,
                  place_ ? fmt::format("place {} of {}", *place_, core_.members.size()) : std::string("no member yet"));
         try {
-            inner_ = std::make_unique<Listener>(own_address_, Listener::Limits{.body_bytes = 64 << 20}, [this](Transaction transaction) { take_inner(std::move(transaction)); });
+            inner_ = std::make_unique<Listener>(own_address_, Listener::Limits{.body_bytes = 64 << 20}, [this](Request request) { take_inner(std::move(request)); });
             inner_->open();
-        } catch (const std::exception& mishap) {
-            findings.add("port_range", fmt::format("{}: {}", own_address_, mishap.what()));
+        } catch (const std::exception& error) {
+            findings.add("port_range", fmt::format("{}: {}", own_address_, error.what()));
         }
         try {
-            control_ = std::make_unique<Listener>(props_.machine.control, Listener::Limits{.body_bytes = 4 << 20}, [this](Transaction transaction) { take_control(std::move(transaction)); });
+            control_ = std::make_unique<Listener>(settings_.machine.control, Listener::Limits{.body_bytes = 4 << 20}, [this](Request request) { take_control(std::move(request)); });
             control_->open();
-        } catch (const std::exception& mishap) {
-            findings.add("bind_addrs.control", fmt::format("{}: {}", props_.machine.control, mishap.what()));
+        } catch (const std::exception& error) {
+            findings.add("bind_addrs.control", fmt::format("{}: {}", settings_.machine.control, error.what()));
         }
-        loop_.after(0, [this] { turn_by_pulse(); });
+        loop_.after(0, [this] { turn_by_timer(); });
         return findings;
     }
     // A planned stop: the successors are told, and what is being decided gets a moment.
@@ -81,15 +81,15 @@
         log_line("control", "leaving");
         leaving_ = true;
         owner_.give_up();
-        board_.end_ownership();
+        scheduler_.end_ownership();
         for (size_t place = 0; place < core_.members.size(); ++place)
             if (place != place_.value_or(~size_t(0))) send_alive(place, true);
         answer_all_waiting();
         loop_.after(milliseconds(400), std::move(then));
     }
-    void take_props(const Props& machine) {
+    void take_settings(const Settings& machine) {
         std::lock_guard guard(lock_);
-        props_.machine.seeds = machine.seeds;
+        settings_.machine.seeds = machine.seeds;
     }
 
 private:
@@ -118,18 +118,18 @@
         Micros until = 0;
     };
 
-    std::string replica_address(const std::string& control) const { return fmt::format("{}:{}", address_host(control), props_.machine.first_port); }
-    bool acting() const { return owner_.acting() && board_epoch_ == owner_.epoch(); }
+    std::string replica_address(const std::string& control) const { return fmt::format("{}:{}", address_host(control), settings_.machine.first_port); }
+    bool acting() const { return owner_.acting() && scheduler_epoch_ == owner_.epoch(); }
 
     // --- who belongs to the core ---
 
     void found_identity() {
-        std::vector<std::string> seeds = props_.machine.seeds;
+        std::vector<std::string> seeds = settings_.machine.seeds;
         std::sort(seeds.begin(), seeds.end());
-        bool among = std::find(seeds.begin(), seeds.end(), props_.machine.control) != seeds.end();
+        bool among = std::find(seeds.begin(), seeds.end(), settings_.machine.control) != seeds.end();
         std::random_device device;
         replica_.identity = Identity{(std::uint64_t(device()) << 32 | device()) | 1};
-        if (!props_.machine.first_start || !among) return;
+        if (!settings_.machine.first_start || !among) return;
         Core core;
         core.next_number = 1;
         core.size_wanted = seeds.size();
@@ -139,7 +139,7 @@
                 for (char letter : each + ";") hash = (hash ^ std::uint8_t(letter)) * 1099511628211ull;
             for (char letter : seed) hash = (hash ^ std::uint8_t(letter)) * 1099511628211ull;
             Member member{core.next_number++, Identity{hash | 1}, replica_address(seed), seed};
-            if (seed == props_.machine.control) replica_.identity = member.identity;
+            if (seed == settings_.machine.control) replica_.identity = member.identity;
             core.members.push_back(member);
         }
         Register value{Epoch{0}, Version{1}, {}, pack(core)};
@@ -175,8 +175,8 @@
     void ask_to_join(Micros now) {
         if (place_ || now < next_join_ || leaving_) return;
         next_join_ = now + milliseconds(400);
-        JoinAsk ask{replica_.identity, own_address_, props_.machine.control, false};
-        for (const std::string& seed : props_.machine.seeds) {
+        JoinAsk ask{replica_.identity, own_address_, settings_.machine.control, false};
+        for (const std::string& seed : settings_.machine.seeds) {
             std::string address = replica_address(seed);
             if (address != own_address_) loop_.ask({.url = "http://" + address + "/inner/join", .body = pack(ask)}, nullptr);
         }
@@ -220,8 +220,8 @@
             for (const Member& member : core.members) {
                 if (member.identity == replica_.identity) continue;
                 bool lost = member.address == joiner_->address || owner_.is_gone(member.identity) ||
-                            !owner_.heard_since(member.identity, std::max(now - props_.gone_after, acting_since_));
-                if (lost && now - acting_since_ > props_.gone_after) victim = &member;
+                            !owner_.heard_since(member.identity, std::max(now - settings_.gone_after, acting_since_));
+                if (lost && now - acting_since_ > settings_.gone_after) victim = &member;
                 if (member.address == joiner_->address) {
                     victim = &member;
                     break;
@@ -248,9 +248,9 @@
 
     // --- the turn: everything that follows from a change or from time ---
 
-    void turn_by_pulse() {
+    void turn_by_timer() {
         std::lock_guard guard(lock_);
-        pulse_at_ = 0;
+        timer_at_ = 0;
         turn();
     }
     void turn() {
@@ -274,9 +274,9 @@
         if (acting()) {
             tend_core(now);
             Micros wall = judge_.wall(wall_now(), now);
-            board_.pulse(now, wall, owner_.confirmed_at());
+            scheduler_.tick(now, wall, owner_.confirmed_at());
             Micros age = now - owner_.confirmed_at();
-            if (age > (board_.anything_held() ? props_.probe_busy : props_.probe_idle) && now - probed_at_ > milliseconds(150)) {
+            if (age > (scheduler_.anything_held() ? settings_.probe_busy : settings_.probe_idle) && now - probed_at_ > milliseconds(150)) {
                 probed_at_ = now;
                 owner_.probe();
             }
@@ -284,11 +284,11 @@
         for (Errand& errand : owner_.pump(now)) carry(std::move(errand));
         answer_sides(now);
         answer_news(now);
-        if (now - counted_at_ > props_.count_every) {
+        if (now - counted_at_ > settings_.count_every) {
             counted_at_ = now;
             std::string text = counters().changed_text();
             if (!text.empty()) log_line("counters", "{}", text);
-            if (!text.empty() && acting()) log_line("gauges", "{}", board_.gauges());
+            if (!text.empty() && acting()) log_line("gauges", "{}", scheduler_.gauges());
         }
     }
     void elect(Micros now) {
@@ -296,11 +296,11 @@
         // A majority that grants its epoch shows that nobody else is to be caught up from.
         if (owner_.state() == Owner::State::handing || owner_.acting()) catching_up_until_ = 0;
         bool catching_up = now < catching_up_until_;
-        if (!detector_.trusts_itself() || core_.members.size() < 2 || owner_.reaches_majority(now - props_.alone_after / 2)) majority_at_ = now;
-        bool alone = now - majority_at_ > props_.alone_after;
+        if (!detector_.trusts_itself() || core_.members.size() < 2 || owner_.reaches_majority(now - settings_.alone_after / 2)) majority_at_ = now;
+        bool alone = now - majority_at_ > settings_.alone_after;
         detector_.set_silent(stalled || catching_up || alone);
         size_t before = detector_.trusted();
-        for (size_t place : detector_.pulse(now)) send_alive(place, false);
+        for (size_t place : detector_.tick(now)) send_alive(place, false);
         if (before != detector_.trusted()) log_line("detector", "trusts place {} after {}", detector_.trusted(), before);
         if (detector_.trusts_itself() && !stalled && owner_.state() == Owner::State::idle && now >= next_takeover_) {
             next_takeover_ = now + milliseconds(150);
@@ -314,33 +314,33 @@
             highest_epoch_ = std::max(highest_epoch_, *owner_.outbid_by);
             owner_.outbid_by.reset();
         }
-        if (owner_.acting() && board_epoch_ != owner_.epoch()) {
-            board_epoch_ = owner_.epoch();
+        if (owner_.acting() && scheduler_epoch_ != owner_.epoch()) {
+            scheduler_epoch_ = owner_.epoch();
             acting_since_ = now;
             core_changing_ = false;
             log_line("control", "owner under epoch {}, {} registers", owner_.epoch().value, owner_.registers().size());
-            board_.begin(owner_.epoch(), owner_.registers(), now);
+            scheduler_.begin(owner_.epoch(), owner_.registers(), now);
             if (!owner_.core().members.empty() && owner_.registers().count("core") == 0) owner_.set_core(owner_.core(), pack(owner_.core()), nullptr);
             note_owner(owner_.epoch(), own_address_);
         }
-        if (!owner_.acting() && board_epoch_.value != 0) {
-            board_epoch_ = Epoch{};
-            board_.end_ownership();
+        if (!owner_.acting() && scheduler_epoch_.value != 0) {
+            scheduler_epoch_ = Epoch{};
+            scheduler_.end_ownership();
             joiner_.reset();
         }
     }
     void schedule(Micros now) {
         Micros next = now + milliseconds(200);
         if (place_) next = std::min(next, detector_.next(now));
-        if (owner_.state() != Owner::State::idle) next = std::min(next, now + (owner_.acting() ? milliseconds(100) : props_.owner.ask_again));
-        if (acting()) next = std::min(next, board_.next_pulse(now, judge_.wall(wall_now(), now)));
+        if (owner_.state() != Owner::State::idle) next = std::min(next, now + (owner_.acting() ? milliseconds(100) : settings_.owner.ask_again));
+        if (acting()) next = std::min(next, scheduler_.next_tick(now, judge_.wall(wall_now(), now)));
         next = std::max(next, now + 500);
-        if (pulse_at_ != 0 && pulse_at_ <= next + 500 && pulse_at_ > now - milliseconds(50)) return;
-        pulse_at_ = next;
+        if (timer_at_ != 0 && timer_at_ <= next + 500 && timer_at_ > now - milliseconds(50)) return;
+        timer_at_ = next;
         loop_.after(next - now, [this, next] {
             std::lock_guard guard(lock_);
-            if (pulse_at_ != next) return;
-            pulse_at_ = 0;
+            if (timer_at_ != next) return;
+            timer_at_ = 0;
             turn();
         });
     }
@@ -370,7 +370,7 @@
         std::string body = preparing ? pack(std::get<PrepareAsk>(errand.ask)) : pack(std::get<WriteAsk>(errand.ask));
         counters().add("errand_bytes", body.size());
         std::string address = errand.to.address;
-        loop_.ask({.url = "http://" + address + (preparing ? "/inner/prepare" : "/inner/write"), .body = std::move(body), .patience = props_.write_patience},
+        loop_.ask({.url = "http://" + address + (preparing ? "/inner/prepare" : "/inner/write"), .body = std::move(body), .patience = settings_.write_patience},
                   [this, ticket, preparing, address](Answer answer) {
                       std::lock_guard guard(lock_);
                       Micros now = steady_now();
@@ -406,7 +406,7 @@
             const Member* from = core_.find(ask.from);
             if (from) note_owner(ask.epoch, from->address);
             if (ask.from != replica_.identity && ask.level) catching_up_until_ = 0;
-            else if (ask.from != replica_.identity && catching_up_until_ != 0) catching_up_until_ = std::max(catching_up_until_, steady_now() + props_.catching_up_most);
+            else if (ask.from != replica_.identity && catching_up_until_ != 0) catching_up_until_ = std::max(catching_up_until_, steady_now() + settings_.catching_up_most);
         }
         disk_.put(std::move(change), [this, told, answer = std::move(answer)]() mutable {
             std::lock_guard guard(lock_);
@@ -416,28 +416,28 @@
 
     // --- what comes in ---
 
-    void take_inner(Transaction transaction) {
+    void take_inner(Request request) {
         auto refuse = [&] {
             counters().add("frames_refused");
-            transaction.reply.send(Outcome::plain(400));
+            request.reply.send(Response::plain(400));
         };
         auto shared = std::make_shared<Reply>();
-        if (transaction.path == "/inner/write") {
-            auto ask = unpack<WriteAsk>(transaction.body);
+        if (request.path == "/inner/write") {
+            auto ask = unpack<WriteAsk>(request.body);
             if (!ask) return refuse();
-            *shared = std::move(transaction.reply);
+            *shared = std::move(request.reply);
             std::lock_guard guard(lock_);
-            if (ask->to == replica_.identity || true) serve_write(*ask, [shared](WriteAnswer answer) { shared->send(Outcome::cbor(pack(answer))); });
+            if (ask->to == replica_.identity || true) serve_write(*ask, [shared](WriteAnswer answer) { shared->send(Response::cbor(pack(answer))); });
             if (turn_wanted_) turn();
-        } else if (transaction.path == "/inner/prepare") {
-            auto ask = unpack<PrepareAsk>(transaction.body);
+        } else if (request.path == "/inner/prepare") {
+            auto ask = unpack<PrepareAsk>(request.body);
             if (!ask) return refuse();
-            *shared = std::move(transaction.reply);
+            *shared = std::move(request.reply);
             std::lock_guard guard(lock_);
-            serve_prepare(*ask, [shared](PrepareAnswer answer) { shared->send(Outcome::cbor(pack(answer))); });
+            serve_prepare(*ask, [shared](PrepareAnswer answer) { shared->send(Response::cbor(pack(answer))); });
             turn();
-        } else if (transaction.path == "/inner/alive") {
-            auto note = unpack<AliveNote>(transaction.body);
+        } else if (request.path == "/inner/alive") {
+            auto note = unpack<AliveNote>(request.body);
             if (!note) return refuse();
             {
                 std::lock_guard guard(lock_);
@@ -453,72 +453,72 @@
                     turn();
                 }
             }
-            transaction.reply.send(Outcome::plain(200));
-        } else if (transaction.path == "/inner/join") {
-            auto ask = unpack<JoinAsk>(transaction.body);
+            request.reply.send(Response::plain(200));
+        } else if (request.path == "/inner/join") {
+            auto ask = unpack<JoinAsk>(request.body);
             if (!ask) return refuse();
-            transaction.reply.send(Outcome::cbor(pack(JoinAnswer{true})));
+            request.reply.send(Response::cbor(pack(JoinAnswer{true})));
             std::lock_guard guard(lock_);
             take_join(*ask);
             if (turn_wanted_) turn();
-        } else if (transaction.path == "/inner/news") {
-            auto ask = unpack<NewsAsk>(transaction.body);
+        } else if (request.path == "/inner/news") {
+            auto ask = unpack<NewsAsk>(request.body);
             if (!ask) return refuse();
             std::lock_guard guard(lock_);
             Micros now = steady_now();
-            news_.push_back({std::move(transaction.reply), *ask, now + std::min(ask->wait, seconds(30))});
+            news_.push_back({std::move(request.reply), *ask, now + std::min(ask->wait, seconds(30))});
             answer_news(now);
-        } else if (transaction.path == "/inner/call") {
-            auto ask = unpack<CallAsk>(transaction.body);
+        } else if (request.path == "/inner/call") {
+            auto ask = unpack<CallAsk>(request.body);
             if (!ask) return refuse();
-            *shared = std::move(transaction.reply);
+            *shared = std::move(request.reply);
             std::lock_guard guard(lock_);
-            serve_call(*ask, [shared](CallAnswer answer) { shared->send(Outcome::cbor(pack(answer))); });
+            serve_call(*ask, [shared](CallAnswer answer) { shared->send(Response::cbor(pack(answer))); });
             turn();
-        } else if (transaction.path == "/inner/side") {
-            auto ask = unpack<SideAsk>(transaction.body);
+        } else if (request.path == "/inner/side") {
+            auto ask = unpack<SideAsk>(request.body);
             if (!ask) return refuse();
             std::lock_guard guard(lock_);
-            serve_side(std::move(*ask), std::move(transaction.reply));
+            serve_side(std::move(*ask), std::move(request.reply));
             turn();
         } else {
-            transaction.reply.send(Outcome::plain(404));
+            request.reply.send(Response::plain(404));
         }
     }
     // Calls of operators, by the table: PUT /config, GET /config.
-    void take_control(Transaction transaction) {
-        if (transaction.path != "/config" || (transaction.method != "PUT" && transaction.method != "GET")) {
-            transaction.reply.send(Outcome::plain(transaction.path == "/config" ? 405 : 404));
+    void take_control(Request request) {
+        if (request.path != "/config" || (request.method != "PUT" && request.method != "GET")) {
+            request.reply.send(Response::plain(request.path == "/config" ? 405 : 404));
             return;
         }
-        auto shared = std::make_shared<Reply>(std::move(transaction.reply));
-        CallAsk ask{transaction.method, {}, "/config", std::move(transaction.body), transaction.if_match, false};
+        auto shared = std::make_shared<Reply>(std::move(request.reply));
+        CallAsk ask{request.method, {}, "/config", std::move(request.body), request.if_match, false};
         bool reads = ask.method == "GET";
         std::lock_guard guard(lock_);
         serve_call(ask, [shared, reads](CallAnswer answer) {
             if (answer.fate == CallFate::settled) {
-                Outcome outcome;
-                outcome.code = int(answer.code);
-                outcome.body = std::move(answer.body);
-                outcome.form = outcome.body.empty() ? Outcome::Form::none : Outcome::Form::json;
-                outcome.retry_after_s = int(answer.retry_after_s);
-                shared->send(outcome);
+                Response response;
+                response.code = int(answer.code);
+                response.body = std::move(answer.body);
+                response.form = response.body.empty() ? Response::Form::none : Response::Form::json;
+                response.retry_after_s = int(answer.retry_after_s);
+                shared->send(response);
             } else {
-                shared->send(Outcome::later(answer.fate == CallFate::doubtful && !reads ? 504 : 503, 1));
+                shared->send(Response::later(answer.fate == CallFate::doubtful && !reads ? 504 : 503, 1));
             }
         });
         turn();
     }
     template <class Told>
     void serve_call(const CallAsk& ask, Told told) {
-        auto done = [told](CallFate fate, Outcome outcome) { told(CallAnswer{fate, outcome.code, std::move(outcome.body), outcome.retry_after_s}); };
+        auto done = [told](CallFate fate, Response response) { told(CallAnswer{fate, response.code, std::move(response.body), response.retry_after_s}); };
         if (acting()) {
             Micros now = steady_now();
             if (ask.path == "/config" && ask.host.empty()) {
-                if (ask.method == "PUT") board_.put_config(ask, done);
-                else board_.get_config(done);
+                if (ask.method == "PUT") scheduler_.put_config(ask, done);
+                else scheduler_.get_config(done);
             } else {
-                board_.call(ask, now, judge_.wall(wall_now(), now), done);
+                scheduler_.call(ask, now, judge_.wall(wall_now(), now), done);
             }
             return;
         }
@@ -540,31 +540,31 @@
         Micros now = steady_now();
         if (!acting()) {
             std::string owner = owner_address();
-            if (ask.relayed || owner.empty() || owner == own_address_) return reply.send(Outcome::cbor(pack(SideAnswer{})));
+            if (ask.relayed || owner.empty() || owner == own_address_) return reply.send(Response::cbor(pack(SideAnswer{})));
             ask.relayed = true;
             auto shared = std::make_shared<Reply>(std::move(reply));
-            loop_.ask({.url = "http://" + owner + "/inner/side", .body = pack(ask), .patience = props_.side_wait + milliseconds(600)}, [shared](Answer answer) {
-                shared->send(answer.good() ? Outcome::cbor(std::move(answer.body)) : Outcome::cbor(pack(SideAnswer{})));
+            loop_.ask({.url = "http://" + owner + "/inner/side", .body = pack(ask), .patience = settings_.side_wait + milliseconds(600)}, [shared](Answer answer) {
+                shared->send(answer.good() ? Response::cbor(std::move(answer.body)) : Response::cbor(pack(SideAnswer{})));
             });
             return;
         }
-        std::uint64_t seen_before = board_.seen_of(ask.node);
+        std::uint64_t seen_before = scheduler_.seen_of(ask.node);
         (void)seen_before;
-        board_.take_side(ask, now, judge_.wall(wall_now(), now));
+        scheduler_.take_side(ask, now, judge_.wall(wall_now(), now));
         // An older ask of the same side is answered at once: only the newest waits.
         for (SideWait& wait : sides_)
             if (wait.node == ask.node) wait.until = 0;
         std::uint64_t told = ask.epoch == owner_.epoch() ? ask.seen : 0;
-        sides_.push_back({std::move(reply), ask.node, ask.epoch, ask.epoch == owner_.epoch() ? ask.taken : 0, told, now + props_.side_wait});
+        sides_.push_back({std::move(reply), ask.node, ask.epoch, ask.epoch == owner_.epoch() ? ask.taken : 0, told, now + settings_.side_wait});
     }
     void answer_sides(Micros now) {
         for (auto wait = sides_.begin(); wait != sides_.end();) {
-            if (acting() && now < wait->until && !board_.has_news(wait->node, wait->epoch, wait->taken, wait->seen_told)) {
+            if (acting() && now < wait->until && !scheduler_.has_news(wait->node, wait->epoch, wait->taken, wait->seen_told)) {
                 ++wait;
                 continue;
             }
-            if (acting()) wait->reply.send(Outcome::cbor(pack(board_.answer_side(wait->node, owner_.confirmed_at(), now))));
-            else wait->reply.send(Outcome::cbor(pack(SideAnswer{})));
+            if (acting()) wait->reply.send(Response::cbor(pack(scheduler_.answer_side(wait->node, owner_.confirmed_at(), now))));
+            else wait->reply.send(Response::cbor(pack(SideAnswer{})));
             wait = sides_.erase(wait);
         }
     }
@@ -590,19 +590,19 @@
             }
             NewsAnswer answer{revision, {}, known_epoch_, known_owner_, core_mark_, {}};
             if (config && revision > wait->ask.config_revision) answer.config = *config;
-            for (const Member& member : core_.members) answer.colleagues.push_back(member.address);
-            wait->reply.send(Outcome::cbor(pack(answer)));
+            for (const Member& member : core_.members) answer.peers.push_back(member.address);
+            wait->reply.send(Response::cbor(pack(answer)));
             wait = news_.erase(wait);
         }
     }
     void answer_all_waiting() {
-        for (SideWait& wait : sides_) wait.reply.send(Outcome::cbor(pack(SideAnswer{})));
+        for (SideWait& wait : sides_) wait.reply.send(Response::cbor(pack(SideAnswer{})));
         sides_.clear();
         for (NewsWait& wait : news_) wait.until = 0;
         answer_news(steady_now());
     }
 
-    ControlProps props_;
+    ControlSettings settings_;
     Loop& loop_;
     std::recursive_mutex lock_;
     Replica replica_;
@@ -610,7 +610,7 @@
     Detector detector_;
     Owner owner_;
     LedgerAdapter ledger_;
-    Board<LedgerAdapter> board_;
+    Scheduler<LedgerAdapter> scheduler_;
     ClockJudge judge_;
     std::unique_ptr<Listener> inner_, control_;
     std::string own_address_;
@@ -623,8 +623,8 @@
     Micros joiner_heard_ = 0, next_join_ = 0;
     bool core_changing_ = false;
     bool leaving_ = false, turning_ = false, turn_wanted_ = false;
-    Micros catching_up_until_ = 0, majority_at_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0, counted_at_ = 0, pulse_at_ = 0;
-    Epoch board_epoch_, highest_epoch_, known_epoch_;
+    Micros catching_up_until_ = 0, majority_at_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0, counted_at_ = 0, timer_at_ = 0;
+    Epoch scheduler_epoch_, highest_epoch_, known_epoch_;
     std::string known_owner_;
     Version config_version_;
     Epoch config_epoch_;
--- a/source/control/detector/detector.hpp
+++ b/source/control/detector/detector.hpp
@@ -4,7 +4,7 @@
 
 namespace calicostall {
 
-struct DetectorProps {
+struct DetectorSettings {
     Micros heartbeat = milliseconds(200);
     Micros timeout = seconds(1);
     Micros increment = milliseconds(100);
@@ -14,16 +14,16 @@
 };
 
 // p_1..p_n are places 0..n-1 of the order; `self` is this daemon's place.
-// Example: Detector detector(props, 2, 3, now); for (size_t place : detector.pulse(now)) send_alive(place);
+// Example: Detector detector(settings, 2, 3, now); for (size_t place : detector.tick(now)) send_alive(place);
 class Detector {
 public:
-    Detector(DetectorProps props, size_t self, size_t count, Micros now) : props_(props) { reorder(self, count, 0, now); }
+    Detector(DetectorSettings settings, size_t self, size_t count, Micros now) : settings_(settings) { reorder(self, count, 0, now); }
 
     size_t self() const { return self_; }
     size_t count() const { return count_; }
     size_t trusted() const { return trusted_; }
     bool trusts_itself() const { return trusted_ == self_; }
-    Micros timeout_of(size_t place) const { return place < timeouts_.size() ? timeouts_[place] : props_.timeout; }
+    Micros timeout_of(size_t place) const { return place < timeouts_.size() ? timeouts_[place] : settings_.timeout; }
     bool silent() const { return silent_; }
 
     // While silent (not caught up, or suspecting itself) a daemon does not beat, though it may trust itself.
@@ -35,7 +35,7 @@
         self_ = self;
         count_ = count;
         trusted_ = std::min(trusted, self);
-        timeouts_.assign(self, props_.timeout);
+        timeouts_.assign(self, settings_.timeout);
         received_ = false;
         waiting_since_ = now;
         calm_since_ = now;
@@ -43,7 +43,7 @@
     }
 
     // Tasks 1 and 2. Returns the places that are to be sent I-AM-ALIVE now.
-    std::vector<size_t> pulse(Micros now) {
+    std::vector<size_t> tick(Micros now) {
         while (trusted_ < self_ && now - waiting_since_ >= timeouts_[trusted_]) {
             waiting_since_ += timeouts_[trusted_];
             if (now - waiting_since_ > timeouts_[trusted_]) waiting_since_ = now;
@@ -53,7 +53,7 @@
         shrink(now);
         std::vector<size_t> places;
         if (trusted_ != self_ || silent_ || now < next_beat_) return places;
-        next_beat_ = now + props_.heartbeat;
+        next_beat_ = now + settings_.heartbeat;
         for (size_t place = self_ + 1; place < count_; ++place) places.push_back(place);
         return places;
     }
@@ -62,7 +62,7 @@
     bool alive(size_t from, Micros now) {
         if (from >= self_ || from > trusted_) return false;
         if (from < trusted_) {
-            timeouts_[from] = std::min(timeouts_[from] + props_.increment, props_.timeout_most);
+            timeouts_[from] = std::min(timeouts_[from] + settings_.increment, settings_.timeout_most);
             calm_since_ = now;
             trust(from, now);
         }
@@ -75,10 +75,10 @@
         if (from == trusted_ && trusted_ < self_) trust(trusted_ + 1, now);
     }
 
-    // When the next pulse has something to do.
+    // When the next tick has something to do.
     Micros next(Micros now) const {
         if (trusted_ < self_) return waiting_since_ + timeouts_[trusted_];
-        return silent_ ? now + props_.heartbeat : next_beat_;
+        return silent_ ? now + settings_.heartbeat : next_beat_;
     }
 
 private:
@@ -89,12 +89,12 @@
         if (trusted_ == self_) next_beat_ = now;
     }
     void shrink(Micros now) {
-        if (now - calm_since_ < props_.calm) return;
+        if (now - calm_since_ < settings_.calm) return;
         calm_since_ = now;
-        for (Micros& timeout : timeouts_) timeout = std::max(props_.timeout, timeout - props_.increment);
+        for (Micros& timeout : timeouts_) timeout = std::max(settings_.timeout, timeout - settings_.increment);
     }
 
-    DetectorProps props_;
+    DetectorSettings settings_;
     size_t self_ = 0, count_ = 0, trusted_ = 0;
     bool received_ = false;
     bool silent_ = false;
--- a/source/control/jobs/job.hpp
+++ b/source/control/jobs/job.hpp
@@ -10,7 +10,7 @@
 struct JobFixed {
     std::string id, host, prefix, service;
     std::int64_t priority = 0;
-    std::uint32_t sends_most = 1;
+    std::uint32_t attempts_most = 1;
     double extension = 1.5;
     Micros target = 0;
     Micros accepted_wall = 0;
@@ -19,7 +19,7 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(id), visit(host), visit(prefix), visit(service), visit(priority), visit(sends_most), visit(extension_thousandths),
+        visit(id), visit(host), visit(prefix), visit(service), visit(priority), visit(attempts_most), visit(extension_thousandths),
             visit(target), visit(accepted_wall), visit(spec);
     }
 };
@@ -234,7 +234,7 @@
     }
 
     // The one function for the end of a run. Returns false when the run is not one of this job's.
-    bool end(const RunName& name, const std::string& life, End how, const std::string& saved, std::uint32_t sends_most, Micros wall) {
+    bool end(const RunName& name, const std::string& life, End how, const std::string& saved, std::uint32_t attempts_most, Micros wall) {
         Placement* placement = find_placement(name, life);
         if (!placement) return false;
         Time& time = *find_time(name.time);
@@ -261,7 +261,7 @@
             } else {
                 task.failures++;
             }
-            if (task.failures >= sends_most) finish(Ending::failed, wall);
+            if (task.failures >= attempts_most) finish(Ending::failed, wall);
         }
         if (!ended() && moving.next_time >= times_in_all() &&
             std::all_of(moving.times.begin(), moving.times.end(), [](const Time& each) { return each.done(); }))
--- a/source/control/jobs/board.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -6,14 +6,14 @@
 #include "control/plan/sense.hpp"
 #include "forecast/history.hpp"
 #include "control/store/register.hpp"
-#include "shared/http/outcome.hpp"
+#include "shared/http/response.hpp"
 #include "shared/record/log.hpp"
 #include "shared/settings/config.hpp"
 #include "shared/wire/frames.hpp"
 
 namespace calicostall {
 
-struct BoardProps {
+struct SchedulerSettings {
     Micros hold = seconds(3);           // how long a worker keeps what runs there without news
     Micros hold_margin = milliseconds(250);
     Micros fresh = milliseconds(2500);  // a worker heard later than this gets no start
@@ -27,12 +27,12 @@
     Micros urgent_memory = seconds(8);  // how fast the peak of urgent work is forgotten
     Micros urgent_length = seconds(4);  // a task this long keeps clear of all of it
     double urgent_most = 0.4;           // at most this share is kept free for it
-    PlacerProps placer;
+    PlacerSettings placer;
     // When a hold that was last allowed at `allowed` has surely lapsed (a worker's clock may run 2% slow).
     Micros lapse_after(Micros confirmed) const { return confirmed + hold + hold / 50 + hold_margin; }
 };
 
-// What the board needs of the record: proposals that come back committed or not at all.
+// What the scheduler needs of the record: proposals that come back committed or not at all.
 template <class T>
 concept Ledger = requires(T ledger, std::string key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
     ledger.propose(key, fixed, moving, told);
@@ -63,7 +63,7 @@
 struct WorkerEntry {
     WorkerAccount account;
     std::string node;
-    std::uint64_t sitting = 0;
+    std::uint64_t incarnation = 0;
     bool placeholder = false;  // known from the record only
     bool reconciled = false;   // it has reported under this owner's fence
     Micros heard_at = 0;
@@ -83,9 +83,9 @@
 };
 
 template <Ledger L>
-class Board {
+class Scheduler {
 public:
-    Board(BoardProps props, L& ledger) : props_(props), ledger_(ledger) {}
+    Scheduler(SchedulerSettings settings, L& ledger) : settings_(settings), ledger_(ledger) {}
 
     // --- ownership ---
 
@@ -119,7 +119,7 @@
                                 worker->second.node = entry.job.moving.workers[placement.worker].node;
                                 worker->second.account.life = life;
                                 worker->second.placeholder = true;
-                                worker->second.lapses_at = props_.lapse_after(now);
+                                worker->second.lapses_at = settings_.lapse_after(now);
                             }
                             RunEntry& run = add_run(worker->second, entry, {entry.job.fixed.id, time.number, step, place, placement.run}, RunState::ordered, now);
                             if (!entry.job.wanted(time, step, place, placement.run)) run.stop_wanted = true, run.state = RunState::stopping;
@@ -133,7 +133,7 @@
         dirty_.clear();
         workers_.clear();
         nodes_.clear();
-        sittings_.clear();
+        incarnations_.clear();
         ended_.clear();
         config_ = Config{};
         epoch_ = Epoch{};
@@ -185,23 +185,23 @@
 
     // --- calls of clients ---
 
-    using Done = std::function<void(CallFate, Outcome)>;
+    using Done = std::function<void(CallFate, Response)>;
 
-    // One table row a call: method, path below the lane, what it does.
+    // One table row a call: method, path below the queue, what it does.
     void call(const CallAsk& ask, Micros now, Micros wall, Done done) {
-        const Lane* lane = config_.find(ask.host, ask.path);
-        if (!lane) return confirmed("config", Outcome::plain(404), std::move(done));
-        std::string id = ask.path.substr(lane->prefix.size());
+        const Queue* queue = config_.find(ask.host, ask.path);
+        if (!queue) return confirmed("config", Response::plain(404), std::move(done));
+        std::string id = ask.path.substr(queue->prefix.size());
         if (size_t mark = id.find('?'); mark != std::string::npos) id.resize(mark);
         if (id.empty()) {
-            if (ask.method != "GET") return done(CallFate::settled, Outcome::plain(405));
-            return count_pending(*lane, std::move(done));
+            if (ask.method != "GET") return done(CallFate::settled, Response::plain(405));
+            return count_pending(*queue, std::move(done));
         }
         if (!valid_job_id(id)) return done(CallFate::settled, problem(400, "id: must be 16 hex digits"));
-        if (ask.method == "POST") return accept(*lane, id, ask.body, now, wall, std::move(done));
-        if (ask.method == "GET") return show(*lane, id, std::move(done));
-        if (ask.method == "DELETE") return cancel(*lane, id, wall, std::move(done));
-        done(CallFate::settled, Outcome::plain(405));
+        if (ask.method == "POST") return accept(*queue, id, ask.body, now, wall, std::move(done));
+        if (ask.method == "GET") return show(*queue, id, std::move(done));
+        if (ask.method == "DELETE") return cancel(*queue, id, wall, std::move(done));
+        done(CallFate::settled, Response::plain(405));
     }
 
     // The operator's new configuration.
@@ -209,7 +209,7 @@
         Findings findings;
         Config config = parse_config(ask.body, findings);
         if (findings.empty() && config.revision == config_.revision && same_json(config.text, config_.text))
-            return confirmed("config", Outcome::plain(200), std::move(done));
+            return confirmed("config", Response::plain(200), std::move(done));
         if (!findings.empty()) return confirmed("config", problem(400, findings.text()), std::move(done));
         std::optional<std::uint64_t> base;
         if (!ask.if_match.empty()) {
@@ -226,13 +226,13 @@
         config_ = std::move(config);
         counters().add("configs_taken");
         ledger_.propose("config", std::nullopt, text, [done](bool committed) {
-            done(committed ? CallFate::settled : CallFate::doubtful, Outcome::plain(committed ? 200 : 504));
+            done(committed ? CallFate::settled : CallFate::doubtful, Response::plain(committed ? 200 : 504));
         });
         plan_wanted_ = true;
     }
     void get_config(Done done) {
-        if (config_.revision == 0) return confirmed("config", Outcome::later(404, 1), std::move(done));
-        confirmed("config", Outcome::json(200, config_.text), std::move(done));
+        if (config_.revision == 0) return confirmed("config", Response::later(404, 1), std::move(done));
+        confirmed("config", Response::json(200, config_.text), std::move(done));
     }
 
     // --- sides ---
@@ -240,16 +240,16 @@
     // What a side says; the answer is made by `answer_side` when there is something to tell.
     void take_side(const SideAsk& ask, Micros now, Micros wall) {
         // What an earlier process of the side said late, or an ask that was overtaken, tells nothing new.
-        Sitting& sitting = sittings_[ask.node];
-        if (ask.sitting != sitting.present) {
-            if (std::find(sitting.past.begin(), sitting.past.end(), ask.sitting) != sitting.past.end()) return;
-            sitting.past.push_back(sitting.present);
-            if (sitting.past.size() > 32) sitting.past.pop_front();
-            sitting.present = ask.sitting;
-            sitting.number = 0;
+        Incarnation& incarnation = incarnations_[ask.node];
+        if (ask.incarnation != incarnation.present) {
+            if (std::find(incarnation.past.begin(), incarnation.past.end(), ask.incarnation) != incarnation.past.end()) return;
+            incarnation.past.push_back(incarnation.present);
+            if (incarnation.past.size() > 32) incarnation.past.pop_front();
+            incarnation.present = ask.incarnation;
+            incarnation.number = 0;
         }
-        if (ask.number < sitting.number) return;
-        sitting.number = ask.number;
+        if (ask.number < incarnation.number) return;
+        incarnation.number = ask.number;
         for (const std::string& life : ask.over) end_life(life, now, wall), ended_.insert(life);
         if (!ask.worker) {
             nodes_.erase(ask.node);
@@ -264,13 +264,13 @@
         for (const std::string& other : earlier) end_life(other, now, wall);
         nodes_[ask.node] = life;
         WorkerEntry& worker = workers_[life];
-        bool restarted = worker.sitting != ask.sitting;
+        bool restarted = worker.incarnation != ask.incarnation;
         if (worker.placeholder || restarted) {
             // Orders given to an earlier process of the side are given again: a start is the same start.
             worker.placeholder = false;
             worker.reconciled = false;
             worker.look = true;
-            worker.sitting = ask.sitting;
+            worker.incarnation = ask.incarnation;
             worker.orders.clear();
         }
         worker.node = ask.node;
@@ -295,8 +295,8 @@
         answer.life = known->second;
         answer.era = worker.era;
         // A worker that answers nobody gets no longer hold: what runs there must lapse.
-        answer.allowance = worker.silent ? 0 : std::max<Micros>(0, confirmed_at + props_.hold - now);
-        if (answer.allowance > 0) worker.lapses_at = std::max(worker.lapses_at, props_.lapse_after(confirmed_at));
+        answer.allowance = worker.silent ? 0 : std::max<Micros>(0, confirmed_at + settings_.hold - now);
+        if (answer.allowance > 0) worker.lapses_at = std::max(worker.lapses_at, settings_.lapse_after(confirmed_at));
         answer.seen = worker.seen;
         answer.look = worker.look;
         answer.orders.assign(worker.orders.begin(), worker.orders.end());
@@ -318,12 +318,12 @@
     // --- time ---
 
     // Lapses, due times and placements; to be called at least every few milliseconds while anything moves.
-    void pulse(Micros now, Micros wall, Micros confirmed_at) {
+    void tick(Micros now, Micros wall, Micros confirmed_at) {
         for (auto place = workers_.begin(); place != workers_.end();) {
             auto next = std::next(place);
             WorkerEntry& worker = place->second;
             if (!worker.runs.empty() && now > worker.lapses_at) lapse(worker, now, wall);
-            else if (worker.reconciled && now - worker.heard_at > props_.lapse_after(0)) worker.reconciled = false, worker.look = true;
+            else if (worker.reconciled && now - worker.heard_at > settings_.lapse_after(0)) worker.reconciled = false, worker.look = true;
             if (worker.runs.empty() && now - worker.heard_at > seconds(30) && !worker.node.empty() && nodes_[worker.node] != place->first) workers_.erase(place);
             place = next;
         }
@@ -336,8 +336,8 @@
         }
         flush();
     }
-    // When `pulse` has something to do at the latest.
-    Micros next_pulse(Micros now, Micros wall) const {
+    // When `tick` has something to do at the latest.
+    Micros next_tick(Micros now, Micros wall) const {
         Micros next = now + milliseconds(50);
         if (plan_wanted_) next = std::min(next, std::max(now, next_plan_));
         if (!due_.empty()) next = std::min(next, now + std::max<Micros>(0, due_.begin()->first - wall));
@@ -362,13 +362,13 @@
         std::map<std::int64_t, Share> used, peak;  // by priority, as shares of the whole
         Micros at = 0;
     };
-    struct Sitting {
+    struct Incarnation {
         std::uint64_t present = 0, number = 0;
         std::deque<std::uint64_t> past;
     };
     using Rank = std::tuple<std::int64_t, Micros, std::string>;
 
-    Outcome problem(int code, const std::string& text) { return Outcome::json(code, boost::json::serialize(boost::json::object{{"error", text}})); }
+    Response problem(int code, const std::string& text) { return Response::json(code, boost::json::serialize(boost::json::object{{"error", text}})); }
     static bool same_json(const std::string& left, const std::string& right) {
         if (left == right) return true;
         boost::system::error_code first, second;
@@ -376,19 +376,19 @@
         return !first && !second && one == two;
     }
     static std::string key_of(const std::string& id) { return "job/" + id; }
-    void confirmed(const std::string& key, Outcome outcome, Done done) {
-        ledger_.confirm(key, [outcome = std::move(outcome), done = std::move(done)](bool sure) {
-            if (sure) done(CallFate::settled, outcome);
-            else done(CallFate::elsewhere, Outcome::later(503, 1));
+    void confirmed(const std::string& key, Response response, Done done) {
+        ledger_.confirm(key, [response = std::move(response), done = std::move(done)](bool sure) {
+            if (sure) done(CallFate::settled, response);
+            else done(CallFate::elsewhere, Response::later(503, 1));
         });
     }
-    bool same_lane(const Job& job, const Lane& lane) const { return job.fixed.host == lane.host && job.fixed.prefix == lane.prefix; }
+    bool same_queue(const Job& job, const Queue& queue) const { return job.fixed.host == queue.host && job.fixed.prefix == queue.prefix; }
 
-    void accept(const Lane& lane, const std::string& id, const std::string& body, Micros now, Micros wall, Done done) {
+    void accept(const Queue& queue, const std::string& id, const std::string& body, Micros now, Micros wall, Done done) {
         if (auto found = jobs_.find(id); found != jobs_.end()) {
-            if (!same_lane(found->second.job, lane)) return confirmed(key_of(id), problem(409, "id: is taken by another queue"), std::move(done));
+            if (!same_queue(found->second.job, queue)) return confirmed(key_of(id), problem(409, "id: is taken by another queue"), std::move(done));
             ledger_.confirm(key_of(id), [done](bool sure) {
-                done(sure ? CallFate::settled : CallFate::doubtful, Outcome::plain(sure ? 200 : 504));
+                done(sure ? CallFate::settled : CallFate::doubtful, Response::plain(sure ? 200 : 504));
             });
             return;
         }
@@ -398,20 +398,20 @@
             counters().add("jobs_invalid");
             return done(CallFate::settled, problem(400, findings.text()));
         }
-        if (jobs_.size() >= props_.jobs_most) {
+        if (jobs_.size() >= settings_.jobs_most) {
             counters().add("jobs_refused");
-            return done(CallFate::settled, Outcome::later(429, 1));
+            return done(CallFate::settled, Response::later(429, 1));
         }
         JobFixed fixed;
         fixed.id = id;
-        fixed.host = lane.host;
-        fixed.prefix = lane.prefix;
-        fixed.service = lane.service;
-        fixed.priority = lane.priority;
-        fixed.sends_most = lane.sends_most;
-        fixed.extension = lane.extension;
-        fixed.extension_thousandths = std::uint64_t(lane.extension * 1000);
-        fixed.target = lane.target;
+        fixed.host = queue.host;
+        fixed.prefix = queue.prefix;
+        fixed.service = queue.service;
+        fixed.priority = queue.priority;
+        fixed.attempts_most = queue.attempts_most;
+        fixed.extension = queue.extension;
+        fixed.extension_thousandths = std::uint64_t(queue.extension * 1000);
+        fixed.target = queue.target;
         fixed.accepted_wall = wall;
         fixed.spec = std::move(spec);
         JobEntry& entry = jobs_[id];
@@ -428,18 +428,18 @@
                     plan_wanted_ = true;
                 }
             }
-            done(committed ? CallFate::settled : CallFate::doubtful, Outcome::plain(committed ? 200 : 504));
+            done(committed ? CallFate::settled : CallFate::doubtful, Response::plain(committed ? 200 : 504));
         });
     }
-    void show(const Lane& lane, const std::string& id, Done done) {
+    void show(const Queue& queue, const std::string& id, Done done) {
         auto found = jobs_.find(id);
-        if (found == jobs_.end() || !same_lane(found->second.job, lane)) return confirmed(key_of(id), Outcome::plain(410), std::move(done));
+        if (found == jobs_.end() || !same_queue(found->second.job, queue)) return confirmed(key_of(id), Response::plain(410), std::move(done));
         flush_one(found->second);
-        confirmed(key_of(id), Outcome::json(200, fmt::format("{{\"phase\":\"{}\"}}", found->second.job.phase())), std::move(done));
+        confirmed(key_of(id), Response::json(200, fmt::format("{{\"phase\":\"{}\"}}", found->second.job.phase())), std::move(done));
     }
-    void cancel(const Lane& lane, const std::string& id, Micros wall, Done done) {
+    void cancel(const Queue& queue, const std::string& id, Micros wall, Done done) {
         auto found = jobs_.find(id);
-        if (found == jobs_.end() || !same_lane(found->second.job, lane)) return confirmed(key_of(id), Outcome::plain(410), std::move(done));
+        if (found == jobs_.end() || !same_queue(found->second.job, queue)) return confirmed(key_of(id), Response::plain(410), std::move(done));
         JobEntry& entry = found->second;
         if (!entry.job.ended()) {
             entry.job.cancel(wall);
@@ -447,15 +447,15 @@
             flush_one(entry);
             counters().add("jobs_cancelled");
         }
-        ledger_.confirm(key_of(id), [done](bool sure) { done(sure ? CallFate::settled : CallFate::doubtful, Outcome::plain(sure ? 200 : 504)); });
+        ledger_.confirm(key_of(id), [done](bool sure) { done(sure ? CallFate::settled : CallFate::doubtful, Response::plain(sure ? 200 : 504)); });
     }
-    void count_pending(const Lane& lane, Done done) {
+    void count_pending(const Queue& queue, Done done) {
         size_t pending = 0;
         for (const auto& [rank, id] : active_) {
             const Job& job = jobs_.at(id).job;
-            pending += same_lane(job, lane) && !job.ended();
+            pending += same_queue(job, queue) && !job.ended();
         }
-        confirmed("config", Outcome::json(200, fmt::format("{{\"pending\":{}}}", pending)), std::move(done));
+        confirmed("config", Response::json(200, fmt::format("{{\"pending\":{}}}", pending)), std::move(done));
     }
 
     // --- the jobs' order ---
@@ -488,8 +488,8 @@
 
     double accelerators(const Step& step) const { return double(step.gpu) + double(step.cpu) / 1000 / cores_per_accelerator; }
     void note_arrival(JobEntry& entry) {
-        if (props_.history_span == 0) return;
-        LaneSpan& span = spans_[lane_key(entry.job)];
+        if (settings_.history_span == 0) return;
+        QueueSpan& span = spans_[queue_key(entry.job)];
         span.priority = entry.job.fixed.priority;
         for (std::uint32_t step = 0; step < entry.job.fixed.spec.steps.size(); ++step) {
             const Step& wanted = entry.job.fixed.spec.steps[step];
@@ -497,14 +497,14 @@
         }
     }
     void note_use(const RunEntry& run, JobEntry& entry, Micros now) {
-        if (props_.history_span == 0 || run.ordered_at == 0) return;
-        spans_[lane_key(entry.job)].used += accelerators(entry.job.fixed.spec.steps[run.name.step]) * double(now - run.ordered_at) / 1e6;
+        if (settings_.history_span == 0 || run.ordered_at == 0) return;
+        spans_[queue_key(entry.job)].used += accelerators(entry.job.fixed.spec.steps[run.name.step]) * double(now - run.ordered_at) / 1e6;
     }
     void note_waiting(Micros passed) {
-        if (props_.history_span == 0) return;
+        if (settings_.history_span == 0) return;
         for (const auto& [rank, id] : active_) {
             JobEntry& entry = jobs_.at(id);
-            LaneSpan& span = spans_[lane_key(entry.job)];
+            QueueSpan& span = spans_[queue_key(entry.job)];
             span.priority = entry.job.fixed.priority;
             for (const Time& time : entry.job.moving.times)
                 for (size_t step = 0; step < time.steps.size(); ++step)
@@ -514,16 +514,16 @@
     }
     // Writes the spans that are over to the log, from where `forecast` reads them.
     void tell_history(Micros wall) {
-        if (props_.history_span == 0) return;
-        std::int64_t span = wall / props_.history_span;
+        if (settings_.history_span == 0) return;
+        std::int64_t span = wall / settings_.history_span;
         if (span == span_now_) return;
         double fleet = 0;
         for (const auto& [life, worker] : workers_)
             if (!worker.placeholder) fleet += double(worker.account.gpu) + double(worker.account.cpu) / 1000 / cores_per_accelerator;
-        for (auto& [lane, each] : spans_) {
+        for (auto& [queue, each] : spans_) {
             each.span = span_now_;
-            each.length = props_.history_span;
-            each.lane = lane;
+            each.length = settings_.history_span;
+            each.queue = queue;
             each.fleet = fleet;
             each.whole = span_whole_;
             if (span_now_ != 0) log_line("history", "{}", each.line());
@@ -531,7 +531,7 @@
         span_whole_ = span_now_ != 0;
         span_now_ = span;
         spans_.clear();
-        for (const Lane& lane : config_.lanes) spans_[lane.host + "|" + lane.prefix].priority = lane.priority;
+        for (const Queue& queue : config_.queues) spans_[queue.host + "|" + queue.prefix].priority = queue.priority;
     }
 
     // --- changes ---
@@ -620,9 +620,9 @@
         give_order(worker, {0, OrderKind::stop, {}, run.name.task(), run.name.run, {}, {}});
         counters().add("stops_ordered");
     }
-    std::uint32_t sends_most(const Job& job) const {
-        const Lane* lane = config_.find_exact(job.fixed.host, job.fixed.prefix);
-        return lane ? lane->sends_most : job.fixed.sends_most;
+    std::uint32_t attempts_most(const Job& job) const {
+        const Queue* queue = config_.find_exact(job.fixed.host, job.fixed.prefix);
+        return queue ? queue->attempts_most : job.fixed.attempts_most;
     }
     // The one place where a run leaves a worker; returns the job it changed.
     JobEntry* end_run(WorkerEntry& worker, const RunName& name, End how, const std::string& saved, Micros wall, Micros now) {
@@ -634,7 +634,7 @@
         if (found == jobs_.end()) return nullptr;
         JobEntry& entry = found->second;
         bool had_ended = entry.job.ended();
-        if (!entry.job.end(name, worker.account.life, how, saved, sends_most(entry.job), wall)) return nullptr;
+        if (!entry.job.end(name, worker.account.life, how, saved, attempts_most(entry.job), wall)) return nullptr;
         counters().add(how == End::done ? "runs_done" : how == End::failed ? "runs_failed" : how == End::stopped ? "runs_stopped" : how == End::lapsed ? "runs_lapsed" : how == End::broken ? "runs_broken" : how == End::alone ? "runs_alone" : "runs_lost");
         mark(entry);
         const Step& step = entry.job.fixed.spec.steps[name.step];
@@ -768,7 +768,7 @@
         counters().add("lives_ended");
     }
     void lapse(WorkerEntry& worker, Micros now, Micros wall) {
-        log_line("board", "the hold of {} on {} has lapsed with {} runs", worker.account.life, worker.node, worker.runs.size());
+        log_line("scheduler", "the hold of {} on {} has lapsed with {} runs", worker.account.life, worker.node, worker.runs.size());
         worker.reconciled = false;
         worker.look = true;
         ++worker.era;
@@ -784,7 +784,7 @@
         }
         std::vector<std::string> old;
         for (auto& [id, entry] : jobs_)
-            if (entry.job.ended() && wall - entry.job.moving.ended_wall > props_.status_kept + seconds(30) && !entry.job.has_placements()) old.push_back(id);
+            if (entry.job.ended() && wall - entry.job.moving.ended_wall > settings_.status_kept + seconds(30) && !entry.job.has_placements()) old.push_back(id);
         for (const std::string& id : old) {
             jobs_.erase(id);
             ledger_.bury(key_of(id));
@@ -794,12 +794,12 @@
 
     // --- durations ---
 
-    std::string lane_key(const Job& job) const { return job.fixed.host + "|" + job.fixed.prefix; }
+    std::string queue_key(const Job& job) const { return job.fixed.host + "|" + job.fixed.prefix; }
     // How long a task of this step takes on a sound worker near its data.
     Micros expect(JobEntry& entry, std::uint32_t step) {
         auto took = entry.took.find(step);
         if (took != entry.took.end() && took->second.second >= 2) return took->second.first / took->second.second;
-        return senses_[lane_key(entry.job)].expect(entry.job.fixed.spec.steps[step].estimate);
+        return senses_[queue_key(entry.job)].expect(entry.job.fixed.spec.steps[step].estimate);
     }
     void note_duration(WorkerEntry& worker, const RunName& name, Micros now) {
         auto run = worker.runs.find(name);
@@ -808,7 +808,7 @@
         const Step& step = job->second.job.fixed.spec.steps[name.step];
         Micros took = run->second.ordered_at > 0 ? now - run->second.ordered_at : 0;
         if (took <= 0 || step.long_running || !worker.measurable) return;
-        if (run->second.remote) took = Micros(double(took) / props_.placer.remote_factor);
+        if (run->second.remote) took = Micros(double(took) / settings_.placer.remote_factor);
         Micros expected = expect(job->second, name.step);
         auto& seen = job->second.took[name.step];
         // Only siblings of the same step are a measure; an estimate is too rough to speak against a worker.
@@ -816,14 +816,14 @@
         if (worker.pace.slow()) return;  // a slow worker tells nothing of the job
         seen.first += took;
         seen.second++;
-        senses_[lane_key(job->second.job)].note(step.estimate, took);
+        senses_[queue_key(job->second.job)].note(step.estimate, took);
     }
     // A run that takes far longer than its siblings speaks against its worker before it ends.
     void judge_progress(WorkerEntry& worker, RunEntry& run, Micros now) {
         auto job = jobs_.find(run.name.job);
         if (job == jobs_.end() || run.state != RunState::running || run.judged || job->second.job.fixed.spec.steps[run.name.step].long_running) return;
         Micros expected = expect(job->second, run.name.step);
-        if (run.remote) expected = Micros(double(expected) * props_.placer.remote_factor);
+        if (run.remote) expected = Micros(double(expected) * settings_.placer.remote_factor);
         if (run.ordered_at == 0 || !worker.measurable) return;
         Micros elapsed = now - run.ordered_at;
         if (elapsed < expected + milliseconds(200)) return;
@@ -842,7 +842,7 @@
         if (job == jobs_.end() || job->second.job.ended()) return;
         const Step& step = job->second.job.fixed.spec.steps[run.name.step];
         Micros expected = expect(job->second, run.name.step);
-        if (run.remote) expected = Micros(double(expected) * props_.placer.remote_factor);
+        if (run.remote) expected = Micros(double(expected) * settings_.placer.remote_factor);
         Micros elapsed = now - run.ordered_at;
         Micros left = run.percent > 0 ? elapsed * (100 - run.percent) / run.percent : std::max<Micros>(expected - elapsed, 0);
         if (worker.account.draining && worker.leaves_at >= 0 && !step.gang) {
@@ -853,8 +853,8 @@
             }
         }
         if (step.long_running || step.gang || run.ordered_at == 0 || run.moved_at == 0) return;
-        bool still = now - run.moved_at > std::max(props_.still_least, expected) && now - worker.heard_at < seconds(1) && elapsed > 2 * expected;
-        bool crawls = worker.pace.slow() && elapsed > 2 * expected && left > 2 * (expected + props_.stop_grace);
+        bool still = now - run.moved_at > std::max(settings_.still_least, expected) && now - worker.heard_at < seconds(1) && elapsed > 2 * expected;
+        bool crawls = worker.pace.slow() && elapsed > 2 * expected && left > 2 * (expected + settings_.stop_grace);
         if (!still && !crawls) return;
         if (step.duplicate_ok) {
             if (!run.doubled) counters().add("runs_doubled"), plan_wanted_ = true;
@@ -890,10 +890,10 @@
     };
     Turn turn_of(JobEntry& entry, Micros wall) {
         Job& job = entry.job;
-        const Lane* lane = config_.find_exact(job.fixed.host, job.fixed.prefix);
-        Micros target = lane ? lane->target : job.fixed.target;
-        double extension = lane ? lane->extension : job.fixed.extension;
-        std::int64_t priority = lane ? lane->priority : job.fixed.priority;
+        const Queue* queue = config_.find_exact(job.fixed.host, job.fixed.prefix);
+        Micros target = queue ? queue->target : job.fixed.target;
+        double extension = queue ? queue->extension : job.fixed.extension;
+        std::int64_t priority = queue ? queue->priority : job.fixed.priority;
         // The longest chain of the whole job, and of what is left of its first open time.
         std::vector<Micros> whole(job.fixed.spec.steps.size()), left(whole.size());
         const Time* time = job.moving.times.empty() ? nullptr : &job.moving.times.front();
@@ -930,10 +930,10 @@
         return false;
     }
     void plan(Micros now, Micros wall, Micros confirmed_at) {
-        if (confirmed_at < 0 || now - confirmed_at > props_.hold / 2) return;
+        if (confirmed_at < 0 || now - confirmed_at > settings_.hold / 2) return;
         std::vector<Room> rooms;
         for (auto& [life, worker] : workers_) {
-            if (!worker.reconciled || worker.silent || worker.account.draining || now - worker.heard_at > props_.fresh || now < worker.avoided_until) continue;
+            if (!worker.reconciled || worker.silent || worker.account.draining || now - worker.heard_at > settings_.fresh || now < worker.avoided_until) continue;
             rooms.push_back({life, worker.account.service, worker.account.labels, worker.account.cpu - worker.cpu_used, worker.account.memory - worker.memory_used,
                              worker.account.gpu - worker.gpu_used, worker.account.cpu, worker.account.memory, worker.pace.value()});
         }
@@ -947,7 +947,7 @@
         std::sort(turns.begin(), turns.end(), [](const Turn& left, const Turn& right) { return left.key() < right.key(); });
         for (const Turn& turn : turns) place_job(*turn.entry, turn.priority, rooms, now);
     }
-    // What urgent lanes use now and used lately: the others leave them room to come back to that.
+    // What urgent queues use now and used lately: the others leave them room to come back to that.
     void measure_urgent(Micros now) {
         for (auto& [service, load] : loads_) load.whole_cpu = load.whole_memory = 0, load.used.clear();
         for (auto& [life, worker] : workers_) {
@@ -962,7 +962,7 @@
             for (auto& [name, run] : worker.runs) load.used[run.priority].add(share_of(load, run.cpu, run.memory));
         }
         for (auto& [service, load] : loads_) {
-            double fade = std::exp(-double(now - load.at) / double(props_.urgent_memory));
+            double fade = std::exp(-double(now - load.at) / double(settings_.urgent_memory));
             load.at = now;
             for (auto& [priority, peak] : load.peak) peak.cpu *= fade, peak.memory *= fade;
             for (auto& [priority, used] : load.used) {
@@ -974,17 +974,17 @@
     static Share share_of(const Load& load, std::int64_t cpu, std::int64_t memory) {
         return {load.whole_cpu > 0 ? double(cpu) / load.whole_cpu : 0, load.whole_memory > 0 ? double(memory) / load.whole_memory : 0};
     }
-    // How many tasks of this size a lane of this priority may still place.
+    // How many tasks of this size a queue of this priority may still place.
     size_t tasks_open(Load& load, std::int64_t priority, const Share& each, Micros length) {
         // Short tasks are soon out of the way, only long ones need to leave room.
-        double patience = std::clamp(double(length) / double(props_.urgent_length), 0.0, 1.0);
+        double patience = std::clamp(double(length) / double(settings_.urgent_length), 0.0, 1.0);
         Share open{1, 1};
         for (const auto& [other, used] : load.used) open.cpu -= used.cpu, open.memory -= used.memory;
         for (const auto& [other, peak] : load.peak) {
             if (other >= priority) continue;
             const Share& used = load.used[other];
-            open.cpu -= patience * std::clamp(peak.cpu - used.cpu, 0.0, props_.urgent_most);
-            open.memory -= patience * std::clamp(peak.memory - used.memory, 0.0, props_.urgent_most);
+            open.cpu -= patience * std::clamp(peak.cpu - used.cpu, 0.0, settings_.urgent_most);
+            open.memory -= patience * std::clamp(peak.memory - used.memory, 0.0, settings_.urgent_most);
         }
         double most = 1e9;
         if (each.cpu > 0) most = std::min(most, open.cpu / each.cpu);
@@ -993,8 +993,8 @@
     }
     void place_job(JobEntry& entry, std::int64_t priority, std::vector<Room>& rooms, Micros now) {
         Job& job = entry.job;
-        const Lane* lane = config_.find_exact(job.fixed.host, job.fixed.prefix);
-        const std::string& service = lane ? lane->service : job.fixed.service;
+        const Queue* queue = config_.find_exact(job.fixed.host, job.fixed.prefix);
+        const std::string& service = queue ? queue->service : job.fixed.service;
         const std::int64_t urgent = least_priority();
         for (Time& time : job.moving.times) {
             for (size_t step = 0; step < time.steps.size(); ++step) {
@@ -1018,13 +1018,13 @@
                 Load& load = loads_[service];
                 Share share = share_of(load, wanted.cpu, wanted.memory);
                 if (priority > urgent) {
-                    bool first = load.used[priority].cpu <= 0 && load.used[priority].memory <= 0;  // a lane is never shut out wholly
+                    bool first = load.used[priority].cpu <= 0 && load.used[priority].memory <= 0;  // a queue is never shut out wholly
                     size_t most = tasks_open(load, priority, share, expect(entry, std::uint32_t(step)));
                     if (wanted.gang && most < waiting.size() && !first) continue;
                     if (!wanted.gang && waiting.size() > most) waiting.resize(std::max<size_t>(most, first ? 1 : 0));
                     if (waiting.empty()) continue;
                 }
-                std::vector<std::pair<size_t, std::string>> chosen = place_tasks(props_.placer, wanted, service, waiting, on_worker, rooms, priority == urgent, apart);
+                std::vector<std::pair<size_t, std::string>> chosen = place_tasks(settings_.placer, wanted, service, waiting, on_worker, rooms, priority == urgent, apart);
                 for (const auto& [index, life] : chosen) {
                     std::uint32_t run = wanted.gang ? 0 : job.next_run(time, step, index);
                     if (wanted.gang) run = gang_run(job, time, step, chosen.front().first == index);
@@ -1041,7 +1041,7 @@
     }
     std::int64_t least_priority() const {
         std::int64_t least = std::numeric_limits<std::int64_t>::max();
-        for (const Lane& lane : config_.lanes) least = std::min(least, lane.priority);
+        for (const Queue& queue : config_.queues) least = std::min(least, queue.priority);
         return least;
     }
     std::uint32_t gang_run(const Job& job, const Time& time, size_t step, bool first) {
@@ -1049,7 +1049,7 @@
         return gang_run_;
     }
 
-    BoardProps props_;
+    SchedulerSettings settings_;
     L& ledger_;
     Epoch epoch_;
     Micros begun_at_ = 0;
@@ -1060,7 +1060,7 @@
     std::vector<std::string> dirty_;
     std::map<std::string, WorkerEntry> workers_;
     std::map<std::string, std::string> nodes_;  // side machine -> life of its worker
-    std::map<std::string, Sitting> sittings_;
+    std::map<std::string, Incarnation> incarnations_;
     std::set<std::string> ended_;  // lives known to be over
     std::map<std::string, Load> loads_;
     std::map<std::string, QueueSense> senses_;
@@ -1069,7 +1069,7 @@
     Micros next_plan_ = 0, next_upkeep_ = 0;
     std::uint32_t gang_run_ = 0;
     std::uint64_t last_order_ = 0;
-    std::map<std::string, LaneSpan> spans_;
+    std::map<std::string, QueueSpan> spans_;
     std::int64_t span_now_ = 0;
     bool span_whole_ = false;
 };
--- a/source/control/jobs/spec.hpp
+++ b/source/control/jobs/spec.hpp
@@ -42,10 +42,10 @@
 // Example: Findings findings; JobSpec spec = parse_job(body, {}, findings); if (!findings.empty()) answer 400
 inline JobSpec parse_job(std::string_view body, const SpecLimits& limits, Findings& findings) {
     JobSpec spec;
-    boost::system::error_code mishap;
-    boost::json::value whole = boost::json::parse(body, mishap);
-    if (mishap || !whole.is_object()) {
-        findings.add("job", mishap ? "cannot be read as JSON: " + mishap.message() : "must be a table");
+    boost::system::error_code error;
+    boost::json::value whole = boost::json::parse(body, error);
+    if (error || !whole.is_object()) {
+        findings.add("job", error ? "cannot be read as JSON: " + error.message() : "must be a table");
         return spec;
     }
     auto number = [&](const boost::json::object& object, const std::string& place, std::string_view name) -> std::int64_t {
--- a/source/control/plan/placer.hpp
+++ b/source/control/plan/placer.hpp
@@ -5,7 +5,7 @@
 
 namespace calicostall {
 
-struct PlacerProps {
+struct PlacerSettings {
     double remote_factor = 1.5;
 };
 
@@ -29,13 +29,13 @@
     }
 };
 
-// Example: for (auto [index, life] : place_tasks(props, step, "huvo11a", {0, 1, 2}, {}, rooms)) ...
+// Example: for (auto [index, life] : place_tasks(settings, step, "huvo11a", {0, 1, 2}, {}, rooms)) ...
 // A gang is placed whole or not at all; other tasks as far as there is room. `rooms` is reduced by what was placed.
-inline std::vector<std::pair<size_t, std::string>> place_tasks(const PlacerProps& props, const Step& step, const std::string& service,
+inline std::vector<std::pair<size_t, std::string>> place_tasks(const PlacerSettings& settings, const Step& step, const std::string& service,
                                                                const std::vector<size_t>& tasks, std::map<std::string, std::uint32_t> on_worker,
                                                                std::vector<Room>& rooms, bool spread = true,
                                                                const std::map<size_t, std::string>& apart = {}) {
-    (void)props;
+    (void)settings;
     auto attempt = [&](std::vector<Room> trial, const std::string& only_rack) {
         std::vector<std::pair<size_t, std::string>> chosen;
         auto counts = on_worker;
--- a/source/control/store/disk.hpp
+++ b/source/control/store/disk.hpp
@@ -17,8 +17,8 @@
     // An empty folder name means a daemon without a disk: what it holds is gone with it.
     Disk(std::string folder, std::int64_t room_mb) : folder_(std::move(folder)), room_mb_(room_mb) {}
 
-    // Opens the folder and reads all of it. Returns the mishap as a text, empty when there was none.
-    // Example: Replica replica; if (std::string mishap = disk.open(replica); !mishap.empty()) ...
+    // Opens the folder and reads all of it. Returns the error as a text, empty when there was none.
+    // Example: Replica replica; if (std::string error = disk.open(replica); !error.empty()) ...
     std::string open(Replica& replica) {
         if (folder_.empty()) return {};
         mkdir(folder_.c_str(), 0755);
@@ -99,7 +99,7 @@
             }
             bool any = std::any_of(batch.begin(), batch.end(), [](const Item& item) { return !item.change.empty(); });
             while (any && !commit(batch, false)) {
-                counters().add("disk_mishaps");
+                counters().add("disk_errors");
                 std::this_thread::sleep_for(std::chrono::milliseconds(100));
             }
             counters().add("disk_syncs", any);
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -5,7 +5,7 @@
 
 namespace calicostall {
 
-struct OwnerProps {
+struct OwnerSettings {
     Micros retry = milliseconds(100);
     Micros ask_again = milliseconds(30);  // a daemon that does not trust this one yet
     size_t batch_bytes = 512 * 1024;
@@ -24,7 +24,7 @@
     enum class State { idle, preparing, handing, acting };
     using Told = std::function<void(bool committed)>;
 
-    Owner(OwnerProps props, Identity self) : props_(props), self_(self) {}
+    Owner(OwnerSettings settings, Identity self) : settings_(settings), self_(self) {}
 
     State state() const { return state_; }
     bool acting() const { return state_ == State::acting; }
@@ -158,7 +158,7 @@
             if (answer->promised > epoch_) return outbid(answer->promised);
             if (answer->verdict == Verdict::stranger) link->gone = true;
             hold_off(*link, now);
-            if (answer->verdict == Verdict::untrusted) link->not_before = now + props_.ask_again;
+            if (answer->verdict == Verdict::untrusted) link->not_before = now + settings_.ask_again;
         }
     }
     void take(std::uint64_t ticket, const WriteAnswer* answer, Micros now) {
@@ -246,7 +246,7 @@
         link.in_flight.clear();
         link.purging.clear();
     }
-    void hold_off(Link& link, Micros now) { link.not_before = now + props_.retry; }
+    void hold_off(Link& link, Micros now) { link.not_before = now + settings_.retry; }
     void outbid(Epoch promised) {
         outbid_by = promised;
         give_up();
@@ -272,7 +272,7 @@
         WriteAsk ask{self_, identity, epoch_, false, false, {}, {}};
         size_t bytes = 0;
         link.in_flight.clear();
-        for (auto key = link.dirty.begin(); key != link.dirty.end() && bytes < props_.batch_bytes; key = link.dirty.erase(key)) {
+        for (auto key = link.dirty.begin(); key != link.dirty.end() && bytes < settings_.batch_bytes; key = link.dirty.erase(key)) {
             const Register& value = registers_[*key];
             WriteEntry entry{*key, Carries::all, value};
             auto mark = link.marks.find(*key);
@@ -409,7 +409,7 @@
     std::function<std::optional<Core>(const std::string&)> unpack_core;
 
 private:
-    OwnerProps props_;
+    OwnerSettings settings_;
     Identity self_;
     State state_ = State::idle;
     Epoch epoch_;
--- a/source/control/store/register.hpp
+++ b/source/control/store/register.hpp
@@ -64,10 +64,10 @@
     void describe(Visitor& visit) { visit(key), visit(value); }
 };
 
-enum class Verdict { granted, outdated, untrusted, stranger, mishap };
+enum class Verdict { granted, outdated, untrusted, stranger, error };
 
 struct PrepareAnswer {
-    Verdict verdict = Verdict::mishap;
+    Verdict verdict = Verdict::error;
     Epoch promised, synced;
     Micros wall = 0;
     std::vector<KeyedRegister> registers;
@@ -101,7 +101,7 @@
 };
 
 struct WriteAnswer {
-    Verdict verdict = Verdict::mishap;
+    Verdict verdict = Verdict::error;
     Epoch promised;
     Micros wall = 0;
     std::vector<std::string> lacking;  // keys whose missing part the replica does not have
--- a/source/forecast/demand.hpp
+++ b/source/forecast/demand.hpp
@@ -6,7 +6,7 @@
 
 namespace calicostall {
 
-struct ForecastProps {
+struct ForecastSettings {
     size_t ahead = 6;          // spans
     size_t warm_up = 6;        // spans before the first forecast
     size_t season = 0;         // spans in a season, 0: none
@@ -49,15 +49,15 @@
     size_t count_ = 0;
 };
 
-struct LaneForecast {
-    std::string lane;
+struct QueueForecast {
+    std::string queue;
     std::int64_t priority = 0;
     bool urgent = false;
     std::vector<double> mean, upper;  // accelerators needed, one value a span ahead
 };
 
 struct Forecast {
-    std::vector<LaneForecast> lanes;
+    std::vector<QueueForecast> queues;
     std::vector<double> urgent_upper, waiting_mean, pressure;  // by span ahead
     double fleet = 0;
     bool warns = false;
@@ -65,42 +65,42 @@
 };
 
 // Uses only what was known before span `until`.
-// Example: Forecast forecast = forecast_demand(history, history.last + 1, props);
-inline Forecast forecast_demand(const History& history, std::int64_t until, const ForecastProps& props) {
+// Example: Forecast forecast = forecast_demand(history, history.last + 1, settings);
+inline Forecast forecast_demand(const History& history, std::int64_t until, const ForecastSettings& settings) {
     Forecast all;
-    all.urgent_upper.assign(props.ahead, 0);
-    all.waiting_mean.assign(props.ahead, 0);
+    all.urgent_upper.assign(settings.ahead, 0);
+    all.waiting_mean.assign(settings.ahead, 0);
     double seconds_long = double(history.length) / 1e6;
     std::int64_t most_urgent = history.most_urgent();
-    Trend urgent(props.season);
+    Trend urgent(settings.season);
     std::vector<double> urgent_values;
-    for (const auto& [name, lane] : history.lanes) {
-        LaneForecast mine{name, lane.priority, lane.priority == most_urgent, {}, {}};
-        Trend trend(props.season);
+    for (const auto& [name, queue] : history.queues) {
+        QueueForecast mine{name, queue.priority, queue.priority == most_urgent, {}, {}};
+        Trend trend(settings.season);
         for (std::int64_t span = history.first; span < until; ++span) {
-            auto found = lane.spans.find(span);
-            double value = found == lane.spans.end() ? 0 : found->second.arrived / seconds_long;
+            auto found = queue.spans.find(span);
+            double value = found == queue.spans.end() ? 0 : found->second.arrived / seconds_long;
             trend.add(value);
             size_t place = size_t(span - history.first);
             if (urgent_values.size() <= place) urgent_values.resize(place + 1, 0);
             if (mine.urgent) urgent_values[place] += value;
         }
-        for (size_t ahead = 1; ahead <= props.ahead; ++ahead) {
+        for (size_t ahead = 1; ahead <= settings.ahead; ++ahead) {
             mine.mean.push_back(trend.mean(ahead));
-            mine.upper.push_back(trend.upper(ahead, props.caution));
+            mine.upper.push_back(trend.upper(ahead, settings.caution));
             if (!mine.urgent) all.waiting_mean[ahead - 1] += mine.mean.back();
         }
-        all.lanes.push_back(std::move(mine));
+        all.queues.push_back(std::move(mine));
     }
-    // Urgent lanes are taken together for the edge: not all of them are high at once.
+    // Urgent queues are taken together for the edge: not all of them are high at once.
     for (double value : urgent_values) urgent.add(value);
     for (auto span = history.fleet.begin(); span != history.fleet.end() && span->first < until; ++span)
         if (span->second > 0) all.fleet = span->second;
-    for (size_t ahead = 1; ahead <= props.ahead; ++ahead) {
-        all.urgent_upper[ahead - 1] = urgent.upper(ahead, props.caution);
+    for (size_t ahead = 1; ahead <= settings.ahead; ++ahead) {
+        all.urgent_upper[ahead - 1] = urgent.upper(ahead, settings.caution);
         double pressure = all.fleet > 0 ? (all.urgent_upper[ahead - 1] + all.waiting_mean[ahead - 1]) / all.fleet : 0;
         all.pressure.push_back(pressure);
-        if (pressure >= props.pressure && !all.warns) {
+        if (pressure >= settings.pressure && !all.warns) {
             all.warns = true;
             all.first_warned = ahead;
         }
@@ -125,24 +125,24 @@
 };
 
 // Walks through the history: each forecast knows only what came before it.
-inline Backtest check_past(const History& history, const ForecastProps& props) {
+inline Backtest check_past(const History& history, const ForecastSettings& settings) {
     Backtest test;
     std::int64_t most_urgent = history.most_urgent();
     std::map<std::int64_t, double> waited;
     double demand = 0, off = 0;
-    for (const auto& [name, lane] : history.lanes)
-        if (lane.priority == most_urgent)
-            for (const auto& [span, value] : lane.spans) waited[span] += value.waited;
+    for (const auto& [name, queue] : history.queues)
+        if (queue.priority == most_urgent)
+            for (const auto& [span, value] : queue.spans) waited[span] += value.waited;
     std::map<std::int64_t, size_t> warned;  // span at which the warning was given -> how many spans ahead it pointed
-    for (std::int64_t span = history.first + std::int64_t(props.warm_up); span <= history.last; ++span) {
-        Forecast forecast = forecast_demand(history, span, props);
+    for (std::int64_t span = history.first + std::int64_t(settings.warm_up); span <= history.last; ++span) {
+        Forecast forecast = forecast_demand(history, span, settings);
         ++test.forecasts;
         if (forecast.warns) warned[span] = forecast.first_warned;
         double next = 0, told = 0;
-        for (const auto& lane : forecast.lanes) {
-            told += lane.mean.front();
-            auto found = history.lanes.at(lane.lane).spans.find(span);
-            if (found != history.lanes.at(lane.lane).spans.end()) next += found->second.arrived / (double(history.length) / 1e6);
+        for (const auto& queue : forecast.queues) {
+            told += queue.mean.front();
+            auto found = history.queues.at(queue.queue).spans.find(span);
+            if (found != history.queues.at(queue.queue).spans.end()) next += found->second.arrived / (double(history.length) / 1e6);
         }
         demand += next;
         off += std::abs(next - told);
@@ -151,13 +151,13 @@
     test.mean_off = demand > 0 ? off / demand : 0;
     auto is_event = [&](std::int64_t span) {
         auto found = waited.find(span);
-        return found != waited.end() && found->second >= props.waited_least;
+        return found != waited.end() && found->second >= settings.waited_least;
     };
-    for (std::int64_t span = history.first + std::int64_t(props.warm_up) + 1; span <= history.last; ++span) {
+    for (std::int64_t span = history.first + std::int64_t(settings.warm_up) + 1; span <= history.last; ++span) {
         if (!is_event(span) || is_event(span - 1)) continue;
         Event event{span, waited[span], std::nullopt};
         // Given at the beginning of a span, a warning knows only the spans before it.
-        for (std::int64_t at = span - std::int64_t(props.ahead) + 1; at <= span; ++at)
+        for (std::int64_t at = span - std::int64_t(settings.ahead) + 1; at <= span; ++at)
             if (warned.contains(at)) {
                 event.warned_before = size_t(span - at);
                 break;
@@ -166,7 +166,7 @@
     }
     for (const auto& [at, ahead] : warned) {
         bool hit = false;
-        for (std::int64_t span = at; span < at + std::int64_t(props.ahead); ++span) hit = hit || is_event(span);
+        for (std::int64_t span = at; span < at + std::int64_t(settings.ahead); ++span) hit = hit || is_event(span);
         test.false_warnings += !hit;
     }
     return test;
--- a/source/forecast/history.hpp
+++ b/source/forecast/history.hpp
@@ -1,4 +1,4 @@
-// The queues' history as the owners write it, a line for each lane and span, and its reading.
+// The queues' history as the owners write it, a line for each queue and span, and its reading.
 #pragma once
 #include <boost/json.hpp>
 
@@ -10,11 +10,11 @@
 // Eight core-seconds count as one accelerator-second.
 constexpr double cores_per_accelerator = 8;
 
-// What one owner saw of one lane in one span.
-struct LaneSpan {
+// What one owner saw of one queue in one span.
+struct QueueSpan {
     std::int64_t span = 0;        // number of the span since 1970
     Micros length = 0;
-    std::string lane;
+    std::string queue;
     std::int64_t priority = 0;
     double arrived = 0;           // accelerator-seconds of the tasks that came, as expected from what was learnt
     double used = 0;              // accelerator-seconds of the runs that ended
@@ -22,27 +22,27 @@
     double fleet = 0;             // accelerators in the fleet, mean over the span
     bool whole = true;            // false: this owner held the record for a part of the span only
 
-    // Example: "{"span":4,"length_ms":60000,"lane":"a.example/q/","priority":0,"arrived":12.5,...}"
+    // Example: "{"span":4,"length_ms":60000,"queue":"a.example/q/","priority":0,"arrived":12.5,...}"
     std::string line() const {
-        return boost::json::serialize(boost::json::object{{"span", span}, {"length_ms", length / 1000}, {"lane", lane}, {"priority", priority}, {"arrived", arrived}, {"used", used}, {"waited", waited}, {"fleet", fleet}, {"whole", whole}});
+        return boost::json::serialize(boost::json::object{{"span", span}, {"length_ms", length / 1000}, {"queue", queue}, {"priority", priority}, {"arrived", arrived}, {"used", used}, {"waited", waited}, {"fleet", fleet}, {"whole", whole}});
     }
 };
 
-// The history of all lanes, put together from the lines of every node.
+// The history of all queues, put together from the lines of every node.
 struct History {
     Micros length = 0;
     std::int64_t first = 0, last = 0;
-    struct Lane {
+    struct Queue {
         std::int64_t priority = 0;
-        std::map<std::int64_t, LaneSpan> spans;
+        std::map<std::int64_t, QueueSpan> spans;
     };
-    std::map<std::string, Lane> lanes;
+    std::map<std::string, Queue> queues;
     std::map<std::int64_t, double> fleet;
 
-    bool empty() const { return lanes.empty(); }
+    bool empty() const { return queues.empty(); }
     std::int64_t most_urgent() const {
         std::int64_t least = std::numeric_limits<std::int64_t>::max();
-        for (const auto& [name, lane] : lanes) least = std::min(least, lane.priority);
+        for (const auto& [name, queue] : queues) least = std::min(least, queue.priority);
         return least;
     }
 };
@@ -60,9 +60,9 @@
         std::string_view body = mark != std::string_view::npos ? line.substr(mark + 8) : line.starts_with('{') ? line : std::string_view();
         if (body.empty()) continue;
         std::string where = fmt::format("{}:{}", name, line_number);
-        boost::system::error_code mishap;
-        boost::json::value value = boost::json::parse(body, mishap);
-        if (mishap || !value.is_object()) {
+        boost::system::error_code error;
+        boost::json::value value = boost::json::parse(body, error);
+        if (error || !value.is_object()) {
             findings.add(where, "cannot be read as JSON");
             continue;
         }
@@ -74,7 +74,7 @@
             if (!(read >= 0) || read > 1e15) findings.add(where, fmt::format("'{}' is out of range", field));
             return read;
         };
-        LaneSpan span;
+        QueueSpan span;
         size_t before = findings.list().size();
         span.span = std::int64_t(number("span"));
         span.length = Micros(number("length_ms")) * 1000;
@@ -83,9 +83,9 @@
         span.used = number("used");
         span.waited = number("waited");
         span.fleet = number("fleet");
-        const auto* lane = object.if_contains("lane");
-        if (!lane || !lane->is_string()) findings.add(where, "'lane' is missing or no text");
-        else span.lane = std::string(lane->as_string());
+        const auto* queue = object.if_contains("queue");
+        if (!queue || !queue->is_string()) findings.add(where, "'queue' is missing or no text");
+        else span.queue = std::string(queue->as_string());
         const auto* whole = object.if_contains("whole");
         span.whole = !whole || !whole->is_bool() || whole->as_bool();
         if (span.length <= 0) findings.add(where, "'length_ms' must be above 0");
@@ -95,7 +95,7 @@
         history.length = span.length;
         history.first = std::min(history.first, span.span);
         history.last = std::max(history.last, span.span);
-        History::Lane& mine = history.lanes[span.lane];
+        History::Queue& mine = history.queues[span.queue];
         mine.priority = span.priority;
         history.fleet[span.span] = std::max(history.fleet[span.span], span.fleet);
         auto [place, fresh] = mine.spans.try_emplace(span.span, span);
--- a/source/front.hpp
+++ b/source/front.hpp
@@ -4,14 +4,14 @@
 #include "shared/http/listener.hpp"
 #include "shared/http/loop.hpp"
 #include "shared/http/slab.hpp"
-#include "shared/news/compass.hpp"
+#include "shared/news/locator.hpp"
 #include "shared/settings/config.hpp"
-#include "shared/settings/props.hpp"
+#include "shared/settings/settings.hpp"
 
 namespace calicostall {
 
-struct FrontProps {
-    Props machine;
+struct FrontSettings {
+    Settings machine;
     Micros send_patience = milliseconds(900);
     Micros patience_most = milliseconds(1800);  // for one call, all sends together
     Micros pause = milliseconds(60);
@@ -20,10 +20,10 @@
 
 class Front {
 public:
-    Front(FrontProps props, Loop& loop)
-        : props_(std::move(props)),
+    Front(FrontSettings settings, Loop& loop)
+        : settings_(std::move(settings)),
           loop_(loop),
-          compass_({props_.machine.node, replicas(props_.machine), 2, seconds(5), true}, loop, [this] { take_news(); }) {}
+          locator_({settings_.machine.node, replicas(settings_.machine), 2, seconds(5), true}, loop, [this] { take_news(); }) {}
 
     Findings open() {
         Findings findings;
@@ -32,31 +32,31 @@
             try {
                 listener = std::make_unique<Listener>(address, Listener::Limits{.body_bytes = body}, std::move(take));
                 listener->open();
-            } catch (const std::exception& mishap) {
-                findings.add(place, fmt::format("{}: {}", address, mishap.what()));
+            } catch (const std::exception& error) {
+                findings.add(place, fmt::format("{}: {}", address, error.what()));
             }
         };
-        listen(front_, props_.machine.front, "bind_addrs.front", 8 << 20, [this](Transaction transaction) { take(std::move(transaction)); });
-        listen(readiness_, props_.machine.readiness, "bind_addrs.readiness", 4096, [this](Transaction transaction) {
-            transaction.reply.send(Outcome::plain(transaction.path == "/ready" && ready() ? 200 : 503));
+        listen(front_, settings_.machine.front, "bind_addrs.front", 8 << 20, [this](Request request) { take(std::move(request)); });
+        listen(readiness_, settings_.machine.readiness, "bind_addrs.readiness", 4096, [this](Request request) {
+            request.reply.send(Response::plain(request.path == "/ready" && ready() ? 200 : 503));
         });
-        compass_.open();
+        locator_.open();
         return findings;
     }
     // Ready with a configuration and a path to control.
-    bool ready() const { return !draining_ && compass_.revision() > 0 && compass_.in_touch(steady_now()); }
+    bool ready() const { return !draining_ && locator_.revision() > 0 && locator_.in_touch(steady_now()); }
 
-    // Drains: no new downstreams are sent here, those that are here are served to the end.
+    // Drains: no new clients are sent here, those that are here are served to the end.
     void leave(std::function<void()> then) {
         log_line("front", "draining");
         draining_ = true;
         if (front_) front_->close_gently();
-        drain_until_ = steady_now() + props_.machine.grace - milliseconds(1300);
+        drain_until_ = steady_now() + settings_.machine.grace - milliseconds(1300);
         watch_drain(std::move(then));
     }
-    void take_props(const Props& machine) { compass_.add_seeds(replicas(machine)); }
+    void take_settings(const Settings& machine) { locator_.add_seeds(replicas(machine)); }
 
-    static std::vector<std::string> replicas(const Props& machine) {
+    static std::vector<std::string> replicas(const Settings& machine) {
         std::vector<std::string> addresses;
         for (const std::string& seed : machine.seeds) addresses.push_back(fmt::format("{}:{}", address_host(seed), machine.first_port));
         return addresses;
@@ -81,13 +81,13 @@
             std::lock_guard guard(lock_);
             quiet = waiting_.size() == 0 && now - last_call_ > milliseconds(2200);
         }
-        if ((quiet && now > drain_until_ - props_.machine.grace / 3) || now > drain_until_) return then();
+        if ((quiet && now > drain_until_ - settings_.machine.grace / 3) || now > drain_until_) return then();
         loop_.after(milliseconds(100), [this, then] { watch_drain(then); });
     }
     void take_news() {
-        std::string text = compass_.config();
+        std::string text = locator_.config();
         std::lock_guard guard(lock_);
-        if (Epoch epoch = compass_.epoch(); epoch > epoch_) {
+        if (Epoch epoch = locator_.epoch(); epoch > epoch_) {
             // What waits at an earlier owner is sent to the new one now; one ID stays one job.
             epoch_ = epoch;
             for (Handle handle : waiting_.handles()) {
@@ -107,23 +107,23 @@
             }
         }
     }
-    void take(Transaction transaction) {
+    void take(Request request) {
         std::unique_lock guard(lock_);
         last_call_ = steady_now();
         counters().add("calls");
-        if (config_.revision == 0) return transaction.reply.send(Outcome::later(503, 1));
-        if (transaction.body.size() > config_.body_bytes) return transaction.reply.send(Outcome::plain(413));
-        if (waiting_.size() >= props_.waiting_most) {
+        if (config_.revision == 0) return request.reply.send(Response::later(503, 1));
+        if (request.body.size() > config_.body_bytes) return request.reply.send(Response::plain(413));
+        if (waiting_.size() >= settings_.waiting_most) {
             counters().add("calls_refused");
-            return transaction.reply.send(Outcome::later(503, 1));
+            return request.reply.send(Response::later(503, 1));
         }
-        const Lane* lane = config_.find(transaction.host, transaction.path);
-        Micros patience = props_.patience_most;
-        if (!transaction.deadline_ms.empty()) patience = std::min(patience, Micros(std::atoll(transaction.deadline_ms.c_str())) * 1000 - milliseconds(100));
-        if (lane) patience = std::min(patience, lane->patience - milliseconds(100));
+        const Queue* queue = config_.find(request.host, request.path);
+        Micros patience = settings_.patience_most;
+        if (!request.deadline_ms.empty()) patience = std::min(patience, Micros(std::atoll(request.deadline_ms.c_str())) * 1000 - milliseconds(100));
+        if (queue) patience = std::min(patience, queue->patience - milliseconds(100));
         Waiting waiting;
-        waiting.reply = std::move(transaction.reply);
-        waiting.ask = {transaction.method, transaction.host, transaction.path, std::move(transaction.body), {}, false};
+        waiting.reply = std::move(request.reply);
+        waiting.ask = {request.method, request.host, request.path, std::move(request.body), {}, false};
         waiting.until = last_call_ + std::max(patience, milliseconds(100));
         Handle handle = waiting_.insert(std::move(waiting));
         guard.unlock();
@@ -137,12 +137,12 @@
             if (!waiting) return;
             Micros left = waiting->until - steady_now();
             if (left < milliseconds(5)) return give_up(handle);
-            std::string target = compass_.target(waiting->choice);
+            std::string target = locator_.target(waiting->choice);
             ++waiting->sends;
             ask.url = "http://" + target + "/inner/call";
             ask.body = pack(waiting->ask);
             ++waiting->flying;
-            ask.patience = std::min(left, props_.send_patience);
+            ask.patience = std::min(left, settings_.send_patience);
         }
         loop_.ask(std::move(ask), [this, handle](Answer answer) { settle(handle, std::move(answer)); });
     }
@@ -156,12 +156,12 @@
             if (frame && frame->fate == CallFate::settled) {
                 // An earlier send of this call may have been done: then a refusal would be no truth.
                 bool refusal = frame->code == 429 || frame->code == 503;
-                Outcome outcome;
-                outcome.code = refusal && waiting->doubtful ? 504 : int(frame->code);
-                outcome.body = std::move(frame->body);
-                outcome.form = outcome.body.empty() ? Outcome::Form::none : Outcome::Form::json;
-                outcome.retry_after_s = int(frame->retry_after_s);
-                waiting_.take(handle)->reply.send(outcome);
+                Response response;
+                response.code = refusal && waiting->doubtful ? 504 : int(frame->code);
+                response.body = std::move(frame->body);
+                response.form = response.body.empty() ? Response::Form::none : Response::Form::json;
+                response.retry_after_s = int(frame->retry_after_s);
+                waiting_.take(handle)->reply.send(response);
                 return;
             }
             if (!(frame && frame->fate == CallFate::elsewhere) && answer.fate != Answer::Fate::refused) waiting->doubtful = true;
@@ -170,24 +170,24 @@
             // An owner that has just been elected says so for a moment; silence is a reason to go elsewhere.
             if (!frame || waiting->sends % 6 == 0) waiting->choice = (waiting->choice + 1) % 4;
         }
-        compass_.hurry();
-        loop_.after(props_.pause, [this, handle] { send(handle); });
+        locator_.hurry();
+        loop_.after(settings_.pause, [this, handle] { send(handle); });
     }
     void give_up(Handle handle) {
         auto waiting = waiting_.take(handle);
         if (!waiting) return;
         counters().add("calls_given_up");
         bool changes = waiting->ask.method == "POST" || waiting->ask.method == "DELETE";
-        waiting->reply.send(waiting->doubtful && changes ? Outcome::plain(504) : Outcome::later(503, 1));
+        waiting->reply.send(waiting->doubtful && changes ? Response::plain(504) : Response::later(503, 1));
     }
 
-    FrontProps props_;
+    FrontSettings settings_;
     Loop& loop_;
     std::recursive_mutex lock_;
     Config config_;
     Slab<Waiting> waiting_;
     Epoch epoch_;
-    Compass compass_;
+    Locator locator_;
     std::unique_ptr<Listener> front_, readiness_;
     std::atomic<bool> draining_{false};
     Micros last_call_ = 0, drain_until_ = 0;
--- a/source/shared/http/listener.hpp
+++ b/source/shared/http/listener.hpp
@@ -3,30 +3,30 @@
 #include <pistache/endpoint.h>
 
 #include "common.hpp"
-#include "shared/http/outcome.hpp"
+#include "shared/http/response.hpp"
 #include "shared/record/log.hpp"
 
 namespace calicostall {
 
-// The one place that writes an answer; moved into a slab while a transaction waits.
-// Example: waiting.insert(std::move(reply)); ... reply.send(Outcome::plain(200));
+// The one place that writes an answer; moved into a slab while a request waits.
+// Example: waiting.insert(std::move(reply)); ... reply.send(Response::plain(200));
 class Reply {
 public:
     Reply() = default;
     explicit Reply(Pistache::Http::ResponseWriter writer, bool closing = false) : writer_(std::make_shared<Pistache::Http::ResponseWriter>(std::move(writer))), closing_(closing) {}
 
-    void send(const Outcome& outcome) {
+    void send(const Response& response) {
         if (!writer_) return;
         std::shared_ptr<Pistache::Http::ResponseWriter> writer = std::move(writer_);
         try {
-            if (outcome.form == Outcome::Form::json) writer->setMime(MIME(Application, Json));
-            if (outcome.form == Outcome::Form::cbor) writer->setMime(MIME(Application, OctetStream));
-            if (outcome.form == Outcome::Form::text) writer->setMime(MIME(Text, Plain));
-            if (outcome.retry_after_s > 0)
-                writer->headers().addRaw({"Retry-After", std::to_string(outcome.retry_after_s)});
-            if (!outcome.location.empty()) writer->headers().add<Pistache::Http::Header::Location>(outcome.location);
+            if (response.form == Response::Form::json) writer->setMime(MIME(Application, Json));
+            if (response.form == Response::Form::cbor) writer->setMime(MIME(Application, OctetStream));
+            if (response.form == Response::Form::text) writer->setMime(MIME(Text, Plain));
+            if (response.retry_after_s > 0)
+                writer->headers().addRaw({"Retry-After", std::to_string(response.retry_after_s)});
+            if (!response.location.empty()) writer->headers().add<Pistache::Http::Header::Location>(response.location);
             if (closing_) writer->headers().add<Pistache::Http::Header::Connection>(Pistache::Http::ConnectionControl::Close);
-            writer->send(static_cast<Pistache::Http::Code>(outcome.code), outcome.body);
+            writer->send(static_cast<Pistache::Http::Code>(response.code), response.body);
         } catch (const std::exception&) {
             counters().add("answers_undeliverable");
         }
@@ -38,7 +38,7 @@
     bool closing_ = false;
 };
 
-struct Transaction {
+struct Request {
     std::string method;
     std::string path;
     std::string host;
@@ -50,14 +50,14 @@
 
 class Listener {
 public:
-    using Take = std::function<void(Transaction)>;
+    using Take = std::function<void(Request)>;
     struct Limits {
         size_t body_bytes = 1 << 20;
         Micros head_wait = seconds(5);
         Micros idle_wait = seconds(120);
     };
 
-    // Example: Listener listener("10.0.0.4:8161", limits, [](Transaction transaction) { ... });
+    // Example: Listener listener("10.0.0.4:8161", limits, [](Request request) { ... });
     Listener(const std::string& address, const Limits& limits, Take take) : endpoint_(Pistache::Address(address)) {
         auto options = Pistache::Http::Endpoint::options()
                            .threads(1)
@@ -74,7 +74,7 @@
         endpoint_.setHandler(handler);
     }
     void open() { endpoint_.serveThreaded(); }
-    // From now on each answer asks its downstream to leave.
+    // From now on each answer asks its client to leave.
     void close_gently() { *closing_ = true; }
 
 private:
@@ -82,16 +82,16 @@
         HTTP_PROTOTYPE(Handler)
         std::shared_ptr<Take> take;
         std::shared_ptr<std::atomic<bool>> closing;
-        void onRequest(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter writer) override {
-            Transaction transaction;
-            transaction.method = Pistache::Http::methodString(request.method());
-            transaction.path = request.resource();
-            if (auto host = request.headers().tryGet<Pistache::Http::Header::Host>()) transaction.host = host->host();
-            if (auto raw = request.headers().tryGetRaw("If-Match")) transaction.if_match = raw->value();
-            if (auto raw = request.headers().tryGetRaw("X-Deadline-Ms")) transaction.deadline_ms = raw->value();
-            transaction.body = request.body();
-            transaction.reply = Reply(std::move(writer), *closing);
-            (*take)(std::move(transaction));
+        void onRequest(const Pistache::Http::Request& message, Pistache::Http::ResponseWriter writer) override {
+            Request request;
+            request.method = Pistache::Http::methodString(message.method());
+            request.path = message.resource();
+            if (auto host = message.headers().tryGet<Pistache::Http::Header::Host>()) request.host = host->host();
+            if (auto raw = message.headers().tryGetRaw("If-Match")) request.if_match = raw->value();
+            if (auto raw = message.headers().tryGetRaw("X-Deadline-Ms")) request.deadline_ms = raw->value();
+            request.body = message.body();
+            request.reply = Reply(std::move(writer), *closing);
+            (*take)(std::move(request));
         }
     };
     std::shared_ptr<std::atomic<bool>> closing_ = std::make_shared<std::atomic<bool>>(false);
--- a/source/shared/http/loop.hpp
+++ b/source/shared/http/loop.hpp
@@ -1,4 +1,4 @@
-// HTTP out, by libcurl, and the pulses of a process, on one thread.
+// HTTP out, by libcurl, and the timers of a process, on one thread.
 #pragma once
 #include <curl/curl.h>
 #include <netinet/in.h>
@@ -51,7 +51,7 @@
     void after(Micros wait, std::function<void()> act) {
         {
             std::lock_guard guard(lock_);
-            pulses_.emplace(steady_now() + wait, std::move(act));
+            timers_.emplace(steady_now() + wait, std::move(act));
         }
         wake();
     }
@@ -62,7 +62,7 @@
             int running = 0;
             curl_multi_perform(multi_, &running);
             finish_asks();
-            run_pulses();
+            run_timers();
             curl_multi_poll(multi_, nullptr, 0, wait_ms(), nullptr);
         }
     }
@@ -82,8 +82,8 @@
     int wait_ms() {
         std::lock_guard guard(lock_);
         if (!asks_.empty()) return 0;
-        if (pulses_.empty()) return 1000;
-        Micros left = pulses_.begin()->first - steady_now();
+        if (timers_.empty()) return 1000;
+        Micros left = timers_.begin()->first - steady_now();
         return int(std::clamp<Micros>((left + 999) / 1000, 0, 1000));
     }
     static size_t take_bytes(char* data, size_t size, size_t count, void* into) {
@@ -162,14 +162,14 @@
             if (call->then) call->then(std::move(answer));
         }
     }
-    void run_pulses() {
+    void run_timers() {
         while (true) {
             std::function<void()> act;
             {
                 std::lock_guard guard(lock_);
-                if (pulses_.empty() || pulses_.begin()->first > steady_now()) return;
-                act = std::move(pulses_.begin()->second);
-                pulses_.erase(pulses_.begin());
+                if (timers_.empty() || timers_.begin()->first > steady_now()) return;
+                act = std::move(timers_.begin()->second);
+                timers_.erase(timers_.begin());
             }
             act();
         }
@@ -178,7 +178,7 @@
     CURLM* multi_ = nullptr;
     std::mutex lock_;
     std::deque<std::pair<Ask, Then>> asks_;
-    std::multimap<Micros, std::function<void()>> pulses_;
+    std::multimap<Micros, std::function<void()>> timers_;
     std::unordered_map<CURL*, std::unique_ptr<Call>> calls_;
     std::vector<CURL*> spare_;
     std::thread::id runner_;
--- /dev/null
+++ b/source/shared/http/response.hpp
@@ -0,0 +1,23 @@
+#pragma once
+#include "common.hpp"
+
+namespace calicostall {
+
+// A small value that describes an answer; only Listener's reply writes it to a pipe.
+// Example: return Response::json(200, R"({"pending":3})");
+struct Response {
+    int code = 200;
+    std::string body;
+    enum class Form { none, json, cbor, text } form = Form::none;
+    int retry_after_s = 0;
+    std::string location;
+
+    static Response plain(int code) { return {code, {}, Form::none, 0, {}}; }
+    static Response json(int code, std::string body) { return {code, std::move(body), Form::json, 0, {}}; }
+    static Response text(int code, std::string body) { return {code, std::move(body), Form::text, 0, {}}; }
+    static Response cbor(std::string body) { return {200, std::move(body), Form::cbor, 0, {}}; }
+    static Response later(int code, int retry_after_s) { return {code, {}, Form::none, retry_after_s, {}}; }
+    static Response moved(std::string location) { return {307, {}, Form::none, 0, std::move(location)}; }
+};
+
+}  // namespace calicostall
--- a/source/shared/news/compass.hpp
+++ b/source/shared/news/locator.hpp
@@ -21,7 +21,7 @@
     return others;
 }
 
-class Compass {
+class Locator {
 public:
     struct Settings {
         std::string own;
@@ -32,8 +32,8 @@
     };
     using Changed = std::function<void()>;
 
-    Compass(Settings settings, Loop& loop, Changed changed) : settings_(std::move(settings)), loop_(loop), changed_(std::move(changed)) {
-        colleagues_ = settings_.seeds;
+    Locator(Settings settings, Loop& loop, Changed changed) : settings_(std::move(settings)), loop_(loop), changed_(std::move(changed)) {
+        peers_ = settings_.seeds;
     }
     void open() {
         watching_.resize(settings_.watched);
@@ -63,7 +63,7 @@
         std::lock_guard guard(lock_);
         return heard_at_ >= 0 && now - heard_at_ < settings_.wait + seconds(3);
     }
-    // The n-th choice for a call: the owner first, then the colleagues by rendezvous.
+    // The n-th choice for a call: the owner first, then the peers by rendezvous.
     std::string target(size_t choice) const {
         std::lock_guard guard(lock_);
         std::vector<std::string> order = ranked();
@@ -89,7 +89,7 @@
 
 private:
     std::vector<std::string> ranked() const {
-        std::vector<std::string> all = colleagues_;
+        std::vector<std::string> all = peers_;
         for (const std::string& seed : settings_.seeds)
             if (std::find(all.begin(), all.end(), seed) == all.end()) all.push_back(seed);
         return rendezvous(settings_.own, std::move(all));
@@ -98,7 +98,7 @@
         std::string address;
         {
             std::lock_guard guard(lock_);
-            // The first choice that no other watcher has; after a mishap, the one after the last.
+            // The first choice that no other watcher has; after a error, the one after the last.
             std::vector<std::string> order = ranked();
             auto last = std::find(order.begin(), order.end(), watching_[watcher]);
             size_t begin = last == order.end() ? 0 : size_t(last - order.begin()) + (tries > 0 ? 1 : 0);
@@ -138,16 +138,16 @@
                 epoch_ = news.epoch;
                 owner_ = news.owner;
                 changed = true;
-                log_line("compass", "owner {} under epoch {}", owner_, epoch_.value);
+                log_line("locator", "owner {} under epoch {}", owner_, epoch_.value);
             }
             if (news.config_revision > revision_ && !news.config.empty()) {
                 revision_ = news.config_revision;
                 config_ = news.config;
                 changed = true;
             }
-            if (news.core_mark > core_mark_ && !news.colleagues.empty()) {
+            if (news.core_mark > core_mark_ && !news.peers.empty()) {
                 core_mark_ = news.core_mark;
-                colleagues_ = news.colleagues;
+                peers_ = news.peers;
                 changed = true;
             }
         }
@@ -158,7 +158,7 @@
     Loop& loop_;
     Changed changed_;
     mutable std::mutex lock_;
-    std::vector<std::string> colleagues_, watching_;
+    std::vector<std::string> peers_, watching_;
     std::string owner_, config_;
     Epoch epoch_;
     std::uint64_t revision_ = 0, core_mark_ = 0;
--- a/source/shared/settings/config.hpp
+++ b/source/shared/settings/config.hpp
@@ -3,38 +3,38 @@
 #include <boost/json.hpp>
 
 #include "common.hpp"
-#include "shared/settings/props.hpp"
+#include "shared/settings/settings.hpp"
 
 namespace calicostall {
 
 // A queue of jobs, found by host and longest prefix.
-struct Lane {
+struct Queue {
     std::string name, host, prefix, service;
     Micros patience = seconds(3);
     Micros target = 0;
     std::int64_t priority = 0;
-    std::uint32_t sends_most = 1;
+    std::uint32_t attempts_most = 1;
     double extension = 1.5;
 };
 
 struct Config {
     std::uint64_t revision = 0;
     std::string text;
-    std::vector<Lane> lanes;
+    std::vector<Queue> queues;
     std::map<std::string, bool> services;  // name -> guards
     size_t body_bytes = 262144, header_bytes = 16384;
     Micros header_wait = seconds(3), idle_wait = seconds(15);
 
-    // Example: const Lane* lane = config.find("nony24.example", "/lohu930/5c0e7a21d94b36f8");
-    const Lane* find(std::string_view host, std::string_view path) const {
-        const Lane* best = nullptr;
-        for (const Lane& lane : lanes)
-            if (lane.host == host && path.starts_with(lane.prefix) && (!best || lane.prefix.size() > best->prefix.size())) best = &lane;
+    // Example: const Queue* queue = config.find("nony24.example", "/lohu930/5c0e7a21d94b36f8");
+    const Queue* find(std::string_view host, std::string_view path) const {
+        const Queue* best = nullptr;
+        for (const Queue& queue : queues)
+            if (queue.host == host && path.starts_with(queue.prefix) && (!best || queue.prefix.size() > best->prefix.size())) best = &queue;
         return best;
     }
-    const Lane* find_exact(std::string_view host, std::string_view prefix) const {
-        for (const Lane& lane : lanes)
-            if (lane.host == host && lane.prefix == prefix) return &lane;
+    const Queue* find_exact(std::string_view host, std::string_view prefix) const {
+        for (const Queue& queue : queues)
+            if (queue.host == host && queue.prefix == prefix) return &queue;
         return nullptr;
     }
 };
@@ -43,10 +43,10 @@
 inline Config parse_config(std::string_view text, Findings& findings) {
     Config config;
     config.text = std::string(text);
-    boost::system::error_code mishap;
-    boost::json::value whole = boost::json::parse(text, mishap);
-    if (mishap || !whole.is_object()) {
-        findings.add("configuration", mishap ? "cannot be read as JSON: " + mishap.message() : "must be a table");
+    boost::system::error_code error;
+    boost::json::value whole = boost::json::parse(text, error);
+    if (error || !whole.is_object()) {
+        findings.add("configuration", error ? "cannot be read as JSON: " + error.message() : "must be a table");
         return config;
     }
     FieldReader reader(whole.as_object(), "", findings);
@@ -74,22 +74,22 @@
                 continue;
             }
             FieldReader inner((*list)[place].as_object(), where, findings);
-            Lane lane;
-            lane.name = inner.text("name", false);
-            lane.host = inner.text("host", true);
-            lane.prefix = inner.text("path_prefix", true);
-            lane.service = inner.text("service", true);
+            Queue queue;
+            queue.name = inner.text("name", false);
+            queue.host = inner.text("host", true);
+            queue.prefix = inner.text("path_prefix", true);
+            queue.service = inner.text("service", true);
             double patience = inner.number("timeout_ms", 3000);
             if (patience <= 0) findings.add(where + ".timeout_ms", "must be above 0");
-            lane.patience = Micros(patience * 1000);
-            lane.target = Micros(inner.number("target_ms", 1000) * 1000);
-            lane.priority = std::int64_t(inner.number("priority", 0));
-            lane.sends_most = std::uint32_t(std::max(1.0, inner.number("max_attempts", 1)));
-            lane.extension = inner.number("extension", 1.5);
-            if (!config.services.contains(lane.service)) findings.add(where + ".service", fmt::format("'{}' is unknown", lane.service));
-            auto [other, fresh] = places.try_emplace({lane.host, lane.prefix}, place);
+            queue.patience = Micros(patience * 1000);
+            queue.target = Micros(inner.number("target_ms", 1000) * 1000);
+            queue.priority = std::int64_t(inner.number("priority", 0));
+            queue.attempts_most = std::uint32_t(std::max(1.0, inner.number("max_attempts", 1)));
+            queue.extension = inner.number("extension", 1.5);
+            if (!config.services.contains(queue.service)) findings.add(where + ".service", fmt::format("'{}' is unknown", queue.service));
+            auto [other, fresh] = places.try_emplace({queue.host, queue.prefix}, place);
             if (!fresh) findings.add(where, fmt::format("shares host and prefix with routes[{}]", other->second));
-            config.lanes.push_back(std::move(lane));
+            config.queues.push_back(std::move(queue));
         }
     }
     if (const auto* table = reader.table("limits", false)) {
--- a/source/shared/settings/props.hpp
+++ b/source/shared/settings/settings.hpp
@@ -11,7 +11,7 @@
 namespace calicostall {
 
 // What a process is told; the fields keep the meaning of the page on machines.
-struct Props {
+struct Settings {
     std::string node, role, zone, ip, service, worker_address;
     std::string front, readiness, control;
     int first_port = 0, last_port = 0;
@@ -90,32 +90,32 @@
     return address;
 }
 
-// Example: Findings findings; Props props = parse_props(text, findings); if (!findings.empty()) report();
-inline Props parse_props(std::string_view text, Findings& findings) {
-    Props props;
-    boost::system::error_code mishap;
-    boost::json::value whole = boost::json::parse(text, mishap);
-    if (mishap || !whole.is_object()) {
-        findings.add("settings", mishap ? "cannot be read as JSON: " + mishap.message() : "must be a table");
-        return props;
+// Example: Findings findings; Settings settings = parse_settings(text, findings); if (!findings.empty()) report();
+inline Settings parse_settings(std::string_view text, Findings& findings) {
+    Settings settings;
+    boost::system::error_code error;
+    boost::json::value whole = boost::json::parse(text, error);
+    if (error || !whole.is_object()) {
+        findings.add("settings", error ? "cannot be read as JSON: " + error.message() : "must be a table");
+        return settings;
     }
     FieldReader reader(whole.as_object(), "", findings);
-    props.node = reader.text("node_name", true);
-    props.role = reader.text("role", false);
-    props.zone = reader.text("zone", true);
-    props.ip = reader.text("ip", true);
-    props.service = reader.text("service", false);
-    props.worker_address = reader.text("app", false);
-    if (!props.worker_address.empty()) checked_address(props.worker_address, "app", findings);
+    settings.node = reader.text("node_name", true);
+    settings.role = reader.text("role", false);
+    settings.zone = reader.text("zone", true);
+    settings.ip = reader.text("ip", true);
+    settings.service = reader.text("service", false);
+    settings.worker_address = reader.text("app", false);
+    if (!settings.worker_address.empty()) checked_address(settings.worker_address, "app", findings);
     if (const auto* table = reader.table("bind_addrs", true)) {
         FieldReader inner(*table, "bind_addrs", findings);
         auto take = [&](const char* name) {
             std::string address = inner.text(name, false);
             return address.empty() ? address : checked_address(address, inner.path(name), findings);
         };
-        props.front = take("front");
-        props.readiness = take("readiness");
-        props.control = take("control");
+        settings.front = take("front");
+        settings.readiness = take("readiness");
+        settings.control = take("control");
     }
     if (const auto* list = reader.list("port_range", true)) {
         auto port = [&](size_t place) {
@@ -123,43 +123,43 @@
             return value.is_int64() && value.as_int64() > 0 && value.as_int64() < 65536 ? int(value.as_int64()) : 0;
         };
         if (list->size() != 2 || !port(0) || !port(1) || port(0) > port(1)) findings.add("port_range", "must hold two rising ports");
-        else props.first_port = port(0), props.last_port = port(1);
+        else settings.first_port = port(0), settings.last_port = port(1);
     }
     if (const auto* list = reader.list("seeds", true)) {
         for (size_t place = 0; place < list->size(); ++place) {
             std::string where = fmt::format("seeds.{}", place);
             if (!(*list)[place].is_string()) findings.add(where, "must be a text");
-            else props.seeds.push_back(checked_address(std::string((*list)[place].as_string()), where, findings));
+            else settings.seeds.push_back(checked_address(std::string((*list)[place].as_string()), where, findings));
         }
         if (list->empty()) findings.add("seeds", "must hold at least one address");
     }
-    props.first_start = reader.flag("bootstrap", false);
-    props.counted = reader.flag("quorum_member", false);
-    props.folder = reader.text("data_dir", false);
-    props.beat_every = Micros(reader.number("beat_interval_ms", 1500) * 1000);
+    settings.first_start = reader.flag("bootstrap", false);
+    settings.counted = reader.flag("quorum_member", false);
+    settings.folder = reader.text("data_dir", false);
+    settings.beat_every = Micros(reader.number("beat_interval_ms", 1500) * 1000);
     if (const auto* table = reader.table("limits", false)) {
         FieldReader inner(*table, "limits", findings);
-        props.memory_mb = std::int64_t(inner.number("memory_mb", 256));
-        props.descriptors = std::int64_t(inner.number("max_fds", 1024));
-        props.disk_mb = std::int64_t(inner.number("disk_mb", 0));
+        settings.memory_mb = std::int64_t(inner.number("memory_mb", 256));
+        settings.descriptors = std::int64_t(inner.number("max_fds", 1024));
+        settings.disk_mb = std::int64_t(inner.number("disk_mb", 0));
     }
     if (const auto* table = reader.table("bounds", false)) {
         FieldReader inner(*table, "bounds", findings);
         auto ms = [&](const char* name, double otherwise) { return Micros(inner.number(name, otherwise) * 1e3); };
         auto s = [&](const char* name, double otherwise) { return Micros(inner.number(name, otherwise) * 1e6); };
-        props.grace = s("grace_s", 6);
-        props.contact = ms("contact_ms", 3000);
-        props.hold_most = ms("hold_max_ms", 10000);
-        props.stop_grace = ms("stop_grace_ms", 900);
-        props.gang_wait = ms("gang_wait_ms", 3000);
-        props.early = ms("early_ms", 250);
-        props.restore = ms("restore_ms", 250);
-        props.status_kept = s("status_s", 120);
-        props.checkpoint_every = s("checkpoint_s", 1);
-        props.drain = ms("drain_ms", 2000);
-        props.remote_factor = inner.number("remote_factor", 1.5);
+        settings.grace = s("grace_s", 6);
+        settings.contact = ms("contact_ms", 3000);
+        settings.hold_most = ms("hold_max_ms", 10000);
+        settings.stop_grace = ms("stop_grace_ms", 900);
+        settings.gang_wait = ms("gang_wait_ms", 3000);
+        settings.early = ms("early_ms", 250);
+        settings.restore = ms("restore_ms", 250);
+        settings.status_kept = s("status_s", 120);
+        settings.checkpoint_every = s("checkpoint_s", 1);
+        settings.drain = ms("drain_ms", 2000);
+        settings.remote_factor = inner.number("remote_factor", 1.5);
     }
-    return props;
+    return settings;
 }
 
 // Example: std::optional<std::string> text = read_file(path);
--- a/source/shared/time/judge.hpp
+++ b/source/shared/time/judge.hpp
@@ -7,10 +7,10 @@
 // Example: judge.note("10.2.0.40:7720", their_wall, now); Micros wall = judge.wall(wall_now(), now);
 class ClockJudge {
 public:
-    void note(const std::string& colleague, Micros wall, Micros now) { offsets_[colleague] = {wall - now, now}; }
+    void note(const std::string& peer, Micros wall, Micros now) { offsets_[peer] = {wall - now, now}; }
     Micros wall(Micros own_wall, Micros now) {
         std::vector<Micros> offsets{own_wall - now};
-        for (const auto& [colleague, sample] : offsets_)
+        for (const auto& [peer, sample] : offsets_)
             if (now - sample.second < seconds(5)) offsets.push_back(sample.first);
         std::sort(offsets.begin(), offsets.end());
         if (!judged_) judged_ = own_wall - now;
--- a/source/shared/wire/frames.hpp
+++ b/source/shared/wire/frames.hpp
@@ -21,10 +21,10 @@
     Epoch epoch;
     std::string owner;  // address of the owner's replica, empty when unknown
     std::uint64_t core_mark = 0;
-    std::vector<std::string> colleagues;  // addresses of the core
+    std::vector<std::string> peers;  // addresses of the core
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(config_revision), visit(config), visit(epoch), visit(owner), visit(core_mark), visit(colleagues); }
+    void describe(Visitor& visit) { visit(config_revision), visit(config), visit(epoch), visit(owner), visit(core_mark), visit(peers); }
 };
 
 // A client's or an operator's call on its way to the owner.
@@ -126,7 +126,7 @@
 
 struct SideAsk {
     std::string node;
-    std::uint64_t sitting = 0;  // this process of the side daemon
+    std::uint64_t incarnation = 0;  // this process of the side daemon
     std::uint64_t number = 0;   // rises with each ask
     Epoch epoch;                // of the owner whose orders `taken` counts
     std::uint64_t taken = 0;    // highest order number taken
@@ -140,7 +140,7 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(node), visit(sitting), visit(number), visit(epoch), visit(taken), visit(seen), visit(worker), visit(over), visit(report), visit(results), visit(silent), visit(relayed);
+        visit(node), visit(incarnation), visit(number), visit(epoch), visit(taken), visit(seen), visit(worker), visit(over), visit(report), visit(results), visit(silent), visit(relayed);
     }
 };
 
--- a/source/side.hpp
+++ b/source/side.hpp
@@ -4,14 +4,14 @@
 #include "front.hpp"
 #include "shared/http/listener.hpp"
 #include "shared/http/loop.hpp"
-#include "shared/news/compass.hpp"
-#include "shared/settings/props.hpp"
+#include "shared/news/locator.hpp"
+#include "shared/settings/settings.hpp"
 #include "shared/wire/frames.hpp"
 
 namespace calicostall {
 
-struct SideProps {
-    Props machine;
+struct SideSettings {
+    Settings machine;
     Micros ask_patience = milliseconds(1700);
     Micros order_patience = milliseconds(200);
     Micros look_wait = milliseconds(700);
@@ -21,35 +21,35 @@
     size_t silent_after = 3;                    // looks without an answer in a row
     Micros gather = milliseconds(15);   // between the end that a look showed and the next look
     Micros unseen_wait = milliseconds(300);
-    size_t sends_most = 4;              // of one start without an answer
+    size_t attempts_most = 4;              // of one start without an answer
 };
 
 class Side {
 public:
-    Side(SideProps props, Loop& loop)
-        : props_(std::move(props)),
+    Side(SideSettings settings, Loop& loop)
+        : settings_(std::move(settings)),
           loop_(loop),
-          compass_({props_.machine.node, Front::replicas(props_.machine), 2, seconds(5), false}, loop, [this] { take_news(); }) {
+          locator_({settings_.machine.node, Front::replicas(settings_.machine), 2, seconds(5), false}, loop, [this] { take_news(); }) {
         std::random_device device;
-        sitting_ = (std::uint64_t(device()) << 31 | device()) | 1;
+        incarnation_ = (std::uint64_t(device()) << 31 | device()) | 1;
     }
     Findings open() {
         Findings findings;
         try {
-            control_ = std::make_unique<Listener>(props_.machine.control, Listener::Limits{.body_bytes = 4 << 20}, [this](Transaction transaction) { take(std::move(transaction)); });
+            control_ = std::make_unique<Listener>(settings_.machine.control, Listener::Limits{.body_bytes = 4 << 20}, [this](Request request) { take(std::move(request)); });
             control_->open();
-        } catch (const std::exception& mishap) {
-            findings.add("bind_addrs.control", fmt::format("{}: {}", props_.machine.control, mishap.what()));
+        } catch (const std::exception& error) {
+            findings.add("bind_addrs.control", fmt::format("{}: {}", settings_.machine.control, error.what()));
         }
-        compass_.open();
-        loop_.after(milliseconds(100), [this] { pulse(); });
+        locator_.open();
+        loop_.after(milliseconds(100), [this] { tick(); });
         return findings;
     }
     void leave(std::function<void()> then) {
         log_line("side", "leaving");
         loop_.after(milliseconds(200), std::move(then));
     }
-    void take_props(const Props& machine) { compass_.add_seeds(Front::replicas(machine)); }
+    void take_settings(const Settings& machine) { locator_.add_seeds(Front::replicas(machine)); }
 
 private:
     using RunKey = std::pair<std::string, std::uint32_t>;
@@ -63,21 +63,21 @@
 
     // --- calls of the worker, by the table: PUT /workers/ID, DELETE /workers/ID ---
 
-    void take(Transaction transaction) {
+    void take(Request request) {
         constexpr std::string_view prefix = "/workers/";
-        if (!std::string_view(transaction.path).starts_with(prefix)) return transaction.reply.send(Outcome::plain(404));
-        std::string life = transaction.path.substr(prefix.size());
-        if (transaction.method == "PUT") return take_beat(life, std::move(transaction));
-        if (transaction.method == "DELETE") return take_leave(life, std::move(transaction));
-        transaction.reply.send(Outcome::plain(405));
+        if (!std::string_view(request.path).starts_with(prefix)) return request.reply.send(Response::plain(404));
+        std::string life = request.path.substr(prefix.size());
+        if (request.method == "PUT") return take_beat(life, std::move(request));
+        if (request.method == "DELETE") return take_leave(life, std::move(request));
+        request.reply.send(Response::plain(405));
     }
-    void take_beat(const std::string& life, Transaction transaction) {
+    void take_beat(const std::string& life, Request request) {
         Findings findings;
-        boost::system::error_code mishap;
-        boost::json::value whole = boost::json::parse(transaction.body, mishap);
-        if (mishap || !whole.is_object()) {
+        boost::system::error_code error;
+        boost::json::value whole = boost::json::parse(request.body, error);
+        if (error || !whole.is_object()) {
             counters().add("beats_unreadable");
-            return transaction.reply.send(Outcome::plain(400));
+            return request.reply.send(Response::plain(400));
         }
         FieldReader reader(whole.as_object(), "", findings);
         WorkerAccount account;
@@ -101,7 +101,7 @@
         Micros clock = Micros(reader.number("clock_ms", 0) * 1000);
         if (!findings.empty()) {
             log_line("side", "beat refused: {}", findings.text());
-            return transaction.reply.send(Outcome::json(400, "{}"));
+            return request.reply.send(Response::json(400, "{}"));
         }
         {
             std::lock_guard guard(lock_);
@@ -121,9 +121,9 @@
                 if (news) ask_owner(true);
             }
         }
-        transaction.reply.send(Outcome::json(200, "{}"));
+        request.reply.send(Response::json(200, "{}"));
     }
-    void take_leave(const std::string& life, Transaction transaction) {
+    void take_leave(const std::string& life, Request request) {
         {
             std::lock_guard guard(lock_);
             if (worker_ && worker_->life == life) {
@@ -132,7 +132,7 @@
                 ask_owner(true);
             }
         }
-        transaction.reply.send(Outcome::plain(200));
+        request.reply.send(Response::plain(200));
     }
     void begin_life(const std::string& life) {
         if (worker_) end_life();
@@ -149,7 +149,7 @@
         allowed_until_ = 0;
         clock_base_.reset();
         silent_ = false;
-        look_mishaps_ = 0;
+        look_errors_ = 0;
         report_.reset();
         beat_sequence_ = 0;
         fence_shown_ = Epoch{};
@@ -167,7 +167,7 @@
     std::int64_t until_ms(Micros now) const {
         if (!clock_base_ || allowed_until_ <= now + milliseconds(20)) return 0;
         Micros until = clock_base_->first + (allowed_until_ - clock_base_->second);
-        Micros most = clock_base_->first + (now - clock_base_->second) + props_.machine.hold_most;
+        Micros most = clock_base_->first + (now - clock_base_->second) + settings_.machine.hold_most;
         return std::min(until, most) / 1000;
     }
 
@@ -175,9 +175,9 @@
 
     void take_news() {
         std::lock_guard guard(lock_);
-        if (compass_.epoch() > epoch_ && compass_.epoch() > news_epoch_) {
+        if (locator_.epoch() > epoch_ && locator_.epoch() > news_epoch_) {
             // Asks that wait at an earlier owner are given up: the new one is to hear from here at once.
-            news_epoch_ = compass_.epoch();
+            news_epoch_ = locator_.epoch();
             ++ask_generation_;
             asks_flying_ = 0;
             ask_tries_ = ask_choice_ = 0;
@@ -193,8 +193,8 @@
         ask_wanted_ = false;
         Micros now = steady_now();
         SideAsk ask;
-        ask.node = props_.machine.node;
-        ask.sitting = sitting_;
+        ask.node = settings_.machine.node;
+        ask.incarnation = incarnation_;
         ask.number = ++ask_number_;
         ask.epoch = epoch_;
         ask.taken = taken_;
@@ -210,9 +210,9 @@
         size_t results_sent = results_.size();
         std::uint64_t results_mark = results_dropped_ + results_sent;
         ++asks_flying_;
-        std::string target = compass_.target(ask_choice_);
+        std::string target = locator_.target(ask_choice_);
         std::uint64_t number = ask.number, generation = ask_generation_;
-        loop_.ask({.url = "http://" + target + "/inner/side", .body = pack(ask), .patience = props_.ask_patience},
+        loop_.ask({.url = "http://" + target + "/inner/side", .body = pack(ask), .patience = settings_.ask_patience},
                   [this, number, generation, now, report_mark, results_mark](Answer answer) {
                       std::lock_guard guard(lock_);
                       if (generation != ask_generation_) return;
@@ -224,7 +224,7 @@
                           ++ask_tries_;
                           if (!heard || ask_tries_ % 8 == 0) ++ask_choice_;
                           counters().add("asks_unserved");
-                          compass_.hurry();
+                          locator_.hurry();
                           loop_.after(milliseconds(std::min<std::int64_t>(20 * std::int64_t(ask_tries_), 300)), [this] {
                               std::lock_guard inner(lock_);
                               ask_owner(report_ || !results_.empty());
@@ -288,7 +288,7 @@
 
     // --- the worker ---
 
-    void pulse() {
+    void tick() {
         std::lock_guard guard(lock_);
         Micros now = steady_now();
         if (asks_flying_ == 0 && ask_tries_ == 0) ask_owner(false);
@@ -298,7 +298,7 @@
             std::string text = counters().changed_text();
             if (!text.empty()) log_line("counters", "{}", text);
         }
-        loop_.after(milliseconds(pending_.empty() && stops_.empty() && active_ == 0 ? 200 : 50), [this] { pulse(); });
+        loop_.after(milliseconds(pending_.empty() && stops_.empty() && active_ == 0 ? 200 : 50), [this] { tick(); });
     }
     void work(Micros now) {
         if (!worker_) return;
@@ -325,7 +325,7 @@
             add_result(order, open ? OrderFate::doubtful : OrderFate::turned_away, "draining");
         }
         if (looking_ || now < next_look_) return;
-        if (active_ > 0 || any_open()) look(highest_end_ > seen_ && now - ended_at_ < props_.unseen_wait ? -1 : props_.look_wait);
+        if (active_ > 0 || any_open()) look(highest_end_ > seen_ && now - ended_at_ < settings_.unseen_wait ? -1 : settings_.look_wait);
     }
     bool any_open() const {
         return std::any_of(pending_.begin(), pending_.end(), [](const auto& each) { return each.second.sends > 0; });
@@ -339,7 +339,7 @@
         Epoch epoch = epoch_;
         std::uint64_t era = era_;
         counters().add("starts_sent");
-        loop_.ask({.url = "http://" + worker_->address + "/run-start", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = props_.order_patience},
+        loop_.ask({.url = "http://" + worker_->address + "/run-start", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = settings_.order_patience},
                   [this, key, life, epoch, era](Answer answer) {
                       std::lock_guard guard(lock_);
                       if (!worker_ || worker_->life != life) return;
@@ -363,16 +363,16 @@
                       if (answer.fate != Answer::Fate::answered) {
                           mine.open = mine.open || answer.fate == Answer::Fate::unknown;
                           mine.next_at = moment + milliseconds(60);
-                          wary_until_ = moment + props_.wary_for;
+                          wary_until_ = moment + settings_.wary_for;
                           counters().add("starts_unanswered");
-                          if (mine.sends < props_.sends_most) return;
+                          if (mine.sends < settings_.attempts_most) return;
                           reason = "silence";
                       }
                       if (answer.code == 421 || reason == "fence") {
                           mine.next_at = moment + milliseconds(200);
-                          if (mine.sends < props_.sends_most) return;
+                          if (mine.sends < settings_.attempts_most) return;
                       }
-                      if (reason == "late" && mine.sends < props_.sends_most) {
+                      if (reason == "late" && mine.sends < settings_.attempts_most) {
                           mine.next_at = moment + milliseconds(30);
                           return;
                       }
@@ -389,7 +389,7 @@
         std::string life = worker_->life;
         Epoch epoch = epoch_;
         counters().add("stops_sent");
-        loop_.ask({.url = "http://" + worker_->address + "/run-stop", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = props_.order_patience},
+        loop_.ask({.url = "http://" + worker_->address + "/run-stop", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = settings_.order_patience},
                   [this, key, life, epoch](Answer answer) {
                       std::lock_guard guard(lock_);
                       if (!worker_ || worker_->life != life || epoch != epoch_) return;
@@ -408,9 +408,9 @@
     }
     std::string read_clock(const Answer& answer, Micros now) {
         if (answer.fate != Answer::Fate::answered || answer.body.empty()) return {};
-        boost::system::error_code mishap;
-        boost::json::value whole = boost::json::parse(answer.body, mishap);
-        if (mishap || !whole.is_object()) return {};
+        boost::system::error_code error;
+        boost::json::value whole = boost::json::parse(answer.body, error);
+        if (error || !whole.is_object()) return {};
         const auto& object = whole.as_object();
         if (const auto* clock = object.if_contains("clock_ms"); clock && clock->is_number()) note_clock(Micros(clock->to_number<double>() * 1000), now);
         const auto* reason = object.if_contains("reason");
@@ -433,13 +433,13 @@
             body["until_ms"] = until;
             wait = std::min<Micros>(wait, std::max<Micros>(milliseconds(100), (allowed_until_ - now) / 2));
         }
-        if (now < wary_until_) wait = std::min(wait, props_.wary_wait);
+        if (now < wary_until_) wait = std::min(wait, settings_.wary_wait);
         if (wait > 0) body["wait_ms"] = wait / 1000;
         std::string life = worker_->life;
         Epoch epoch = epoch_;
         std::vector<std::string> stopped = stopped_;
         counters().add("looks");
-        loop_.ask({.url = "http://" + worker_->address + "/hold", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = wait + (now < wary_until_ ? props_.wary_slack : props_.look_slack)},
+        loop_.ask({.url = "http://" + worker_->address + "/hold", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = wait + (now < wary_until_ ? settings_.wary_slack : settings_.look_slack)},
                   [this, life, epoch, is_short, stopped](Answer answer) {
                       std::lock_guard guard(lock_);
                       (is_short ? looking_short_ : looking_) = false;
@@ -450,15 +450,15 @@
                           counters().add("looks_without_answer");
                           next_look_ = moment + milliseconds(20);
                           after_gap_ = true;
-                          if (answer.fate != Answer::Fate::answered) wary_until_ = moment + props_.wary_for;
-                          if (answer.fate != Answer::Fate::answered && ++look_mishaps_ >= props_.silent_after && !silent_) {
+                          if (answer.fate != Answer::Fate::answered) wary_until_ = moment + settings_.wary_for;
+                          if (answer.fate != Answer::Fate::answered && ++look_errors_ >= settings_.silent_after && !silent_) {
                               silent_ = true;
                               log_line("side", "worker {} does not answer", life);
                               ask_owner(true);
                           }
                           if (silent_) next_look_ = moment + milliseconds(300);
                       } else {
-                          look_mishaps_ = 0;
+                          look_errors_ = 0;
                           if (silent_) {
                               silent_ = false;
                               ask_owner(true);
@@ -472,9 +472,9 @@
                   });
     }
     bool take_look(const Answer& answer, Epoch epoch, const std::vector<std::string>& stopped, Micros now) {
-        boost::system::error_code mishap;
-        boost::json::value whole = boost::json::parse(answer.body, mishap);
-        if (mishap || !whole.is_object()) return false;
+        boost::system::error_code error;
+        boost::json::value whole = boost::json::parse(answer.body, error);
+        if (error || !whole.is_object()) return false;
         const auto& object = whole.as_object();
         if (const auto* clock = object.if_contains("clock_ms"); clock && clock->is_number()) note_clock(Micros(clock->to_number<double>() * 1000), now);
         HoldReport report;
@@ -502,7 +502,7 @@
         active_ = report.active.size();
         if (ends) {
             ended_at_ = now;
-            next_look_ = now + props_.gather;
+            next_look_ = now + settings_.gather;
         }
         if (epoch != epoch_) return true;
         bool first = fence_shown_ < epoch;
@@ -519,12 +519,12 @@
         return true;
     }
 
-    SideProps props_;
+    SideSettings settings_;
     Loop& loop_;
     std::recursive_mutex lock_;
-    Compass compass_;
+    Locator locator_;
     std::unique_ptr<Listener> control_;
-    std::uint64_t sitting_ = 0;
+    std::uint64_t incarnation_ = 0;
     std::optional<WorkerAccount> worker_;
     std::deque<std::string> over_;
     std::uint64_t beat_sequence_ = 0;
@@ -545,7 +545,7 @@
     std::optional<HoldReport> report_;
     size_t active_ = 0;
     bool looking_ = false, looking_short_ = false, look_again_ = false, silent_ = false;
-    size_t look_mishaps_ = 0;
+    size_t look_errors_ = 0;
     bool after_gap_ = false;
     Micros wary_until_ = 0;
     Micros next_look_ = 0, ended_at_ = 0, reported_at_ = 0, counted_at_ = 0;
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -1,7 +1,7 @@
-// The whole control side in one process: detector, record, board, sides and workers under a simulated
+// The whole control side in one process: detector, record, scheduler, sides and workers under a simulated
 // network, simulated disks and simulated time. RapidCheck draws the troubles; an oracle watches the workers.
 #include "control/detector/detector.hpp"
-#include "control/jobs/board.hpp"
+#include "control/jobs/scheduler.hpp"
 #include "control/store/owner.hpp"
 #include "control/store/replica.hpp"
 
@@ -64,7 +64,7 @@
     std::set<std::pair<std::string, std::uint32_t>> ended_gangs;                    // a member of this run ended other than done
     size_t alone = 0;
     std::map<std::string, Job> sent;                // jobs as clients sent them, by ID
-    std::uint32_t sends_most = 3;
+    std::uint32_t attempts_most = 3;
 };
 
 struct Worker {
@@ -143,7 +143,7 @@
         }
         world.check(oracle.running[order.task] == 0, "TWICE two runs at once of " + order.task);
         world.check(!oracle.noted_done.contains(order.task), "TWICE start after a noted done of " + order.task);
-        world.check(oracle.noted_failed[order.task] < oracle.sends_most, "BUDGET start beyond max_attempts of " + order.task);
+        world.check(oracle.noted_failed[order.task] < oracle.attempts_most, "BUDGET start beyond max_attempts of " + order.task);
         for (std::uint32_t earlier : step.depends)
             for (std::uint32_t index = 0; index < job->second.fixed.spec.steps[earlier].count; ++index)
                 world.check(oracle.done.contains(RunName{name->job, name->time, earlier, index, 0}.task()), "ORDER start before its steps of " + order.task);
@@ -190,7 +190,7 @@
     std::vector<std::unique_ptr<Daemon>>& daemons;
     bool cut = false;
     Epoch epoch;
-    std::uint64_t era = 0, taken = 0, seen = 0, number = 0, sitting = 1;
+    std::uint64_t era = 0, taken = 0, seen = 0, number = 0, incarnation = 1;
     Micros allowed_until = 0;
     size_t target = 0;
     std::map<std::pair<std::string, std::uint32_t>, Order> starts;
@@ -224,11 +224,11 @@
         Detector detector;
         Owner owner;
         Ledger ledger;
-        Board<Ledger> board;
-        Epoch board_epoch, highest;
+        Scheduler<Ledger> scheduler;
+        Epoch scheduler_epoch, highest;
         Micros next_takeover = 0, probed = 0;
         Live(Daemon* daemon, const Replica& from, size_t place, Micros now)
-            : replica(from), detector({ms(100), ms(400), ms(100), seconds(3), seconds(20)}, place, daemon_count, now), owner({}, from.identity), ledger{daemon}, board({}, ledger) {
+            : replica(from), detector({ms(100), ms(400), ms(100), seconds(3), seconds(20)}, place, daemon_count, now), owner({}, from.identity), ledger{daemon}, scheduler({}, ledger) {
             owner.unpack_core = [](const std::string& packed) { return unpack<Core>(packed); };
         }
     };
@@ -249,7 +249,7 @@
         ++incarnation;
         live.reset();
     }
-    bool acting() const { return up && live->owner.acting() && live->board_epoch == live->owner.epoch(); }
+    bool acting() const { return up && live->owner.acting() && live->scheduler_epoch == live->owner.epoch(); }
     Core core() const { return *unpack<Core>(live->replica.registers.at("core").moving); }
 
     template <class Act>
@@ -274,20 +274,20 @@
     }
     void turn() {
         Live& my = *live;
-        for (size_t to : my.detector.pulse(world.now)) reach(to, [from = place](Daemon& other) { other.live->detector.alive(from, other.world.now); });
+        for (size_t to : my.detector.tick(world.now)) reach(to, [from = place](Daemon& other) { other.live->detector.alive(from, other.world.now); });
         if (my.detector.trusts_itself() && my.owner.state() == Owner::State::idle && world.now >= my.next_takeover) {
             my.next_takeover = world.now + ms(150);
             my.owner.take_over(core(), std::max(my.replica.promised, my.highest));
         }
         if (!my.detector.trusts_itself()) my.owner.give_up();
         if (my.owner.outbid_by) my.highest = std::max(my.highest, *my.owner.outbid_by), my.owner.outbid_by.reset();
-        if (my.owner.acting() && my.board_epoch != my.owner.epoch()) {
-            my.board_epoch = my.owner.epoch();
-            my.board.begin(my.owner.epoch(), my.owner.registers(), world.now);
+        if (my.owner.acting() && my.scheduler_epoch != my.owner.epoch()) {
+            my.scheduler_epoch = my.owner.epoch();
+            my.scheduler.begin(my.owner.epoch(), my.owner.registers(), world.now);
         }
-        if (!my.owner.acting() && my.board_epoch.value) my.board_epoch = Epoch{}, my.board.end_ownership();
+        if (!my.owner.acting() && my.scheduler_epoch.value) my.scheduler_epoch = Epoch{}, my.scheduler.end_ownership();
         if (acting()) {
-            my.board.pulse(world.now, world.now, my.owner.confirmed_at());
+            my.scheduler.tick(world.now, world.now, my.owner.confirmed_at());
             if (world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100)) my.probed = world.now, my.owner.probe();
         }
         for (Errand& errand : my.owner.pump(world.now)) carry(std::move(errand));
@@ -341,7 +341,7 @@
         Daemon& daemon = *daemons[target];
         SideAsk ask;
         ask.node = fmt::format("side-{}", worker.number);
-        ask.sitting = sitting;
+        ask.incarnation = incarnation;
         ask.number = ++number;
         ask.epoch = epoch;
         ask.taken = taken;
@@ -363,11 +363,11 @@
         if (!daemon.cut && daemon.acting()) {
             world.after(world.dice.between(ms(1), ms(8)), [this, &daemon, ask, asked_at, results_sent, stops_sent] {
                 if (cut || daemon.cut || !daemon.acting()) return;
-                daemon.live->board.take_side(ask, world.now, world.now);
+                daemon.live->scheduler.take_side(ask, world.now, world.now);
                 daemon.turn();
                 world.after(world.dice.between(ms(5), ms(30)), [this, &daemon, ask, asked_at, results_sent, stops_sent] {
                     if (cut || daemon.cut || !daemon.acting()) return;
-                    SideAnswer answer = daemon.live->board.answer_side(ask.node, daemon.live->owner.confirmed_at(), world.now);
+                    SideAnswer answer = daemon.live->scheduler.answer_side(ask.node, daemon.live->owner.confirmed_at(), world.now);
                     // A slow answer may come long after newer things; it is bound to the asking all the same.
                     Micros delay = world.dice.roll(40) == 0 ? world.dice.between(ms(500), seconds(4)) : world.dice.between(ms(1), ms(8));
                     world.after(delay, [this, asked = ask.number, asked_at, answer, life = ask.worker->life, results_sent, stops_sent] {
@@ -474,8 +474,8 @@
         Daemon* daemon = owner();
         if (!daemon) return;
         CallAsk ask{"PUT", "", "/config", config(revision), std::to_string(taken_revision), false};
-        daemon->live->board.put_config(ask, [this, revision](CallFate fate, Outcome outcome) {
-            if (fate == CallFate::settled && outcome.code == 200) taken_revision = std::max(taken_revision, revision);
+        daemon->live->scheduler.put_config(ask, [this, revision](CallFate fate, Response response) {
+            if (fate == CallFate::settled && response.code == 200) taken_revision = std::max(taken_revision, revision);
         });
     }
     void hand_in(const std::string& id) {
@@ -499,9 +499,9 @@
             bodies[id] = body;
         }
         CallAsk ask{"POST", host, prefix + id, bodies[id], "", false};
-        daemon->live->board.call(ask, world.now, world.now, [this, id](CallFate fate, Outcome outcome) {
-            world.check(outcome.code != 429, "refused after it may have been proposed");
-            if (fate == CallFate::settled && outcome.code == 200) accepted.insert(id);
+        daemon->live->scheduler.call(ask, world.now, world.now, [this, id](CallFate fate, Response response) {
+            world.check(response.code != 429, "refused after it may have been proposed");
+            if (fate == CallFate::settled && response.code == 200) accepted.insert(id);
         });
     }
     std::map<std::string, std::string> bodies;
@@ -509,10 +509,10 @@
         Daemon* daemon = owner();
         if (!daemon) return;
         bool was_accepted = accepted.contains(id), was_done = shown_done.contains(id);
-        daemon->live->board.call({"GET", host, prefix + id, "", "", false}, world.now, world.now, [this, id, was_accepted, was_done](CallFate fate, Outcome outcome) {
+        daemon->live->scheduler.call({"GET", host, prefix + id, "", "", false}, world.now, world.now, [this, id, was_accepted, was_done](CallFate fate, Response response) {
             if (fate != CallFate::settled) return;
-            world.check(!(was_accepted && outcome.code == 410), "LOST 410 for an accepted job " + id);
-            bool done = outcome.body.find("\"done\"") != std::string::npos;
+            world.check(!(was_accepted && response.code == 410), "LOST 410 for an accepted job " + id);
+            bool done = response.body.find("\"done\"") != std::string::npos;
             world.check(!was_done || done, "a job shown as done is no longer done " + id);
             if (!done) return;
             shown_done.insert(id);
@@ -526,10 +526,10 @@
         Daemon* daemon = owner();
         if (!daemon) return;
         std::uint64_t least = taken_revision;
-        daemon->live->board.get_config([this, least](CallFate fate, Outcome outcome) {
-            if (fate != CallFate::settled || outcome.code != 200) return;
+        daemon->live->scheduler.get_config([this, least](CallFate fate, Response response) {
+            if (fate != CallFate::settled || response.code != 200) return;
             Findings findings;
-            std::uint64_t revision = parse_config(outcome.body, findings).revision;
+            std::uint64_t revision = parse_config(response.body, findings).revision;
             world.check(revision >= least, fmt::format("CONFIG read {} after {} was acknowledged", revision, least));
             world.check(revision >= shown_revision, "CONFIG went back");
             shown_revision = std::max(shown_revision, revision);
@@ -591,7 +591,7 @@
         std::string standing;
         for (const std::string& id : accepted) {
             Daemon* daemon = owner();
-            const Job* job = daemon ? daemon->live->board.find_job(id) : nullptr;
+            const Job* job = daemon ? daemon->live->scheduler.find_job(id) : nullptr;
             world.check(job != nullptr, "LOST an accepted job at the end " + id);
             if (job && !job->ended()) {
                 if (++unfinished == 1)
@@ -601,9 +601,9 @@
                                 standing += fmt::format(" {}:{}{}", step, task.done ? "done" : task.placements.empty() ? "waiting" : "placed", task.failures);
                                 for (const Placement& placement : task.placements) {
                                     const std::string& life = job->moving.workers[placement.worker].life;
-                                    auto worker = daemon->live->board.workers().find(life);
+                                    auto worker = daemon->live->scheduler.workers().find(life);
                                     standing += fmt::format("({} run {} ", life, placement.run);
-                                    if (worker == daemon->live->board.workers().end()) { standing += "unknown life)"; continue; }
+                                    if (worker == daemon->live->scheduler.workers().end()) { standing += "unknown life)"; continue; }
                                     standing += fmt::format("reconciled {} orders {} ", worker->second.reconciled, worker->second.orders.size());
                                     for (const auto& order : worker->second.orders) standing += fmt::format("#{} kind {} {} {};", order.number, int(order.kind), order.task, order.run);
                                     for (auto& side : sides)
--- a/tests/detector.cpp
+++ b/tests/detector.cpp
@@ -15,15 +15,15 @@
     struct Row { size_t self, count; std::vector<size_t> beaten; };
     for (const Row& row : {Row{0, 3, {1, 2}}, Row{0, 1, {}}, Row{1, 3, {}}, Row{2, 3, {}}, Row{0, 5, {1, 2, 3, 4}}}) {
         Detector detector({}, row.self, row.count, 0);
-        EXPECT(detector.pulse(0) == row.beaten);
-        EXPECT(detector.pulse(ms(199)).empty());
-        EXPECT(detector.pulse(ms(200)) == row.beaten);
+        EXPECT(detector.tick(0) == row.beaten);
+        EXPECT(detector.tick(ms(199)).empty());
+        EXPECT(detector.tick(ms(200)) == row.beaten);
     }
     Detector silent({}, 0, 3, 0);
     silent.set_silent(true);
-    EXPECT(silent.trusts_itself() && silent.pulse(0).empty());
+    EXPECT(silent.trusts_itself() && silent.tick(0).empty());
     silent.set_silent(false);
-    EXPECT(silent.pulse(ms(1)).size() == 2);
+    EXPECT(silent.tick(ms(1)).size() == 2);
 }
 
 // Task 2: without a heartbeat trust moves to the next index after each timeout, never past the daemon itself.
@@ -31,15 +31,15 @@
     Detector detector({}, 2, 4, 0);
     struct Row { Micros at; size_t trusted; };
     for (const Row& row : {Row{ms(999), 0}, Row{ms(1000), 1}, Row{ms(1999), 1}, Row{ms(2000), 2}, Row{ms(9000), 2}}) {
-        detector.pulse(row.at);
+        detector.tick(row.at);
         EXPECT_SAID(detector.trusted() == row.trusted, fmt::format("at {} trusts {}", row.at, detector.trusted()));
     }
     EXPECT(detector.trusts_itself());
     Detector heard({}, 1, 3, 0);
     heard.alive(0, ms(500));
-    heard.pulse(ms(1000));
+    heard.tick(ms(1000));
     EXPECT(heard.trusted() == 0);
-    heard.pulse(ms(2000));
+    heard.tick(ms(2000));
     EXPECT(heard.trusted() == 1);
 }
 
@@ -50,12 +50,12 @@
     EXPECT(!detector.alive(1, 0));
     EXPECT(!detector.alive(3, 0));
     EXPECT(detector.trusted() == 0 && detector.timeout_of(0) == ms(1000));
-    detector.pulse(ms(1000));
-    detector.pulse(ms(2000));
+    detector.tick(ms(1000));
+    detector.tick(ms(2000));
     EXPECT(detector.trusted() == 1);
     EXPECT(detector.alive(0, ms(2100)));
     EXPECT(detector.trusted() == 0 && detector.timeout_of(0) == ms(1100) && detector.timeout_of(1) == ms(1000));
-    detector.pulse(ms(3199));
+    detector.tick(ms(3199));
     EXPECT(detector.trusted() == 0);
 }
 
@@ -64,32 +64,32 @@
     Detector leaving({}, 1, 3, 0);
     leaving.leaving(0, ms(10));
     EXPECT(leaving.trusts_itself());
-    EXPECT(leaving.pulse(ms(10)) == std::vector<size_t>{2});
+    EXPECT(leaving.tick(ms(10)) == std::vector<size_t>{2});
     Detector other({}, 2, 3, 0);
     other.leaving(1, 0);
     EXPECT(other.trusted() == 0);
 
-    DetectorProps props;
-    Detector grown(props, 1, 2, 0);
+    DetectorSettings settings;
+    Detector grown(settings, 1, 2, 0);
     Micros now = 0;
     for (int round = 0; round < 50; ++round) {
         now += grown.timeout_of(0);
-        grown.pulse(now);
+        grown.tick(now);
         EXPECT(grown.trusts_itself());
         grown.alive(0, now);
         now += grown.timeout_of(0);
-        grown.pulse(now);
+        grown.tick(now);
     }
-    EXPECT(grown.timeout_of(0) == props.timeout_most);
+    EXPECT(grown.timeout_of(0) == settings.timeout_most);
     for (int round = 0; round < 40; ++round) {
-        now += props.calm;
+        now += settings.calm;
         grown.alive(0, now);
-        grown.pulse(now);
+        grown.tick(now);
     }
-    EXPECT(grown.timeout_of(0) == props.timeout);
+    EXPECT(grown.timeout_of(0) == settings.timeout);
 
     Detector moved({}, 2, 3, 0);
-    moved.pulse(ms(1000));
+    moved.tick(ms(1000));
     EXPECT(moved.trusted() == 1);
     moved.reorder(1, 2, 0, ms(1500));  // place 0 is gone, the trusted daemon is now the lowest
     EXPECT(moved.trusted() == 0 && !moved.trusts_itself());
@@ -106,7 +106,7 @@
         correct[count - 1] = true;
         size_t lowest = size_t(std::find(correct.begin(), correct.end(), true) - correct.begin());
         std::vector<Detector> daemons;
-        for (size_t place = 0; place < count; ++place) daemons.emplace_back(DetectorProps{}, place, count, 0);
+        for (size_t place = 0; place < count; ++place) daemons.emplace_back(DetectorSettings{}, place, count, 0);
         std::multimap<Micros, std::pair<size_t, size_t>> wire;
         size_t sent = 0, sent_by_others = 0, drawn = 0;
         const Micros unstable = seconds(10), settled = seconds(40), end = seconds(50);
@@ -118,7 +118,7 @@
             }
             for (size_t place = 0; place < count; ++place) {
                 if (!correct[place] && now > unstable) continue;
-                for (size_t to : daemons[place].pulse(now)) {
+                for (size_t to : daemons[place].tick(now)) {
                     Micros delay = now < unstable ? ms(delays[drawn++ % delays.size()]) : ms(20);
                     if (correct[to] || now < unstable) wire.emplace(now + delay, std::pair(place, to));
                     if (now >= settled) (place == lowest ? sent : sent_by_others)++;
--- a/tests/forecast.cpp
+++ b/tests/forecast.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-LaneSpan span(std::int64_t number, const std::string& lane, std::int64_t priority, double arrived, double waited, double fleet = 10) {
-    return {number, seconds(60), lane, priority, arrived * 60, arrived * 60, waited, fleet, true};
+QueueSpan span(std::int64_t number, const std::string& queue, std::int64_t priority, double arrived, double waited, double fleet = 10) {
+    return {number, seconds(60), queue, priority, arrived * 60, arrived * 60, waited, fleet, true};
 }
-History history_of(const std::vector<LaneSpan>& spans) {
+History history_of(const std::vector<QueueSpan>& spans) {
     History history;
     Findings findings;
     std::string text;
-    for (const LaneSpan& each : spans) text += "12.0 history " + each.line() + "\n";
+    for (const QueueSpan& each : spans) text += "12.0 history " + each.line() + "\n";
     read_history(text, "one.log", history, findings);
     EXPECT_SAID(findings.empty(), findings.text());
     return history;
@@ -26,9 +26,9 @@
     Findings findings;
     read_history("1.0 counters calls=3\n2.0 history " + span(5, "a/q/", 0, 2, 0).line() + "\n", "one.log", history, findings);
     read_history("3.0 history " + span(5, "a/q/", 0, 1, 7).line() + "\n", "two.log", history, findings);
-    EXPECT(findings.empty() && history.lanes.size() == 1);
-    EXPECT(std::abs(history.lanes.at("a/q/").spans.at(5).arrived - 180) < 1e-6);
-    EXPECT(history.lanes.at("a/q/").spans.at(5).waited == 7);
+    EXPECT(findings.empty() && history.queues.size() == 1);
+    EXPECT(std::abs(history.queues.at("a/q/").spans.at(5).arrived - 180) < 1e-6);
+    EXPECT(history.queues.at("a/q/").spans.at(5).waited == 7);
     struct Row { std::string line; std::string place; };
     for (const Row& row : {Row{"history {", "bad.log:1"}, Row{"history {\"span\":1}", "bad.log:1"}, Row{"ok\nhistory {\"span\":-1,\"length_ms\":5}", "bad.log:2"}}) {
         Findings wrong;
@@ -36,20 +36,20 @@
         EXPECT(!wrong.empty() && wrong.list().front().place == row.place);
     }
     Findings several;
-    read_history("history {\"span\":1}\nhistory [\n{\"lane\":3}\n", "bad.log", history, several);
+    read_history("history {\"span\":1}\nhistory [\n{\"queue\":3}\n", "bad.log", history, several);
     EXPECT(several.list().size() > 6);  // every field, not only the first
 }
 
 // A steady demand below the fleet: no warning, no event, and the forecast is the demand.
 void steady() {
-    std::vector<LaneSpan> spans;
+    std::vector<QueueSpan> spans;
     for (int number = 0; number < 40; ++number) spans.push_back(span(number, "urgent", 0, 3, 0)), spans.push_back(span(number, "later", 2, 2, 0));
     History history = history_of(spans);
     Forecast forecast = forecast_demand(history, 40, {});
-    EXPECT(!forecast.warns && forecast.lanes.size() == 2);
-    for (const LaneForecast& lane : forecast.lanes) {
-        EXPECT(lane.urgent == (lane.lane == "urgent"));
-        EXPECT(std::abs(lane.mean.back() - (lane.urgent ? 3 : 2)) < 0.01);
+    EXPECT(!forecast.warns && forecast.queues.size() == 2);
+    for (const QueueForecast& queue : forecast.queues) {
+        EXPECT(queue.urgent == (queue.queue == "urgent"));
+        EXPECT(std::abs(queue.mean.back() - (queue.urgent ? 3 : 2)) < 0.01);
     }
     Backtest test = check_past(history, {});
     EXPECT(test.events.empty() && test.warnings == 0 && test.mean_off < 0.01);
@@ -57,7 +57,7 @@
 
 // Urgent demand grows by 0.2 a span; from 9 of 10 accelerators on urgent tasks wait. Warned at least three spans ahead.
 void growing() {
-    std::vector<LaneSpan> spans;
+    std::vector<QueueSpan> spans;
     for (int number = 0; number < 45; ++number) {
         double demand = 1 + 0.2 * number;
         spans.push_back(span(number, "urgent", 0, demand, demand >= 9 ? 30 : 0));
@@ -70,7 +70,7 @@
 
 // A jump that nothing announced cannot be warned of: the check must say that it was missed.
 void sudden() {
-    std::vector<LaneSpan> spans;
+    std::vector<QueueSpan> spans;
     for (int number = 0; number < 30; ++number) spans.push_back(span(number, "urgent", 0, number == 20 ? 20 : 2, number == 20 ? 50 : 0));
     Backtest test = check_past(history_of(spans), {});
     EXPECT(test.events.size() == 1 && test.missed() == 1);
@@ -78,19 +78,19 @@
 
 // A daily course: with the season known the second and later peaks are warned of.
 void seasonal() {
-    std::vector<LaneSpan> spans;
+    std::vector<QueueSpan> spans;
     const int season = 12;
     for (int number = 0; number < season * 8; ++number) {
         double demand = number % season >= 8 ? 9.5 : 3;
         spans.push_back(span(number, "urgent", 0, demand, number % season >= 8 ? 20 : 0));
     }
-    ForecastProps props;
-    props.season = season;
-    props.warm_up = season * 3;
-    Backtest test = check_past(history_of(spans), props);
+    ForecastSettings settings;
+    settings.season = season;
+    settings.warm_up = season * 3;
+    Backtest test = check_past(history_of(spans), settings);
     EXPECT(test.events.size() == 5 && test.missed() == 0);
     // Work that can wait does not count as urgent, however long it waits.
-    std::vector<LaneSpan> patient = {span(0, "urgent", 0, 1, 0)};
+    std::vector<QueueSpan> patient = {span(0, "urgent", 0, 1, 0)};
     for (int number = 0; number < 20; ++number) patient.push_back(span(number, "later", 2, 1, 500));
     EXPECT(check_past(history_of(patient), {}).events.empty());
 }
--- a/tests/input.cpp
+++ b/tests/input.cpp
@@ -1,8 +1,8 @@
 // What comes in from outside: configurations, jobs, settings. Every finding with its place, nothing half taken.
 #include "control/jobs/spec.hpp"
 #include "shared/settings/config.hpp"
-#include "shared/settings/props.hpp"
-#include "shared/news/compass.hpp"
+#include "shared/settings/settings.hpp"
+#include "shared/news/locator.hpp"
 
 #include "check.hpp"
 
@@ -59,11 +59,11 @@
 void settings() {
     const std::string sound = R"({"node_name":"n","zone":"z","ip":"10.0.0.1","bind_addrs":{"front":"10.0.0.1:80"},"port_range":[7720,7735],"seeds":["10.0.0.1:81"],"bootstrap":true,"unknown":{"x":1}})";
     Findings none;
-    Props props = parse_props(sound, none);
+    Settings settings = parse_settings(sound, none);
     EXPECT_SAID(none.empty(), none.text());
-    EXPECT(props.first_start && props.first_port == 7720 && props.seeds.size() == 1);
+    EXPECT(settings.first_start && settings.first_port == 7720 && settings.seeds.size() == 1);
     Findings several;
-    parse_props(R"({"zone":3,"ip":"10.0.0.1","bind_addrs":{"front":"nowhere"},"port_range":[9,5],"seeds":[]})", several);
+    parse_settings(R"({"zone":3,"ip":"10.0.0.1","bind_addrs":{"front":"nowhere"},"port_range":[9,5],"seeds":[]})", several);
     for (const char* place : {"node_name", "zone", "bind_addrs.front", "port_range", "seeds"}) EXPECT_SAID(has_place(several, place), place);
 }
 void rendezvous_is_steady() {
