Sides keep a pause that the owner sets; frames are read without a tree; calls keep their handles

Change: SideAnswer.pause (0 up to 16 sides and 15 ms of lateness of the owner's turns), asks gather what comes meanwhile; accounts go by a mark once they are known, spec texts once an answer; a newer ask takes the orders alone; answers to sides and news are looked at when they may be due; frames are decoded item by item; handles rest by kind of call; the loop is woken once for many asks; rendezvous by xxHash, ranked once; a few daemons asked after a growing, jittered pause; routes by host; a head above max_header_bytes gets 431.

--- a/source/control.hpp
+++ b/source/control.hpp
@@ -9,6 +9,7 @@
 #include "shared/http/listener.hpp"
 #include "shared/http/loop.hpp"
 #include "shared/http/slab.hpp"
+#include "shared/news/pace.hpp"
 #include "shared/settings/settings.hpp"
 #include "shared/time/judge.hpp"
 
@@ -21,6 +22,7 @@
     SchedulerSettings scheduler;
     Micros write_patience = milliseconds(700);
     Micros side_wait = seconds(1);
+    PaceSettings pace;
     Micros probe_busy = milliseconds(300), probe_idle = milliseconds(800);
     Micros catching_up_most = milliseconds(1200);
     Micros count_every = seconds(5);
@@ -111,6 +113,11 @@
         Epoch epoch;
         std::uint64_t taken = 0, seen_told = 0;
         Micros until = 0;
+        bool superseded = false;  // a newer ask of the same side is here: that one gets the orders
+    };
+    struct SideAccount {
+        std::uint64_t incarnation = 0, mark = 0;
+        WorkerAccount account;
     };
     struct NewsWait {
         Reply reply;
@@ -334,6 +341,7 @@
         if (place_) next = std::min(next, detector_.next(now));
         if (owner_.state() != Owner::State::idle) next = std::min(next, now + (owner_.acting() ? milliseconds(100) : settings_.owner.ask_again));
         if (acting()) next = std::min(next, scheduler_.next_tick(now, judge_.wall(wall_now(), now)));
+        if (sides_asked_) next = std::min(next, sides_due_);
         next = std::max(next, now + 500);
         if (timer_at_ != 0 && timer_at_ <= next + 500 && timer_at_ > now - milliseconds(50)) return;
         timer_at_ = next;
@@ -341,6 +349,7 @@
             std::lock_guard guard(lock_);
             if (timer_at_ != next) return;
             timer_at_ = 0;
+            lateness_ += (std::max<Micros>(0, steady_now() - next) - lateness_) / 8;
             turn();
         });
     }
@@ -467,6 +476,7 @@
             std::lock_guard guard(lock_);
             Micros now = steady_now();
             news_.push_back({std::move(request.reply), *ask, now + std::min(ask->wait, seconds(30))});
+            news_due_ = 0;
             answer_news(now);
         } else if (request.path == "/inner/call") {
             auto ask = unpack<CallAsk>(request.body);
@@ -548,23 +558,55 @@
             });
             return;
         }
-        std::uint64_t seen_before = scheduler_.seen_of(ask.node);
-        (void)seen_before;
+        if (!complete_account(ask)) {
+            SideAnswer answer;
+            answer.served = answer.whole = true;
+            answer.epoch = owner_.epoch();
+            counters().add("accounts_unknown");
+            return reply.send(Response::cbor(pack(answer)));
+        }
         scheduler_.take_side(ask, now, judge_.wall(wall_now(), now));
         // An older ask of the same side is answered at once: only the newest waits.
         for (SideWait& wait : sides_)
-            if (wait.node == ask.node) wait.until = 0;
+            if (wait.node == ask.node) wait.until = 0, wait.superseded = true;
         std::uint64_t told = ask.epoch == owner_.epoch() ? ask.seen : 0;
         sides_.push_back({std::move(reply), ask.node, ask.epoch, ask.epoch == owner_.epoch() ? ask.taken : 0, told, now + settings_.side_wait});
     }
+    // Fills in the account that the ask's mark means; false when it is not known here.
+    bool complete_account(SideAsk& ask) {
+        if (ask.account_mark == 0) return true;
+        if (ask.worker) {
+            if (accounts_.size() > 4096) accounts_.clear();
+            accounts_[ask.node] = {ask.incarnation, ask.account_mark, *ask.worker};
+            return true;
+        }
+        auto known = accounts_.find(ask.node);
+        if (known == accounts_.end() || known->second.incarnation != ask.incarnation || known->second.mark != ask.account_mark) return false;
+        ask.worker = known->second.account;
+        ask.worker->leaves_in = ask.leaves_in;
+        return true;
+    }
+    // Sides are answered at once in a small deployment; where they keep a pause, what comes within an eighth of it goes together.
     void answer_sides(Micros now) {
+        sides_asked_ = now < sides_due_ && acting();
+        if (sides_asked_) return;
+        Micros pause = ask_pause(settings_.pace, scheduler_.side_count(), lateness_);
+        sides_due_ = now + std::min(pause / 8, milliseconds(10));
         for (auto wait = sides_.begin(); wait != sides_.end();) {
             if (acting() && now < wait->until && !scheduler_.has_news(wait->node, wait->epoch, wait->taken, wait->seen_told)) {
                 ++wait;
                 continue;
             }
-            if (acting()) wait->reply.send(Response::cbor(pack(scheduler_.answer_side(wait->node, owner_.confirmed_at(), now))));
-            else wait->reply.send(Response::cbor(pack(SideAnswer{})));
+            if (acting()) {
+                SideAnswer answer = scheduler_.answer_side(wait->node, owner_.confirmed_at(), now);
+                if (wait->superseded) answer.orders.clear();
+                answer.gather_specs();
+                answer.pause = pause;
+                counters().add("sides_answered");
+                wait->reply.send(Response::cbor(pack(answer)));
+            } else {
+                wait->reply.send(Response::cbor(pack(SideAnswer{})));
+            }
             wait = sides_.erase(wait);
         }
     }
@@ -582,9 +624,15 @@
             revision = config_revision_;
             config = &found->second.moving;
         }
+        // Without news nobody is looked at before the first wait is over.
+        std::tuple told(known_epoch_, revision, core_mark_);
+        if (told == news_told_ && now < news_due_) return;
+        news_told_ = told;
+        news_due_ = std::numeric_limits<Micros>::max();
         for (auto wait = news_.begin(); wait != news_.end();) {
             bool newer = known_epoch_ > wait->ask.epoch || revision > wait->ask.config_revision || core_mark_ > wait->ask.core_mark;
             if (!newer && now < wait->until) {
+                news_due_ = std::min(news_due_, wait->until);
                 ++wait;
                 continue;
             }
@@ -599,6 +647,7 @@
         for (SideWait& wait : sides_) wait.reply.send(Response::cbor(pack(SideAnswer{})));
         sides_.clear();
         for (NewsWait& wait : news_) wait.until = 0;
+        news_due_ = 0;
         answer_news(steady_now());
     }
 
@@ -631,6 +680,12 @@
     std::uint64_t config_revision_ = 0;
     std::list<SideWait> sides_;
     std::list<NewsWait> news_;
+    std::unordered_map<std::string, SideAccount> accounts_;  // by node
+    Micros sides_due_ = 0;
+    bool sides_asked_ = false;  // sides are to be answered when that time comes
+    Micros lateness_ = 0;  // of the turns by timer, smoothed
+    Micros news_due_ = 0;
+    std::tuple<Epoch, std::uint64_t, std::uint64_t> news_told_;
 };
 
 }  // namespace calicostall
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -310,10 +310,7 @@
         if (epoch != epoch_ || worker.seen > seen_told || worker.look) return true;
         return !worker.orders.empty() && worker.orders.back().number > taken;
     }
-    std::uint64_t seen_of(const std::string& node) const {
-        auto known = nodes_.find(node);
-        return known == nodes_.end() ? 0 : workers_.at(known->second).seen;
-    }
+    size_t side_count() const { return nodes_.size(); }
 
     // --- time ---
 
--- a/source/front.hpp
+++ b/source/front.hpp
@@ -85,7 +85,6 @@
         loop_.after(milliseconds(100), [this, then] { watch_drain(then); });
     }
     void take_news() {
-        std::string text = locator_.config();
         std::lock_guard guard(lock_);
         if (Epoch epoch = locator_.epoch(); epoch > epoch_) {
             // What waits at an earlier owner is sent to the new one now; one ID stays one job.
@@ -98,9 +97,11 @@
                 loop_.after(0, [this, handle] { send(handle); });
             }
         }
-        if (text != config_.text) {
+        // One text a revision, read once.
+        if (std::uint64_t revision = locator_.revision(); revision > config_revision_) {
+            config_revision_ = revision;
             Findings findings;
-            Config config = parse_config(text, findings);
+            Config config = parse_config(locator_.config(), findings);
             if (findings.empty()) {
                 config_ = std::move(config);
                 log_line("front", "configuration {}", config_.revision);
@@ -112,6 +113,7 @@
         last_call_ = steady_now();
         counters().add("calls");
         if (config_.revision == 0) return request.reply.send(Response::later(503, 1));
+        if (request.head_bytes > config_.header_bytes) return request.reply.send(Response::plain(431));
         if (request.body.size() > config_.body_bytes) return request.reply.send(Response::plain(413));
         if (waiting_.size() >= settings_.waiting_most) {
             counters().add("calls_refused");
@@ -185,6 +187,7 @@
     Loop& loop_;
     std::recursive_mutex lock_;
     Config config_;
+    std::uint64_t config_revision_ = 0;  // the newest text that was read
     Slab<Waiting> waiting_;
     Epoch epoch_;
     Locator locator_;
--- a/source/shared/http/listener.hpp
+++ b/source/shared/http/listener.hpp
@@ -45,6 +45,7 @@
     std::string if_match;
     std::string deadline_ms;
     std::string body;
+    size_t head_bytes = 0;  // of the request line and the headers
     Reply reply;
 };
 
@@ -90,6 +91,8 @@
             if (auto raw = message.headers().tryGetRaw("If-Match")) request.if_match = raw->value();
             if (auto raw = message.headers().tryGetRaw("X-Deadline-Ms")) request.deadline_ms = raw->value();
             request.body = message.body();
+            request.head_bytes = request.method.size() + request.path.size() + 12;
+            for (const auto& [name, raw] : message.headers().rawList()) request.head_bytes += name.size() + raw.value().size() + 4;
             request.reply = Reply(std::move(writer), *closing);
             (*take)(std::move(request));
         }
--- a/source/shared/http/loop.hpp
+++ b/source/shared/http/loop.hpp
@@ -49,11 +49,14 @@
         wake();
     }
     void after(Micros wait, std::function<void()> act) {
+        bool sooner;
         {
             std::lock_guard guard(lock_);
-            timers_.emplace(steady_now() + wait, std::move(act));
+            Micros due = steady_now() + wait;
+            timers_.emplace(due, std::move(act));
+            sooner = due < sleeps_until_;
         }
-        wake();
+        if (sooner) wake();
     }
     void run() {
         runner_ = std::this_thread::get_id();
@@ -64,6 +67,7 @@
             finish_asks();
             run_timers();
             curl_multi_poll(multi_, nullptr, 0, wait_ms(), nullptr);
+            woken_ = false;
         }
     }
 
@@ -72,19 +76,27 @@
         CURL* easy = nullptr;
         Ask ask;
         Then then;
-        std::string body;
+        std::string body, kind;
+        curl_slist* headers = nullptr;
+    };
+    // A handle at rest, made ready for one kind of call: only body and patience change from call to call.
+    struct Kept {
+        CURL* easy = nullptr;
         curl_slist* headers = nullptr;
     };
+    static constexpr size_t kept_most = 48;
 
+    // Many asks of other threads wake the loop once.
     void wake() {
-        if (std::this_thread::get_id() != runner_) curl_multi_wakeup(multi_);
+        if (std::this_thread::get_id() != runner_ && !woken_.exchange(true)) curl_multi_wakeup(multi_);
     }
     int wait_ms() {
         std::lock_guard guard(lock_);
-        if (!asks_.empty()) return 0;
-        if (timers_.empty()) return 1000;
-        Micros left = timers_.begin()->first - steady_now();
-        return int(std::clamp<Micros>((left + 999) / 1000, 0, 1000));
+        Micros now = steady_now(), wait = seconds(1);
+        if (!timers_.empty()) wait = std::clamp<Micros>(timers_.begin()->first - now, 0, wait);
+        if (!asks_.empty()) wait = 0;
+        sleeps_until_ = now + wait;
+        return int((wait + 999) / 1000);
     }
     static size_t take_bytes(char* data, size_t size, size_t count, void* into) {
         static_cast<std::string*>(into)->append(data, size * count);
@@ -107,39 +119,58 @@
         auto call = std::make_unique<Call>();
         call->ask = std::move(ask);
         call->then = std::move(then);
-        if (!spare_.empty()) {
-            call->easy = spare_.back();
-            spare_.pop_back();
-            curl_easy_reset(call->easy);
+        call->kind = call->ask.method + " " + call->ask.url + " " + call->ask.form;
+        for (const std::string& header : call->ask.headers) call->kind += "\n" + header;
+        auto kept = kept_.find(call->kind);
+        if (kept != kept_.end()) {
+            call->easy = kept->second.easy;
+            call->headers = kept->second.headers;
+            kept_.erase(kept);
         } else {
-            call->easy = curl_easy_init();
+            make_ready(*call);
         }
         CURL* easy = call->easy;
-        curl_easy_setopt(easy, CURLOPT_URL, call->ask.url.c_str());
-        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(easy, CURLOPT_PROXY, "");
-        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, long(CURL_HTTP_VERSION_1_1));
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, long(call->ask.patience / 1000)));
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::max<long>(1, long(std::min<Micros>(call->ask.patience, milliseconds(500)) / 1000)));
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Loop::prepare_socket);
-        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Loop::take_bytes);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call->body);
         curl_easy_setopt(easy, CURLOPT_PRIVATE, call.get());
-        if (call->ask.method == "POST" || call->ask.method == "PUT" || !call->ask.body.empty()) {
-            curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        if (call->ask.method != "GET" && call->ask.method != "DELETE") {
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->ask.body.c_str());
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, long(call->ask.body.size()));
-            call->headers = curl_slist_append(call->headers, fmt::format("Content-Type: {}", call->ask.form).c_str());
-            call->headers = curl_slist_append(call->headers, "Expect:");
         }
-        call->headers = curl_slist_append(call->headers, "Accept:");
-        if (call->ask.method != "POST") curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call->ask.method.c_str());
-        for (const std::string& header : call->ask.headers) call->headers = curl_slist_append(call->headers, header.c_str());
-        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
         curl_multi_add_handle(multi_, easy);
         calls_.emplace(easy, std::move(call));
     }
+    void make_ready(Call& call) {
+        CURL* easy = call.easy = curl_easy_init();
+        curl_easy_setopt(easy, CURLOPT_URL, call.ask.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, long(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Loop::prepare_socket);
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Loop::take_bytes);
+        if (call.ask.method != "GET" && call.ask.method != "DELETE") {
+            curl_easy_setopt(easy, CURLOPT_POST, 1L);
+            call.headers = curl_slist_append(call.headers, fmt::format("Content-Type: {}", call.ask.form).c_str());
+            call.headers = curl_slist_append(call.headers, "Expect:");
+        }
+        call.headers = curl_slist_append(call.headers, "Accept:");
+        if (call.ask.method != "POST") curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.ask.method.c_str());
+        for (const std::string& header : call.ask.headers) call.headers = curl_slist_append(call.headers, header.c_str());
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.headers);
+    }
+    void keep(Call& call) {
+        if (kept_.size() >= kept_most) {
+            drop(kept_.begin()->second);
+            kept_.erase(kept_.begin());
+        }
+        kept_.emplace(std::move(call.kind), Kept{call.easy, call.headers});
+    }
+    static void drop(Kept kept) {
+        curl_easy_cleanup(kept.easy);
+        curl_slist_free_all(kept.headers);
+    }
     void finish_asks() {
         int left = 0;
         while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
@@ -156,9 +187,7 @@
             if (result == CURLE_OK) answer = {Answer::Fate::answered, int(code), std::move(call->body)};
             else answer.fate = sent == 0 ? Answer::Fate::refused : Answer::Fate::unknown;
             if (result != CURLE_OK) counters().add("sends_without_answer");
-            curl_slist_free_all(call->headers);
-            if (spare_.size() < 32) spare_.push_back(call->easy);
-            else curl_easy_cleanup(call->easy);
+            keep(*call);
             if (call->then) call->then(std::move(answer));
         }
     }
@@ -180,7 +209,9 @@
     std::deque<std::pair<Ask, Then>> asks_;
     std::multimap<Micros, std::function<void()>> timers_;
     std::unordered_map<CURL*, std::unique_ptr<Call>> calls_;
-    std::vector<CURL*> spare_;
+    std::unordered_multimap<std::string, Kept> kept_;  // by kind of call
+    Micros sleeps_until_ = 0;
+    std::atomic<bool> woken_{false};
     std::thread::id runner_;
 };
 
--- a/source/shared/news/locator.hpp
+++ b/source/shared/news/locator.hpp
@@ -1,7 +1,10 @@
 // How a front or a side finds the owner: it asks a few control daemons with the versions it has.
 #pragma once
+#include <xxhash.h>
+
 #include "common.hpp"
 #include "shared/http/loop.hpp"
+#include "shared/news/backoff.hpp"
 #include "shared/wire/frames.hpp"
 
 namespace calicostall {
@@ -9,15 +12,15 @@
 // Rendezvous hashing: every daemon ranks all others by a hash of both names and takes the first few.
 // Example: rendezvous("side-mbezi-2", {"10.1.0.10:7720", "10.2.0.40:7720"}) -> the same order at every call
 inline std::vector<std::string> rendezvous(const std::string& own, std::vector<std::string> others) {
-    auto weight = [&](const std::string& other) {
-        std::uint64_t hash = 1469598103934665603ull;
-        for (char letter : own + "|" + other) hash = (hash ^ std::uint8_t(letter)) * 1099511628211ull;
-        hash ^= hash >> 31;
-        return hash * 0x9e3779b97f4a7c15ull;
-    };
-    std::sort(others.begin(), others.end(), [&](const std::string& left, const std::string& right) {
-        return std::pair(weight(left), left) > std::pair(weight(right), right);
-    });
+    std::vector<std::pair<std::uint64_t, std::string>> ranks;
+    ranks.reserve(others.size());
+    std::uint64_t seed = XXH3_64bits(own.data(), own.size());
+    for (std::string& other : others) {
+        std::uint64_t weight = XXH3_64bits_withSeed(other.data(), other.size(), seed);
+        ranks.emplace_back(weight, std::move(other));
+    }
+    std::sort(ranks.begin(), ranks.end(), std::greater<>());
+    for (size_t place = 0; place < ranks.size(); ++place) others[place] = std::move(ranks[place].second);
     return others;
 }
 
@@ -29,11 +32,13 @@
         size_t watched = 2;
         Micros wait = seconds(5);
         bool wants_config = true;
+        size_t hurried = 2;  // daemons asked at once when the owner is lost
     };
     using Changed = std::function<void()>;
 
     Locator(Settings settings, Loop& loop, Changed changed) : settings_(std::move(settings)), loop_(loop), changed_(std::move(changed)) {
         peers_ = settings_.seeds;
+        rank();
     }
     void open() {
         watching_.resize(settings_.watched);
@@ -42,6 +47,7 @@
     void add_seeds(const std::vector<std::string>& seeds) {
         std::lock_guard guard(lock_);
         settings_.seeds = seeds;
+        rank();
     }
     std::string owner() const {
         std::lock_guard guard(lock_);
@@ -66,40 +72,40 @@
     // The n-th choice for a call: the owner first, then the peers by rendezvous.
     std::string target(size_t choice) const {
         std::lock_guard guard(lock_);
-        std::vector<std::string> order = ranked();
-        if (!owner_.empty()) {
-            if (choice == 0) return owner_;
-            std::erase(order, owner_);
-            --choice;
-            if (order.empty()) return owner_;
-        }
-        return order.empty() ? std::string() : order[choice % order.size()];
+        if (choice == 0 && !owner_.empty()) return owner_;
+        if (ranked_.empty()) return owner_;
+        if (owner_.empty()) return ranked_[choice % ranked_.size()];
+        auto own_rank = std::find(ranked_.begin(), ranked_.end(), owner_);
+        if (own_rank == ranked_.end()) return ranked_[(choice - 1) % ranked_.size()];
+        if (ranked_.size() == 1) return owner_;
+        size_t place = (choice - 1) % (ranked_.size() - 1);
+        return ranked_[place < size_t(own_rank - ranked_.begin()) ? place : place + 1];
     }
-    // The owner answered nothing: ask all for what they know now.
+    // The owner answered nothing: ask a few daemons for what they know now, other ones each time.
+    // However many calls fail, the pause between two rounds grows until an owner is heard of.
     void hurry() {
-        std::vector<std::string> order;
+        std::vector<std::string> asked;
         {
             std::lock_guard guard(lock_);
-            if (steady_now() - hurried_at_ < milliseconds(100)) return;
-            hurried_at_ = steady_now();
-            order = ranked();
+            if (ranked_.empty() || !hurry_.due(steady_now())) return;
+            for (size_t count = 0; count < std::min(settings_.hurried, ranked_.size()); ++count) asked.push_back(ranked_[hurry_next_++ % ranked_.size()]);
         }
-        for (const std::string& address : order) ask(address, 0, [](bool) {});
+        for (const std::string& address : asked) ask(address, 0, [](bool) {});
     }
 
 private:
-    std::vector<std::string> ranked() const {
+    void rank() {
         std::vector<std::string> all = peers_;
         for (const std::string& seed : settings_.seeds)
             if (std::find(all.begin(), all.end(), seed) == all.end()) all.push_back(seed);
-        return rendezvous(settings_.own, std::move(all));
+        ranked_ = rendezvous(settings_.own, std::move(all));
     }
     void watch(size_t watcher, size_t tries) {
         std::string address;
         {
             std::lock_guard guard(lock_);
             // The first choice that no other watcher has; after a error, the one after the last.
-            std::vector<std::string> order = ranked();
+            const std::vector<std::string>& order = ranked_;
             auto last = std::find(order.begin(), order.end(), watching_[watcher]);
             size_t begin = last == order.end() ? 0 : size_t(last - order.begin()) + (tries > 0 ? 1 : 0);
             for (size_t step = 0; step < order.size() && address.empty(); ++step) {
@@ -137,6 +143,7 @@
             if (news.epoch > epoch_ || (news.epoch == epoch_ && owner_.empty() && !news.owner.empty())) {
                 epoch_ = news.epoch;
                 owner_ = news.owner;
+                hurry_.reset();
                 changed = true;
                 log_line("locator", "owner {} under epoch {}", owner_, epoch_.value);
             }
@@ -148,6 +155,7 @@
             if (news.core_mark > core_mark_ && !news.peers.empty()) {
                 core_mark_ = news.core_mark;
                 peers_ = news.peers;
+                rank();
                 changed = true;
             }
         }
@@ -158,11 +166,13 @@
     Loop& loop_;
     Changed changed_;
     mutable std::mutex lock_;
-    std::vector<std::string> peers_, watching_;
+    std::vector<std::string> peers_, ranked_, watching_;
     std::string owner_, config_;
     Epoch epoch_;
     std::uint64_t revision_ = 0, core_mark_ = 0;
-    Micros heard_at_ = -1, hurried_at_ = 0;
+    Micros heard_at_ = -1;
+    Backoff hurry_{milliseconds(100), milliseconds(400), std::random_device{}()};
+    size_t hurry_next_ = 0;
 };
 
 }  // namespace calicostall
--- a/source/shared/settings/config.hpp
+++ b/source/shared/settings/config.hpp
@@ -25,16 +25,29 @@
     size_t body_bytes = 262144, header_bytes = 16384;
     Micros header_wait = seconds(3), idle_wait = seconds(15);
 
+    std::map<std::string, std::vector<size_t>, std::less<>> by_host;  // places in `queues`, the longest prefix first
+
     // Example: const Queue* queue = config.find("nony24.example", "/lohu930/5c0e7a21d94b36f8");
     const Queue* find(std::string_view host, std::string_view path) const {
-        const Queue* best = nullptr;
-        for (const Queue& queue : queues)
-            if (queue.host == host && path.starts_with(queue.prefix) && (!best || queue.prefix.size() > best->prefix.size())) best = &queue;
-        return best;
+        return find_where(host, [path](const Queue& queue) { return path.starts_with(queue.prefix); });
     }
     const Queue* find_exact(std::string_view host, std::string_view prefix) const {
-        for (const Queue& queue : queues)
-            if (queue.host == host && queue.prefix == prefix) return &queue;
+        return find_where(host, [prefix](const Queue& queue) { return queue.prefix == prefix; });
+    }
+    void index_hosts() {
+        by_host.clear();
+        for (size_t place = 0; place < queues.size(); ++place) by_host[queues[place].host].push_back(place);
+        for (auto& [host, places] : by_host)
+            std::stable_sort(places.begin(), places.end(), [this](size_t left, size_t right) { return queues[left].prefix.size() > queues[right].prefix.size(); });
+    }
+
+private:
+    template <std::predicate<const Queue&> Fits>
+    const Queue* find_where(std::string_view host, Fits fits) const {
+        auto known = by_host.find(host);
+        if (known == by_host.end()) return nullptr;
+        for (size_t place : known->second)
+            if (fits(queues[place])) return &queues[place];
         return nullptr;
     }
 };
@@ -99,6 +112,7 @@
         config.header_wait = Micros(inner.number("header_timeout_ms", 3000) * 1000);
         config.idle_wait = Micros(inner.number("idle_timeout_ms", 15000) * 1000);
     }
+    config.index_hosts();
     return config;
 }
 
--- a/source/shared/wire/cbor.hpp
+++ b/source/shared/wire/cbor.hpp
@@ -71,75 +71,120 @@
     }
 };
 
-// Reads what CborWriter wrote; anything else is refused as a whole.
+// Reads what CborWriter wrote, item by item without a tree between; anything else is refused as a whole.
 class CborReader {
 public:
+    explicit CborReader(std::string_view bytes) : left_(bytes) {}
     bool sound = true;
+    bool finished() const { return left_.empty(); }
 
     template <class T>
-    void read(const cbor_item_t* item, T& value) {
+    void read(T& value) {
         if (!sound) return;
         if constexpr (std::is_same_v<T, bool>) {
-            if (cbor_isa_float_ctrl(item) && cbor_is_bool(item)) value = cbor_get_bool(item);
-            else sound = false;
+            if (take(Item::Kind::flag)) value = item_.number != 0;
         } else if constexpr (std::is_enum_v<T>) {
             std::int64_t number = 0;
-            read(item, number);
+            read(number);
             value = static_cast<T>(number);
         } else if constexpr (std::is_integral_v<T>) {
-            if (cbor_isa_uint(item)) value = static_cast<T>(cbor_get_int(item));
-            else if (cbor_isa_negint(item)) value = static_cast<T>(-std::int64_t(cbor_get_int(item)) - 1);
+            next();
+            if (!sound) return;
+            if (item_.kind == Item::Kind::whole) value = static_cast<T>(item_.number);
+            else if (item_.kind == Item::Kind::negative) value = static_cast<T>(-std::int64_t(item_.number) - 1);
             else sound = false;
         } else {
-            read_whole(item, value);
+            read_whole(value);
         }
     }
 
 private:
+    struct Item {
+        enum class Kind { other, whole, negative, flag, bytes, array } kind = Kind::other;
+        std::uint64_t number = 0;   // the value, or the count of an array's items
+        std::string_view bytes;
+    };
     struct Fields {
         CborReader& reader;
-        cbor_item_t** items;
-        size_t count, next = 0;
+        std::uint64_t left;
         template <class T>
         void operator()(T& value) {
-            if (next >= count) reader.sound = false;
-            else reader.read(items[next++], value);
+            if (left == 0) reader.sound = false;
+            else --left, reader.read(value);
         }
     };
-    void read_whole(const cbor_item_t* item, std::string& text) {
-        if (!cbor_isa_bytestring(item) || !cbor_bytestring_is_definite(item)) { sound = false; return; }
-        text.assign(reinterpret_cast<const char*>(cbor_bytestring_handle(item)), cbor_bytestring_length(item));
+    template <class Number>
+    static void take_whole(void* into, Number number) { *static_cast<Item*>(into) = {Item::Kind::whole, number, {}}; }
+    template <class Number>
+    static void take_negative(void* into, Number number) { *static_cast<Item*>(into) = {Item::Kind::negative, number, {}}; }
+    static void take_flag(void* into, bool flag) { *static_cast<Item*>(into) = {Item::Kind::flag, flag, {}}; }
+    template <class Count>
+    static void take_array(void* into, Count count) { *static_cast<Item*>(into) = {Item::Kind::array, count, {}}; }
+    template <class Size>
+    static void take_bytes(void* into, cbor_data data, Size size) {
+        *static_cast<Item*>(into) = {Item::Kind::bytes, 0, {reinterpret_cast<const char*>(data), size_t(size)}};
+    }
+    static const cbor_callbacks& callbacks() {
+        static const cbor_callbacks table = [] {
+            cbor_callbacks made = cbor_empty_callbacks;
+            made.uint8 = &take_whole, made.uint16 = &take_whole, made.uint32 = &take_whole, made.uint64 = &take_whole;
+            made.negint8 = &take_negative, made.negint16 = &take_negative, made.negint32 = &take_negative, made.negint64 = &take_negative;
+            made.byte_string = &take_bytes, made.array_start = &take_array, made.boolean = &take_flag;
+            return made;
+        }();
+        return table;
+    }
+    void next() {
+        item_ = {};
+        cbor_decoder_result result = cbor_stream_decode(reinterpret_cast<const unsigned char*>(left_.data()), left_.size(), &callbacks(), &item_);
+        if (result.status != CBOR_DECODER_FINISHED) sound = false;
+        else left_.remove_prefix(result.read);
+    }
+    bool take(Item::Kind kind) {
+        if (sound) next();
+        if (item_.kind != kind) sound = false;
+        return sound;
+    }
+    void read_whole(std::string& text) {
+        if (take(Item::Kind::bytes)) text = item_.bytes;
     }
     template <class Tag, class Number>
-    void read_whole(const cbor_item_t* item, Strong<Tag, Number>& strong) { read(item, strong.value); }
+    void read_whole(Strong<Tag, Number>& strong) { read(strong.value); }
     template <class T>
-    void read_whole(const cbor_item_t* item, std::vector<T>& list) {
-        if (!cbor_isa_array(item)) { sound = false; return; }
+    void read_whole(std::vector<T>& list) {
         list.clear();
-        list.resize(cbor_array_size(item));
-        for (size_t place = 0; place < list.size(); ++place) {
-            if constexpr (std::is_same_v<T, bool>) {
-                bool value = false;
-                read(cbor_array_handle(item)[place], value);
-                list[place] = value;
-            } else {
-                read(cbor_array_handle(item)[place], list[place]);
-            }
+        // Each item takes a byte at least: a count beyond what is left is no list.
+        if (!take(Item::Kind::array) || item_.number > left_.size()) { sound = false; return; }
+        std::uint64_t count = item_.number;
+        list.reserve(std::min<std::uint64_t>(count, 4096));
+        for (std::uint64_t place = 0; sound && place < count; ++place) {
+            T value{};
+            read(value);
+            list.push_back(std::move(value));
         }
     }
     template <class T>
-    void read_whole(const cbor_item_t* item, std::optional<T>& maybe) {
-        if (!cbor_isa_array(item) || cbor_array_size(item) > 1) { sound = false; return; }
+    void read_whole(std::optional<T>& maybe) {
         maybe.reset();
-        if (cbor_array_size(item) == 1) read(cbor_array_handle(item)[0], maybe.emplace());
+        if (!take(Item::Kind::array) || item_.number > 1) { sound = false; return; }
+        if (item_.number == 1) read(maybe.emplace());
     }
     template <class T>
         requires requires { typename T::IsFrame; }
-    void read_whole(const cbor_item_t* item, T& frame) {
-        if (!cbor_isa_array(item)) { sound = false; return; }
-        Fields fields{*this, cbor_array_handle(item), cbor_array_size(item)};
+    void read_whole(T& frame) {
+        if (!take(Item::Kind::array)) return;
+        Fields fields{*this, item_.number};
         frame.describe(fields);
+        // Fields that a later version added at the end are passed over.
+        for (std::uint64_t owed = fields.left; sound && owed > 0; --owed) {
+            next();
+            if (item_.kind == Item::Kind::other || (item_.kind == Item::Kind::array && item_.number > left_.size())) sound = false;
+            if (item_.kind == Item::Kind::array) owed += item_.number;
+        }
     }
+
+    std::string_view left_;
+    Item item_;
 };
 
 // Every frame begins with the version of the format; another version is refused.
@@ -157,20 +202,13 @@
 // Example: std::optional<NewsAsk> ask = unpack<NewsAsk>(body); if (!ask) refuse();
 template <class T>
 std::optional<T> unpack(std::string_view bytes) {
-    cbor_load_result first{}, second{};
-    const auto* data = reinterpret_cast<const unsigned char*>(bytes.data());
-    cbor_item_t* format = cbor_load(data, bytes.size(), &first);
-    if (!format) return std::nullopt;
-    bool known = cbor_isa_uint(format) && cbor_get_int(format) == frame_format;
-    cbor_decref(&format);
-    if (!known) return std::nullopt;
-    cbor_item_t* item = cbor_load(data + first.read, bytes.size() - first.read, &second);
-    if (!item) return std::nullopt;
-    CborReader reader;
+    CborReader reader(bytes);
+    std::uint64_t format = 0;
+    reader.read(format);
+    if (!reader.sound || format != frame_format) return std::nullopt;
     std::optional<T> frame(std::in_place);
-    reader.read(item, *frame);
-    cbor_decref(&item);
-    if (!reader.sound || first.read + second.read != bytes.size()) return std::nullopt;
+    reader.read(*frame);
+    if (!reader.sound || !reader.finished()) return std::nullopt;
     return frame;
 }
 
--- a/source/shared/wire/frames.hpp
+++ b/source/shared/wire/frames.hpp
@@ -55,6 +55,7 @@
     std::vector<std::string> labels;
     bool draining = false;
     Micros leaves_in = -1;  // counted from the sending of the frame; -1: not known
+    bool operator==(const WorkerAccount&) const = default;
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
@@ -103,9 +104,10 @@
     std::string life, task;
     std::uint32_t run = 0;
     std::string spec, saved;
+    std::uint64_t spec_place = 0;  // in a SideAnswer: from 1, the place of the spec in `specs`; 0: `spec` holds it
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(number), visit(kind), visit(life), visit(task), visit(run), visit(spec), visit(saved); }
+    void describe(Visitor& visit) { visit(number), visit(kind), visit(life), visit(task), visit(run), visit(spec), visit(saved), visit(spec_place); }
 };
 
 // started: the worker has it. turned_away: it will not start by this order, and no earlier try is open.
@@ -132,6 +134,8 @@
     std::uint64_t taken = 0;    // highest order number taken
     std::uint64_t seen = 0;     // of the ends, as far as it was told
     std::optional<WorkerAccount> worker;
+    std::uint64_t account_mark = 0;  // rises with each change of `worker`; alone, it means the account that was told with it
+    Micros leaves_in = -1;           // as in the account, told each time
     std::vector<std::string> over;  // lives seen to have ended on this machine
     std::optional<HoldReport> report;
     std::vector<OrderResult> results;
@@ -140,7 +144,7 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(node), visit(incarnation), visit(number), visit(epoch), visit(taken), visit(seen), visit(worker), visit(over), visit(report), visit(results), visit(silent), visit(relayed);
+        visit(node), visit(incarnation), visit(number), visit(epoch), visit(taken), visit(seen), visit(worker), visit(account_mark), visit(leaves_in), visit(over), visit(report), visit(results), visit(silent), visit(relayed);
     }
 };
 
@@ -153,9 +157,40 @@
     std::uint64_t seen = 0;
     bool look = false;  // a look at the worker is wanted now
     std::vector<Order> orders;
+    std::vector<std::string> specs;  // each once, however many orders share it
+    Micros pause = 0;    // before the next ask
+    bool whole = false;  // nothing of the ask was taken: the account that its mark means is not known here
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(served), visit(epoch), visit(allowance), visit(life), visit(era), visit(seen), visit(look), visit(orders); }
+    void describe(Visitor& visit) {
+        visit(served), visit(epoch), visit(allowance), visit(life), visit(era), visit(seen), visit(look), visit(orders), visit(specs), visit(pause), visit(whole);
+    }
+    // Siblings share the text of their job: on the way it is written once.
+    void gather_specs() {
+        std::unordered_map<std::string_view, std::uint64_t> places;
+        std::vector<std::string> texts;
+        texts.reserve(orders.size());  // the views in `places` stay good
+        for (Order& order : orders) {
+            if (order.spec.empty() || order.spec_place != 0) continue;
+            auto known = places.find(order.spec);
+            if (known == places.end()) {
+                texts.push_back(std::move(order.spec));
+                known = places.emplace(texts.back(), texts.size()).first;
+            }
+            order.spec.clear();
+            order.spec_place = known->second;
+        }
+        specs = std::move(texts);
+    }
+    // False when an order names a text that is not there.
+    bool spread_specs() {
+        for (Order& order : orders) {
+            if (order.spec_place > specs.size()) return false;
+            if (order.spec_place > 0) order.spec = specs[order.spec_place - 1];
+            order.spec_place = 0;
+        }
+        return true;
+    }
 };
 
 struct AliveNote {
--- a/source/side.hpp
+++ b/source/side.hpp
@@ -5,6 +5,7 @@
 #include "shared/http/listener.hpp"
 #include "shared/http/loop.hpp"
 #include "shared/news/locator.hpp"
+#include "shared/news/pace.hpp"
 #include "shared/settings/settings.hpp"
 #include "shared/wire/frames.hpp"
 
@@ -114,11 +115,12 @@
                 if (leaves >= 0 && whole.as_object().contains("leaves_at_ms")) account.leaves_in = Micros(leaves * 1000);
                 bool news = fresh || account.draining != worker_->draining;
                 leaves_at_ = account.leaves_in < 0 ? -1 : now + account.leaves_in;
+                if (!same_account(*worker_, account)) ++account_mark_;
                 worker_ = std::move(account);
                 beat_sequence_ = sequence;
                 beat_at_ = now;
                 if (fresh) log_line("side", "worker {} of {} at {}", worker_->life, worker_->service, worker_->address);
-                if (news) ask_owner(true);
+                if (news) ask_owner(Haste::urgent);
             }
         }
         request.reply.send(Response::json(200, "{}"));
@@ -129,15 +131,19 @@
             if (worker_ && worker_->life == life) {
                 log_line("side", "worker {} has left", life);
                 end_life();
-                ask_owner(true);
+                ask_owner(Haste::urgent);
             }
         }
         request.reply.send(Response::plain(200));
     }
     void begin_life(const std::string& life) {
         if (worker_) end_life();
-        (void)life;
-        worker_.emplace();
+        worker_.emplace().life = life;
+    }
+    // But for `leaves_in`, which each ask tells.
+    static bool same_account(WorkerAccount left, const WorkerAccount& right) {
+        left.leaves_in = right.leaves_in;
+        return left == right;
     }
     void end_life() {
         over_.push_back(worker_->life);
@@ -181,17 +187,28 @@
             ++ask_generation_;
             asks_flying_ = 0;
             ask_tries_ = ask_choice_ = 0;
-            ask_owner(true);
+            pacer_.reset();
+            account_told_ = 0;
+            ask_owner(Haste::urgent);
         }
     }
-    // One ask always waits at the owner; a second one carries what cannot wait.
-    void ask_owner(bool pressing) {
-        if (asks_flying_ >= (pressing ? 2 : 1)) {
-            ask_wanted_ = ask_wanted_ || pressing;
+    // One ask always waits at the owner; a second one carries what cannot wait for its answer.
+    void ask_owner(Haste haste) {
+        Micros now = steady_now();
+        Micros due = pacer_.due(haste, asks_flying_);
+        if (now < due) {
+            ask_wanted_ = std::max(ask_wanted_, haste);
+            if (due == AskPacer::never || ask_timed_) return;
+            ask_timed_ = true;
+            loop_.after(due - now, [this] {
+                std::lock_guard guard(lock_);
+                ask_timed_ = false;
+                ask_owner(ask_wanted_);
+            });
             return;
         }
-        ask_wanted_ = false;
-        Micros now = steady_now();
+        ask_wanted_ = Haste::resting;
+        pacer_.asked(now);
         SideAsk ask;
         ask.node = settings_.machine.node;
         ask.incarnation = incarnation_;
@@ -200,8 +217,13 @@
         ask.taken = taken_;
         ask.seen = seen_;
         ask.silent = silent_;
-        ask.worker = worker_;
-        if (ask.worker) ask.worker->leaves_in = leaves_at_ < 0 ? -1 : std::max<Micros>(0, leaves_at_ - now);
+        ask.leaves_in = leaves_at_ < 0 ? -1 : std::max<Micros>(0, leaves_at_ - now);
+        std::uint64_t account_mark = worker_ ? account_mark_ : 0;
+        ask.account_mark = account_mark;
+        if (worker_ && account_mark != account_told_) {
+            ask.worker = worker_;
+            ask.worker->leaves_in = ask.leaves_in;
+        }
         ask.over.assign(over_.begin(), over_.end());
         ask.report = report_;
         ask.results = results_;
@@ -213,11 +235,18 @@
         std::string target = locator_.target(ask_choice_);
         std::uint64_t number = ask.number, generation = ask_generation_;
         loop_.ask({.url = "http://" + target + "/inner/side", .body = pack(ask), .patience = settings_.ask_patience},
-                  [this, number, generation, now, report_mark, results_mark](Answer answer) {
+                  [this, number, generation, now, report_mark, results_mark, account_mark](Answer answer) {
                       std::lock_guard guard(lock_);
                       if (generation != ask_generation_) return;
                       --asks_flying_;
                       auto frame = answer.good() ? unpack<SideAnswer>(answer.body) : std::nullopt;
+                      if (frame && !frame->spread_specs()) frame.reset();
+                      if (frame && frame->whole) {
+                          account_told_ = 0;
+                          counters().add("asks_again_whole");
+                          return ask_owner(Haste::urgent);
+                      }
+                      Micros moment = steady_now();
                       if (!frame || !frame->served) {
                           // An owner that has just been elected answers so for a moment; silence is a reason to go elsewhere.
                           bool heard = frame.has_value();
@@ -225,13 +254,13 @@
                           if (!heard || ask_tries_ % 8 == 0) ++ask_choice_;
                           counters().add("asks_unserved");
                           locator_.hurry();
-                          loop_.after(milliseconds(std::min<std::int64_t>(20 * std::int64_t(ask_tries_), 300)), [this] {
-                              std::lock_guard inner(lock_);
-                              ask_owner(report_ || !results_.empty());
-                          });
-                          return;
+                          account_told_ = 0;
+                          pacer_.answered(moment, milliseconds(std::min<std::int64_t>(20 * std::int64_t(ask_tries_), 300)));
+                          return ask_owner(report_ || !results_.empty() ? Haste::pressing : Haste::resting);
                       }
                       ask_tries_ = ask_choice_ = 0;
+                      pacer_.answered(moment, std::clamp<Micros>(frame->pause, 0, seconds(1)));
+                      account_told_ = account_mark;
                       if (report_mark == report_mark_) report_.reset();
                       while (results_dropped_ < results_mark && !results_.empty()) results_.erase(results_.begin()), ++results_dropped_;
                       take_answer(number, now, *frame);
@@ -283,7 +312,7 @@
     }
     void add_result(const Order& order, OrderFate fate, std::string reason) {
         results_.push_back({order.number, fate, order.task, order.run, std::move(reason), steady_now()});
-        if (fate != OrderFate::started) ask_owner(true);
+        if (fate != OrderFate::started) ask_owner(Haste::pressing);
     }
 
     // --- the worker ---
@@ -291,7 +320,7 @@
     void tick() {
         std::lock_guard guard(lock_);
         Micros now = steady_now();
-        if (asks_flying_ == 0 && ask_tries_ == 0) ask_owner(false);
+        if (asks_flying_ == 0 && ask_tries_ == 0) ask_owner(Haste::resting);
         work(now);
         if (now - counted_at_ > seconds(5)) {
             counted_at_ = now;
@@ -454,14 +483,14 @@
                           if (answer.fate != Answer::Fate::answered && ++look_errors_ >= settings_.silent_after && !silent_) {
                               silent_ = true;
                               log_line("side", "worker {} does not answer", life);
-                              ask_owner(true);
+                              ask_owner(Haste::urgent);
                           }
                           if (silent_) next_look_ = moment + milliseconds(300);
                       } else {
                           look_errors_ = 0;
                           if (silent_) {
                               silent_ = false;
-                              ask_owner(true);
+                              ask_owner(Haste::urgent);
                           }
                       }
                       if (look_again_ && read) {
@@ -514,7 +543,7 @@
         if (report_) report.stops.insert(report.stops.end(), report_->stops.begin(), report_->stops.end());
         report_ = std::move(report);
         ++report_mark_;
-        ask_owner(ends || first || !report_->stops.empty() || now - reported_at_ > milliseconds(900));
+        ask_owner(first ? Haste::urgent : ends || !report_->stops.empty() || now - reported_at_ > milliseconds(900) ? Haste::pressing : Haste::resting);
         reported_at_ = now;
         return true;
     }
@@ -537,7 +566,10 @@
     size_t asks_flying_ = 0, ask_tries_ = 0, ask_choice_ = 0;
     Epoch news_epoch_;
     std::uint64_t ask_generation_ = 0;
-    bool ask_wanted_ = false;
+    Haste ask_wanted_ = Haste::resting;
+    bool ask_timed_ = false;
+    AskPacer pacer_;
+    std::uint64_t account_mark_ = 0, account_told_ = 0;  // told: to the owner that answered last
     std::map<RunKey, Pending> pending_, stops_;
     std::vector<std::string> stopped_;
     std::vector<OrderResult> results_;
