--- a/source/control.hpp
+++ b/source/control.hpp
@@ -586,11 +586,11 @@
         ask.worker->leaves_in = ask.leaves_in;
         return true;
     }
-    // Sides are answered at once in a small deployment; where they keep a pause, what comes within an eighth of it goes together.
+    // Sides are answered at once by an owner in time; where they keep a pause, what comes within an eighth of it goes together.
     void answer_sides(Micros now) {
         sides_asked_ = now < sides_due_ && acting();
         if (sides_asked_) return;
-        Micros pause = ask_pause(settings_.pace, scheduler_.side_count(), lateness_);
+        Micros pause = ask_pause(settings_.pace, lateness_);
         sides_due_ = now + std::min(pause / 8, milliseconds(10));
         for (auto wait = sides_.begin(); wait != sides_.end();) {
             if (acting() && now < wait->until && !scheduler_.has_news(wait->node, wait->epoch, wait->taken, wait->seen_told)) {
@@ -603,6 +603,7 @@
                 answer.gather_specs();
                 answer.pause = pause;
                 counters().add("sides_answered");
+                if (pause > 0) counters().add("pauses_told");
                 wait->reply.send(Response::cbor(pack(answer)));
             } else {
                 wait->reply.send(Response::cbor(pack(SideAnswer{})));
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -310,7 +310,6 @@
         if (epoch != epoch_ || worker.seen > seen_told || worker.look) return true;
         return !worker.orders.empty() && worker.orders.back().number > taken;
     }
-    size_t side_count() const { return nodes_.size(); }
 
     // --- time ---
 
--- a/source/shared/http/loop.hpp
+++ b/source/shared/http/loop.hpp
@@ -84,7 +84,7 @@
         CURL* easy = nullptr;
         curl_slist* headers = nullptr;
     };
-    static constexpr size_t kept_most = 48;
+    static constexpr size_t kept_most = 24;
 
     // Many asks of other threads wake the loop once.
     void wake() {
--- a/source/shared/news/pace.hpp
+++ b/source/shared/news/pace.hpp
@@ -5,19 +5,16 @@
 namespace calicostall {
 
 struct PaceSettings {
-    size_t sides_free = 16;                   // up to so many sides each asks again at once
-    Micros per_side = milliseconds(1);        // for each one more
-    Micros lateness_free = milliseconds(15);  // of the owner's own turns
+    Micros lateness_free = milliseconds(10);  // of the owner's own turns: so much is no strain
     std::int64_t per_lateness = 2;            // what is later than that counts so many times
     Micros most = milliseconds(200);
 };
 
-// The pause of each side between an answer and its next ask, by the number of sides and the owner's own lateness.
-// Example: ask_pause({}, 62, milliseconds(2)) == milliseconds(46), ask_pause({}, 12, 0) == 0
-inline Micros ask_pause(const PaceSettings& settings, size_t sides, Micros lateness) {
-    Micros crowd = sides > settings.sides_free ? Micros(sides - settings.sides_free) * settings.per_side : 0;
-    Micros strain = std::max<Micros>(0, lateness - settings.lateness_free) * settings.per_lateness;
-    return std::min(crowd + strain, settings.most);
+// The pause of each side between an answer and its next ask, by the owner's own lateness. An owner in time asks for
+// none, however many sides there are: a pause comes upon each wave of a job, and costs its client more than the owner.
+// Example: ask_pause({}, milliseconds(30)) == milliseconds(40), ask_pause({}, milliseconds(2)) == 0
+inline Micros ask_pause(const PaceSettings& settings, Micros lateness) {
+    return std::clamp<Micros>((lateness - settings.lateness_free) * settings.per_lateness, 0, settings.most);
 }
 
 // How much an ask presses: resting ones wait at the owner, one at a time; pressing ones carry what is to be told
