--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -1,7 +1,6 @@
 // The one program: each role is a subcommand.
 #include <csignal>
 #include <cxxopts.hpp>
-#include <malloc.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -198,8 +197,6 @@
         std::signal(SIGINT, take_signal);
         std::signal(SIGHUP, take_signal);
         std::signal(SIGPIPE, SIG_IGN);
-        // A few threads that seldom allocate at once: an arena for each would only cost memory.
-        mallopt(M_ARENA_MAX, 1);
         auto loop = std::make_unique<Loop>();
         if (command == "front") {
             FrontSettings front;
--- a/source/control.hpp
+++ b/source/control.hpp
@@ -271,6 +271,9 @@
             turn_once(steady_now());
             if (!turn_wanted_) break;
         }
+        // Those who wait are looked at once a turn, however many rounds it took.
+        answer_sides(steady_now());
+        answer_news(steady_now());
         turning_ = false;
         schedule(steady_now());
     }
@@ -289,8 +292,6 @@
             }
         }
         for (Errand& errand : owner_.pump(now)) carry(std::move(errand));
-        answer_sides(now);
-        answer_news(now);
         if (now - counted_at_ > settings_.count_every) {
             counted_at_ = now;
             std::string text = counters().changed_text();
--- a/source/front.hpp
+++ b/source/front.hpp
@@ -171,6 +171,8 @@
             if (waiting->flying > 0) return;
             // An owner that has just been elected says so for a moment; silence is a reason to go elsewhere.
             if (!frame || waiting->sends % 6 == 0) waiting->choice = (waiting->choice + 1) % 4;
+            // No time for another send: the final answer leaves now, not after a pause.
+            if (waiting->until - steady_now() < settings_.pause + milliseconds(5)) return give_up(handle);
         }
         locator_.hurry();
         loop_.after(settings_.pause, [this, handle] { send(handle); });
