--- a/source/control/plan/demand.hpp
+++ b/source/control/plan/demand.hpp
@@ -39,6 +39,9 @@
             kept.cpu += patience * std::clamp(use.faded_cpu - double(use.now.cpu), 0.0, settings_.urgent_most * double(capacity.cpu));
             kept.memory += patience * std::clamp(use.faded_memory - double(use.now.memory), 0.0, settings_.urgent_most * double(capacity.memory));
         }
+        // Less than a hundredth of the service is not worth keeping.
+        if (kept.cpu < 0.01 * double(capacity.cpu)) kept.cpu = 0;
+        if (kept.memory < 0.01 * double(capacity.memory)) kept.memory = 0;
         return kept;
     }
     // What a level has in use on a service now.
--- a/source/control/plan/settings.hpp
+++ b/source/control/plan/settings.hpp
@@ -28,13 +28,15 @@
     double slow_pace = 1.8, trust_least = 0.05;
     // Preemption.
     double ratio_priority = 2, ratio_remaining = 0.2, ratio_run = 0.2;
+    double stop_share = 1;        // how much of stop_grace a stop is expected to take
+    Micros push_early = milliseconds(50);  // a stop for a reservation leaves so much early: plans are not made all the time
     double waste_most = 0.5;      // work lost by stops, against the work that is started for it
     // Room kept for urgent queues.
     Micros urgent_memory = seconds(8);
     Micros urgent_length = seconds(4);
     double urgent_most = 0.4;
     // Bounds on one plan.
-    size_t looks_most = 4000, evaluations_most = 60000, reservations_most = 16, stops_most = 32;
+    size_t looks_most = 1000, evaluations_most = 80000, reservations_most = 32, stops_most = 32;
 
     // Example: Findings findings; settings.check(findings);
     void check(Findings& findings) const {
@@ -49,6 +51,7 @@
         within("--ratio-priority", ratio_priority, 1.01, 1e6);
         within("--ratio-remaining", ratio_remaining, 0, 100);
         within("--ratio-run", ratio_run, 0, 1);
+        within("--stop-share", stop_share, 0, 1);
         within("--waste-most", waste_most, 0, 100);
         within("--urgent-most", urgent_most, 0, 0.9);
         within("--reservations", double(reservations_most), 0, 1000);
--- a/source/control/plan/view.hpp
+++ b/source/control/plan/view.hpp
@@ -73,6 +73,7 @@
     bool checkpoints = false;
     bool preemptable = true;       // running, wanted, and not lasting
     bool stopping = false;         // its room is expected back at `expected_end`
+    bool backfill = false;         // as the start said
 };
 
 struct Worker {
@@ -89,7 +90,11 @@
 
 // --- the plan ---
 
-struct Start { std::uint64_t item = 0; std::uint32_t task = 0; std::uint32_t worker = 0; };  // task: 0..count-1 of the item
+struct Start {
+    std::uint64_t item = 0;
+    std::uint32_t task = 0, worker = 0;  // task: 0..count-1 of the item
+    bool backfill = false;               // it runs into a reservation: when that falls due it may have to give way
+};
 struct Stop { std::uint64_t run = 0; std::uint32_t worker = 0; std::uint64_t for_item = 0; };
 struct Reservation {
     std::uint64_t item = 0;
@@ -116,12 +121,16 @@
 }
 struct Wait { std::uint64_t item = 0; std::uint32_t tasks = 0; Reason reason = Reason::room; };
 
+// A place in the order of the waiting items: for each hope the key and id of the first item not looked at.
+using Cursor = std::array<std::pair<double, std::uint64_t>, 3>;
+
 struct Plan {
     std::vector<Start> starts;              // in the order in which they were decided
     std::vector<Stop> stops;
     std::vector<Reservation> reservations;  // first ones first; not promises: the next plan makes its own
     std::vector<Wait> waits;                // why tasks wait, one entry an item that was looked at
-    bool unfinished = false;                // items were left out: plan again soon
+    bool unfinished = false;                // items were left out: plan again soon, and give `resume` back
+    std::optional<Cursor> resume;           // where the next plan goes on
     size_t looked_at = 0, evaluations = 0;  // the cost: items, and workers ranked or timelines scanned for them
 };
 
--- a/source/control/plan/waiting.hpp
+++ b/source/control/plan/waiting.hpp
@@ -32,6 +32,8 @@
 class WaitingItems {
 public:
     explicit WaitingItems(const PlannerSettings& settings) : settings_(settings) {}
+    WaitingItems(const WaitingItems&) = delete;  // the order points into the entries
+    WaitingItems& operator=(const WaitingItems&) = delete;
     void put(Item item, Micros now, double room_share = 0) {
         erase(item.id);
         Entry entry{std::move(item), room_share, Hope::aim, 0};
@@ -43,16 +45,29 @@
         auto found = entries_.find(id);
         if (found == entries_.end()) return;
         demand(found->second.item, -1);
-        order_[size_t(found->second.hope)].erase({found->second.key, id});
+        order_[size_t(found->second.hope)].erase(std::pair(found->second.key, id));
         entries_.erase(found);
     }
+    // Changes what does not move an item in the order: its count, where its siblings are, what it keeps away from.
+    // Example: items.change(id, [](Item& item) { item.count -= 1; });
+    template <class Change>
+    void change(std::uint64_t id, Change change_item) {
+        auto found = entries_.find(id);
+        if (found == entries_.end()) return;
+        demand(found->second.item, -1);
+        change_item(found->second.item);
+        demand(found->second.item, 1);
+    }
     const Item* find(std::uint64_t id) const {
         auto found = entries_.find(id);
         return found == entries_.end() ? nullptr : &found->second.item;
     }
     size_t size() const { return entries_.size(); }
     bool empty() const { return entries_.empty(); }
-    void clear() { *this = WaitingItems(settings_); }
+    void clear() {
+        entries_.clear(), changes_.clear(), demand_.clear();
+        for (Order& order : order_) order.clear();
+    }
     // Moves the items whose hope has changed; to be called before each plan.
     void advance(Micros now) {
         while (!changes_.empty() && changes_.begin()->first <= now) {
@@ -62,27 +77,30 @@
             if (found == entries_.end()) continue;
             Entry& entry = found->second;
             if (hope_of(entry.item.standing, now) == entry.hope) continue;
-            order_[size_t(entry.hope)].erase({entry.key, id});
+            order_[size_t(entry.hope)].erase(std::pair(entry.key, id));
             file(entry, now);
         }
     }
-    // Calls `see(item, points)` in falling static priority until it returns false.
+    // Calls `see(item, points)` in falling static priority until it returns false; from a cursor on, if given. Returns
+    // the cursor of what was not seen.
     template <class See>
-    void in_order(Micros now, See see) const {
-        std::array<std::set<std::pair<double, std::uint64_t>>::const_iterator, 3> at{order_[0].begin(), order_[1].begin(), order_[2].begin()};
+    Cursor in_order(Micros now, See see, const std::optional<Cursor>& from = {}) const {
+        std::array<Order::const_iterator, 3> at;
+        for (size_t hope = 0; hope < 3; ++hope) at[hope] = from ? order_[hope].lower_bound((*from)[hope]) : order_[hope].begin();
         for (;;) {
-            int best = -1;
+            size_t best = 3;
             double most = 0;
-            for (int hope = 0; hope < 3; ++hope) {
-                if (at[size_t(hope)] == order_[size_t(hope)].end()) continue;
-                double points = rate(Hope(hope)) * double(now) / 1e6 - at[size_t(hope)]->first;
-                if (best < 0 || points > most) best = hope, most = points;
+            for (size_t hope = 0; hope < 3; ++hope) {
+                if (at[hope] == order_[hope].end()) continue;
+                double points = rate(Hope(hope)) * double(now) / 1e6 - at[hope]->first.first;
+                if (best == 3 || points > most) best = hope, most = points;
             }
-            if (best < 0) return;
-            const Entry& entry = entries_.at(at[size_t(best)]->second);
-            ++at[size_t(best)];
-            if (!see(entry.item, most)) return;
+            if (best == 3 || !see(at[best]->second->item, most)) break;
+            ++at[best];
         }
+        Cursor cursor;
+        for (size_t hope = 0; hope < 3; ++hope) cursor[hope] = at[hope] == order_[hope].end() ? std::pair(1e300, std::uint64_t(0)) : at[hope]->first;
+        return cursor;
     }
     // How many waiting tasks ask for a label (near their data, or at all): the demand on the workers that have it.
     std::uint32_t demand_on(Name label) const {
@@ -102,12 +120,13 @@
         Hope hope = Hope::aim;
         double key = 0;
     };
+    using Order = std::map<std::pair<double, std::uint64_t>, const Entry*>;  // the highest first
     double rate(Hope hope) const { return hope == Hope::aim ? settings_.weight_slack : settings_.weight_waiting; }
     void file(Entry& entry, Micros now) {
         entry.hope = hope_of(entry.item.standing, now);
         // The points at time 0 of the same hope, negated: the set begins with the highest.
         entry.key = rate(entry.hope) * double(now) / 1e6 - static_points(settings_, entry.item.standing, entry.room_share, now);
-        order_[size_t(entry.hope)].emplace(entry.key, entry.item.id);
+        order_[size_t(entry.hope)].emplace(std::pair(entry.key, entry.item.id), &entry);
         const Standing& standing = entry.item.standing;
         if (standing.lasting || entry.hope == Hope::none) return;
         Micros until = (entry.hope == Hope::aim ? standing.due : standing.begun + 3 * (standing.due - standing.begun)) - standing.rest;
@@ -119,7 +138,7 @@
     }
     PlannerSettings settings_;
     std::unordered_map<std::uint64_t, Entry> entries_;
-    std::array<std::set<std::pair<double, std::uint64_t>>, 3> order_;
+    std::array<Order, 3> order_;
     std::set<std::pair<Micros, std::uint64_t>> changes_;
     std::unordered_map<Name, std::int64_t> demand_;
 };
