--- a/source/control/plan/fleet.hpp
+++ b/source/control/plan/fleet.hpp
@@ -47,9 +47,23 @@
         fresh.count += 1, fresh.capacity += capacity;
         file(place);
     }
-    void judge(std::uint32_t place, bool open, double pace, double trust) {
+    // How it is thought of now.
+    void judge(std::uint32_t place, bool open, double pace, double trust, std::uint32_t runs_most = 0) {
         Worker& worker = slots_[place].worker;
-        worker.open = open, worker.pace = pace, worker.trust = trust;
+        worker.open = open, worker.pace = pace, worker.trust = trust, worker.runs_most = runs_most;
+    }
+    // All runs of a worker anew, in one go.
+    void renew_runs(std::uint32_t place, std::vector<Run> runs) {
+        Worker& worker = slots_[place].worker;
+        unfile(place);
+        worker.free = worker.capacity;
+        for (const Run& run : worker.runs) leave_gang(place, run);
+        for (const Run& run : runs) {
+            worker.free -= run.room;
+            if (run.gang) gangs_[run.gang].emplace_back(place, run.id);
+        }
+        worker.runs = std::move(runs);
+        file(place);
     }
     void begin_run(std::uint32_t place, Run run) {
         Worker& worker = slots_[place].worker;
@@ -66,10 +80,7 @@
         unfile(place);
         worker.free += found->room;
         file(place);
-        if (auto gang = gangs_.find(found->gang); found->gang && gang != gangs_.end()) {
-            std::erase(gang->second, std::pair(place, id));
-            if (gang->second.empty()) gangs_.erase(gang);
-        }
+        leave_gang(place, *found);
         *found = std::move(worker.runs.back());
         worker.runs.pop_back();
     }
@@ -108,6 +119,12 @@
         std::pair<int, int> filed;
         size_t position = 0;
     };
+    void leave_gang(std::uint32_t place, const Run& run) {
+        auto gang = gangs_.find(run.gang);
+        if (run.gang == 0 || gang == gangs_.end()) return;
+        std::erase(gang->second, std::pair(place, run.id));
+        if (gang->second.empty()) gangs_.erase(gang);
+    }
     static int magnitude(std::int64_t amount) { return amount <= 0 ? 0 : 64 - __builtin_clzll(std::uint64_t(amount)); }
     static std::pair<int, int> class_of(const Resources& room) { return {magnitude(room.cpu), magnitude(room.memory)}; }
     void file(std::uint32_t place) {
--- a/source/control/plan/planner.hpp
+++ b/source/control/plan/planner.hpp
@@ -191,6 +191,7 @@
         if (std::find(item_->away.begin(), item_->away.end(), place) != item_->away.end()) return seen_.apart = true, false;
         if (item_->anti_affinity && on_worker(place) >= item_->anti_affinity) return seen_.apart = true, false;
         if (worker.trust < settings_.trust_least) return seen_.trust = true, false;
+        if (worker.runs_most && worker.runs.size() + slots_[place].planned.size() >= worker.runs_most) return seen_.trust = true, false;
         return true;
     }
     enum class Fit { no, yes, backfill };
@@ -235,6 +236,7 @@
         else left = 1 - share(free - item_->room, worker.capacity);                              // pack: the best filled first
         double points = settings_.weight_load * left - settings_.weight_finish * (stretch(worker) - 1) - settings_.weight_trust * (1 - worker.trust);
         if (worker.pace > settings_.slow_pace) points -= settings_.weight_slow;
+        if (std::find(item_->disliked.begin(), item_->disliked.end(), place) != item_->disliked.end()) points -= settings_.weight_failed;
         if (worker.rack && worker.rack != item_->affinity) {
             double wanted = double(view_.items.demand_on(worker.rack));
             points -= settings_.weight_demand * wanted / (wanted + 16);
@@ -546,6 +548,7 @@
         if (room.memory > 0) parts = std::min(parts, free.memory / room.memory);
         if (room.gpu > 0) parts = std::min(parts, free.gpu / room.gpu);
         if (item_->anti_affinity) parts = std::min<std::int64_t>(parts, item_->anti_affinity);
+        if (view_.fleet.at(place).runs_most) parts = std::min<std::int64_t>(parts, 1);
         return std::uint32_t(std::max<std::int64_t>(parts, 0));
     }
     // Where all parts go at one time, the emptiest worker first and anew after each part.
--- a/source/control/plan/settings.hpp
+++ b/source/control/plan/settings.hpp
@@ -25,6 +25,7 @@
     double weight_finish = 4;     // each time its duration that it ends later
     double weight_slow = 4;       // a slow worker at all
     double weight_trust = 6;      // no trust at all
+    double weight_failed = 12;    // a worker on which the task failed before
     double slow_pace = 1.8, trust_least = 0.05;
     // Preemption.
     double ratio_priority = 2, ratio_remaining = 0.2, ratio_run = 0.2;
@@ -45,7 +46,7 @@
         };
         for (auto [name, value] : {std::pair{"--weight-level", weight_level}, {"--weight-aim", weight_aim}, {"--weight-hopeless", weight_hopeless}, {"--weight-slack", weight_slack},
                                    {"--weight-waiting", weight_waiting}, {"--weight-room", weight_room}, {"--weight-load", weight_load}, {"--weight-demand", weight_demand},
-                                   {"--weight-finish", weight_finish}, {"--weight-slow", weight_slow}, {"--weight-trust", weight_trust}})
+                                   {"--weight-finish", weight_finish}, {"--weight-slow", weight_slow}, {"--weight-trust", weight_trust}, {"--weight-failed", weight_failed}})
             within(name, value, 0, 1e6);
         within("--points-double", points_double, 1, 1e6);
         within("--ratio-priority", ratio_priority, 1.01, 1e6);
--- a/source/control/plan/view.hpp
+++ b/source/control/plan/view.hpp
@@ -55,6 +55,7 @@
     std::uint32_t anti_affinity = 0;  // at most so many of the step on one worker; 0: no bound
     std::vector<std::pair<std::uint32_t, std::uint32_t>> on_worker;  // how many of the step are there: (worker's place in the fleet, count)
     std::vector<std::uint32_t> away;  // workers that get none of it (a copy keeps apart from what it is to outrun)
+    std::vector<std::uint32_t> disliked;  // workers taken last for it: it failed there
     bool gang = false, same_rack = false;
     bool checkpoints = false;      // a run that is pushed out loses little
     bool preemptable = true;       // may be pushed out at all
@@ -84,6 +85,7 @@
     double pace = 1;               // 3: its runs take three times as long as their siblings elsewhere
     double trust = 1;              // 0..1: workers that drop out, refuse or fail earn it back step by step
     bool open = true;              // takes starts: reconciled, heard of lately, not leaving
+    std::uint32_t runs_most = 0;   // so many runs at once at most, while it shows whether it works again; 0: no bound
     std::vector<Run> runs;
     bool has(Name label) const { return label == 0 || std::find(labels.begin(), labels.end(), label) != labels.end(); }
 };
--- a/tests/placement.cpp
+++ b/tests/placement.cpp
@@ -206,6 +206,15 @@
         world.fleet.judge(4, false, 1, 1);
         EXPECT((chosen(world, world.item(one, seconds(1), 0, 2)) == Places{2, 1}));
     }
+    {   // a worker on trial gets one run at a time, one where it failed comes last
+        World world;
+        world.worker(one), world.worker(whole), world.worker(whole);
+        world.fleet.judge(2, true, 1, 1, 1);
+        Item item = world.item(one, seconds(1), 0, 10);
+        item.disliked = {0};
+        Places places = chosen(world, item);
+        EXPECT(places.size() == 10 && places.back() == 0 && std::count(places.begin(), places.end(), 2) == 1);
+    }
     {   // near its data, else elsewhere if no slot there ends it sooner
         World world;
         world.worker(one, 7), world.worker(one, 8);
