Scheduler split into modules, with counts kept per event; new jobs refused by what the owner can start

Cause: each plan rebuilt all rooms, walked every task of every open job and copied rooms per attempt; ticks, upkeep, stops and gauges walked all workers, runs and jobs. Change: state/ (jobs, workers, free room, waiting and ready counts, order of what is ready), runs/ (orders, reports, lapses, judgement), planning/ (a budget per plan, goes on where it stopped), admission/, durations/, history/, judging/ (trust by ends, growing pauses after lapses), calls/. Runs are indexed by job, deadlines and judgements are queues.

--- /dev/null
+++ b/source/control/jobs/durations/durations.hpp
@@ -0,0 +1,35 @@
+// How long tasks take, by what was seen.
+#pragma once
+#include "control/jobs/state/job_entry.hpp"
+#include "control/plan/sense.hpp"
+
+namespace calicostall {
+
+class Durations {
+public:
+    // How long a task of this step takes on a sound worker near its data.
+    // Example: Micros expected = durations.expect(entry, 0);
+    Micros expect(const JobEntry& entry, std::uint32_t step) {
+        if (measured(entry, step)) {
+            const auto& [sum, count] = entry.took.at(step);
+            return sum / count;
+        }
+        return senses_[entry.queue()].expect(entry.job.fixed.spec.steps[step].estimate);
+    }
+    // Whether siblings of the same step have told.
+    static bool measured(const JobEntry& entry, std::uint32_t step) {
+        auto took = entry.took.find(step);
+        return took != entry.took.end() && took->second.second >= 2;
+    }
+    void note(JobEntry& entry, std::uint32_t step, Micros took) {
+        auto& seen = entry.took[step];
+        seen.first += took;
+        seen.second++;
+        senses_[entry.queue()].note(entry.job.fixed.spec.steps[step].estimate, took);
+    }
+
+private:
+    std::map<std::string, QueueSense> senses_;
+};
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/control/jobs/settings.hpp
@@ -0,0 +1,39 @@
+// What the scheduler is told at its start, and what it needs of the record.
+#pragma once
+#include "common.hpp"
+#include "control/plan/placer.hpp"
+
+namespace calicostall {
+
+struct SchedulerSettings {
+    Micros hold = seconds(3);           // how long a worker keeps what runs there without news
+    Micros hold_margin = milliseconds(250);
+    Micros fresh = milliseconds(2500);  // a worker heard later than this gets no start
+    Micros status_kept = seconds(120);
+    Micros early = 0;
+    Micros resend_start = seconds(1);
+    size_t jobs_most = 20000;
+    Micros stop_grace = milliseconds(900);
+    Micros still_least = milliseconds(1500);  // a run without progress for so long stands still
+    Micros history_span = 0;              // how long a span of the history is; 0: none is kept
+    Micros urgent_memory = seconds(8);  // how fast the peak of urgent work is forgotten
+    Micros urgent_length = seconds(4);  // a task this long keeps clear of all of it
+    double urgent_most = 0.4;           // at most this share is kept free for it
+    size_t plan_budget = 6000;          // rooms and items that one plan may look at before it goes on in the next
+    Micros settle = seconds(6);           // a new owner learns its workers, and clients try again what an earlier one had
+    std::int64_t tasks_most = 5000;       // tasks that wait for a start; beyond it no job is taken
+    Micros lag_most = milliseconds(600);  // an owner later than this takes no new job
+    PlacerSettings placer;
+    // When a hold that was last allowed at `allowed` has surely lapsed (a worker's clock may run 2% slow).
+    Micros lapse_after(Micros confirmed) const { return confirmed + hold + hold / 50 + hold_margin; }
+};
+
+// What the scheduler needs of the record: proposals that come back committed or not at all.
+template <class T>
+concept Ledger = requires(T ledger, std::string key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
+    ledger.propose(key, fixed, moving, told);
+    ledger.confirm(key, told);
+    ledger.bury(key);
+};
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/control/jobs/state/state.hpp
@@ -0,0 +1,375 @@
+// All jobs and workers as the owner sees them, with what is counted from them. Every count changes with an event;
+// none is made by a walk. Pure.
+#pragma once
+#include "control/jobs/durations/durations.hpp"
+#include "control/jobs/history/recorder.hpp"
+#include "control/jobs/judging/conduct.hpp"
+#include "control/jobs/settings.hpp"
+#include "control/jobs/state/backlog.hpp"
+#include "control/jobs/state/load.hpp"
+#include "shared/record/log.hpp"
+#include "shared/settings/config.hpp"
+
+namespace calicostall {
+
+// A step of a job that has waiting tasks whose turn has come; the smallest is placed first.
+struct ReadyKey {
+    bool hopeless = false;
+    std::int64_t priority = 0;
+    Hope hope = Hope::aim;
+    Micros order = 0;
+    std::string job;
+    std::uint64_t time = 0;
+    std::uint32_t step = 0;
+    auto operator<=>(const ReadyKey&) const = default;
+};
+
+class State {
+public:
+    explicit State(SchedulerSettings settings) : settings(std::move(settings)), history(this->settings.history_span) {}
+
+    SchedulerSettings settings;
+    Epoch epoch;
+    Config config;
+    std::unordered_map<std::string, JobEntry> jobs;
+    std::map<std::string, WorkerEntry> workers;
+    std::map<std::string, std::string> nodes;  // side machine -> life of its worker
+    std::map<std::string, Load> loads;         // by service
+    Backlog backlog;                           // by queue
+    std::set<ReadyKey> ready;
+    std::multimap<Micros, std::string> turns_due;           // when the hope of a job changes next (wall)
+    std::multimap<Micros, std::string> expiries;            // when an ended job may be forgotten (wall)
+    std::multimap<Micros, std::pair<std::string, RunName>> looks_due;  // when a run is judged next
+    std::vector<std::string> dirty;
+    Durations durations;
+    HistoryRecorder history;
+    Conducts conducts;
+    bool plan_wanted = false;
+    size_t held = 0;               // runs that take room anywhere
+    size_t open_jobs = 0;
+    std::uint64_t operations = 0;  // what the work of an event is measured by
+
+    void clear() {
+        jobs.clear(), dirty.clear(), workers.clear(), nodes.clear(), loads.clear(), backlog.clear(), ready.clear();
+        turns_due.clear(), expiries.clear(), looks_due.clear();
+        history.clear(), conducts.clear();
+        config = Config{};
+        epoch = Epoch{};
+        held = open_jobs = 0;
+    }
+
+    // --- what a job's queue says ---
+
+    const Queue* queue_of(const Job& job) const { return config.find_exact(job.fixed.host, job.fixed.prefix); }
+    std::uint32_t attempts_most(const Job& job) const {
+        const Queue* queue = queue_of(job);
+        return queue ? queue->attempts_most : job.fixed.attempts_most;
+    }
+    const std::string& service_of(const Job& job) const {
+        const Queue* queue = queue_of(job);
+        return queue ? queue->service : job.fixed.service;
+    }
+    std::int64_t least_priority() const {
+        std::int64_t least = std::numeric_limits<std::int64_t>::max();
+        for (const Queue& queue : config.queues) least = std::min(least, queue.priority);
+        return least;
+    }
+    // A new configuration moves queues to other services and priorities.
+    void config_changed(Micros wall) {
+        for (auto& [id, entry] : jobs)
+            if (entry.open) count_turn(entry, wall);
+        for (auto& [queue, each] : backlog)
+            for (const Queue& known : config.queues)
+                if (known.host + "|" + known.prefix == queue) each.service = known.service, each.priority = known.priority;
+        plan_wanted = true;
+    }
+
+    // --- open jobs ---
+
+    // The job counts from now on; to be called once a majority has it.
+    void open(JobEntry& entry, Micros wall) {
+        if (entry.open || entry.job.ended()) return;
+        entry.open = true;
+        ++open_jobs;
+        QueueBacklog& queue = backlog[entry.queue()];
+        queue.service = service_of(entry.job);
+        queue.priority = turn_of(entry, wall).priority;
+        ++queue.pending;
+        for (const Time& time : entry.job.moving.times) add_progress(entry, time);
+        count_turn(entry, wall);
+    }
+    // An ended job takes part in nothing any more.
+    void close(JobEntry& entry) {
+        if (!entry.open) return;
+        for (auto& [number, steps] : entry.progress)
+            for (std::uint32_t step = 0; step < steps.size(); ++step) {
+                unlist(entry, number, step);
+                count_backlog(entry, steps[step], 0);
+            }
+        entry.progress.clear();
+        entry.open = false;
+        --open_jobs;
+        --backlog[entry.queue()].pending;
+    }
+    // A time of the job has begun.
+    void time_added(JobEntry& entry, Micros wall) {
+        if (!entry.open) return;
+        add_progress(entry, entry.job.moving.times.back());
+        count_turn(entry, wall);
+    }
+    // A task has changed: it was placed, or a run of it ended. Costs nothing that grows with the job but for gangs.
+    void task_changed(JobEntry& entry, std::uint64_t number, std::uint32_t step, std::uint32_t index, Micros wall) {
+        if (!entry.open) return;
+        auto found = entry.progress.find(number);
+        if (found == entry.progress.end()) return;
+        const Time* time = entry.job.find_time(number);
+        if (!time) {
+            for (std::uint32_t each = 0; each < found->second.size(); ++each) {
+                unlist(entry, number, each);
+                count_backlog(entry, found->second[each], 0);
+            }
+            entry.progress.erase(found);
+            count_turn(entry, wall);
+            return;
+        }
+        StepProgress& progress = found->second[step];
+        std::uint32_t before = progress.unfinished;
+        const Step& wanted = entry.job.fixed.spec.steps[step];
+        if (wanted.gang)
+            for (std::uint32_t member = 0; member < progress.bits.size(); ++member) count_task(entry, *time, step, member, progress);
+        else count_task(entry, *time, step, index, progress);
+        list(entry, *time, step);
+        if (before != 0 && progress.unfinished == 0) {
+            for (std::uint32_t later = step + 1; later < found->second.size(); ++later)
+                if (!found->second[later].turn_come) list(entry, *time, later);
+            count_turn(entry, wall);
+        }
+    }
+    // What the job can earn has changed, or may have.
+    void count_turn(JobEntry& entry, Micros wall) {
+        if (!entry.open) return;
+        Turn turn = turn_of(entry, wall);
+        if (turn.next != 0) turns_due.emplace(turn.next, entry.job.fixed.id);
+        if (turn.hope == entry.hope && turn.priority == entry.priority && turn.order == entry.order) return;
+        for (auto& [number, steps] : entry.progress)
+            for (std::uint32_t step = 0; step < steps.size(); ++step) unlist(entry, number, step);
+        entry.hope = turn.hope, entry.priority = turn.priority, entry.order = turn.order;
+        for (const Time& time : entry.job.moving.times)
+            if (entry.progress.contains(time.number))
+                for (std::uint32_t step = 0; step < time.steps.size(); ++step) list(entry, time, step);
+    }
+    void turns_changed(Micros wall) {
+        while (!turns_due.empty() && turns_due.begin()->first <= wall) {
+            std::string id = turns_due.begin()->second;
+            turns_due.erase(turns_due.begin());
+            auto found = jobs.find(id);
+            if (found == jobs.end() || !found->second.open) continue;
+            ++operations;
+            count_turn(found->second, wall);
+        }
+    }
+
+    // --- workers and their room ---
+
+    // The worker's account has changed: what it offers counts for its service.
+    void account_changed(WorkerEntry& worker, const WorkerAccount& account) {
+        if (worker.room.life == account.life && worker.account.service == account.service && worker.account.cpu == account.cpu &&
+            worker.account.memory == account.memory && worker.account.gpu == account.gpu && worker.account.labels == account.labels) {
+            worker.account = account;
+            return;
+        }
+        uncount(worker);
+        worker.account = account;
+        worker.room = {account.life, account.service, account.labels, 0, 0, 0, account.cpu, account.memory, 1};
+        Load& load = loads[account.service];
+        load.whole_cpu += account.cpu, load.whole_memory += account.memory;
+        for (auto& [name, run] : worker.runs) use(load, run, 1);
+        count_room(worker);
+    }
+    // The worker and its runs no longer count for its service.
+    void uncount(WorkerEntry& worker) {
+        if (worker.room.life.empty()) return;
+        Load& load = loads[worker.account.service];
+        load.whole_cpu -= worker.account.cpu, load.whole_memory -= worker.account.memory;
+        for (auto& [name, run] : worker.runs) use(load, run, -1);
+        worker.room = Room{};
+    }
+    RunEntry& add_run(WorkerEntry& worker, JobEntry& entry, const RunName& name, RunState state, Micros now) {
+        const Step& step = entry.job.fixed.spec.steps[name.step];
+        RunEntry run;
+        run.name = name;
+        run.cpu = step.cpu;
+        run.memory = step.memory;
+        run.gpu = step.gpu;
+        run.state = state;
+        run.since = now;
+        run.estimate = step.estimate;
+        run.priority = entry.job.fixed.priority;
+        run.remote = !step.affinity.empty() && std::find(worker.account.labels.begin(), worker.account.labels.end(), step.affinity) == worker.account.labels.end();
+        worker.cpu_used += run.cpu;
+        worker.memory_used += run.memory;
+        worker.gpu_used += run.gpu;
+        ++held;
+        entry.runs[name] = &worker;
+        if (!worker.room.life.empty()) use(loads[worker.account.service], run, 1);
+        count_room(worker);
+        return worker.runs[name] = run;
+    }
+    void drop_run(WorkerEntry& worker, const RunName& name) {
+        auto found = worker.runs.find(name);
+        if (found == worker.runs.end()) return;
+        const RunEntry& run = found->second;
+        worker.cpu_used -= run.cpu;
+        worker.memory_used -= run.memory;
+        worker.gpu_used -= run.gpu;
+        --held;
+        if (!worker.room.life.empty()) use(loads[worker.account.service], run, -1);
+        if (auto job = jobs.find(name.job); job != jobs.end()) job->second.runs.erase(name);
+        worker.runs.erase(found);
+        count_room(worker);
+        plan_wanted = true;
+    }
+    bool usable(const WorkerEntry& worker, Micros now) const {
+        return worker.reconciled && !worker.silent && !worker.account.draining && now - worker.heard_at <= settings.fresh && now >= worker.avoided_until &&
+               !conducts.paused(worker.node, now);
+    }
+    // Whether a task that is placed once is to get a copy elsewhere: its only run is far behind.
+    bool wants_copy(const JobEntry& entry, const Time& time, std::uint32_t step, std::uint32_t index) const {
+        const Step& wanted = entry.job.fixed.spec.steps[step];
+        const Task& task = time.steps[step].tasks[index];
+        if (task.done || task.placements.size() != 1 || !wanted.duplicate_ok || wanted.gang) return false;
+        RunName name{entry.job.fixed.id, time.number, step, index, task.placements[0].run};
+        auto found = entry.runs.find(name);
+        if (found == entry.runs.end()) return false;
+        auto run = found->second->runs.find(name);
+        return run != found->second->runs.end() && run->second.doubled;
+    }
+
+    void mark(JobEntry& entry) {
+        if (!entry.dirty) dirty.push_back(entry.job.fixed.id);
+        entry.dirty = true;
+    }
+
+private:
+    struct Turn {
+        Hope hope;
+        std::int64_t priority;
+        Micros order;
+        Micros next;  // when the hope changes by itself; 0: never
+    };
+    enum Bits : std::uint8_t { waits = 1, unfinished = 2, placed = 4, copy = 8 };
+
+    Turn turn_of(const JobEntry& entry, Micros wall) {
+        const Job& job = entry.job;
+        const Queue* queue = queue_of(job);
+        Micros target = queue ? queue->target : job.fixed.target;
+        double extension = queue ? queue->extension : job.fixed.extension;
+        std::int64_t priority = queue ? queue->priority : job.fixed.priority;
+        // The longest chain of the whole job, and of what is left of its first open time.
+        size_t count = job.fixed.spec.steps.size();
+        std::vector<Micros> whole(count), left(count);
+        const Time* time = job.moving.times.empty() ? nullptr : &job.moving.times.front();
+        auto progress = time ? entry.progress.find(time->number) : entry.progress.end();
+        Micros chain = 0, rest = 0;
+        bool lasting = false;
+        for (std::uint32_t step = 0; step < count; ++step) {
+            ++operations;
+            Micros before = 0, before_left = 0;
+            for (std::uint32_t earlier : job.fixed.spec.steps[step].depends) before = std::max(before, whole[earlier]), before_left = std::max(before_left, left[earlier]);
+            Micros length = durations.expect(entry, step);
+            bool done = progress != entry.progress.end() ? progress->second[step].unfinished == 0 : time && time->steps[step].done();
+            whole[step] = before + length;
+            left[step] = before_left + (done ? 0 : length);
+            chain = std::max(chain, whole[step]);
+            rest = std::max(rest, left[step]);
+            lasting = lasting || job.fixed.spec.steps[step].long_running;
+        }
+        Micros begun = job.timed() ? job.fixed.spec.first_at + Micros(time ? time->number : 0) * job.fixed.spec.interval : job.fixed.accepted_wall;
+        Micros aim = Micros(extension * double(chain)) + target;
+        if (lasting) return {Hope::late, priority, begun, 0};
+        if (wall + rest <= begun + aim) return {Hope::aim, priority, begun + aim - rest, begun + aim - rest + 1};
+        if (wall + rest <= begun + 3 * aim) return {Hope::late, priority, begun, begun + 3 * aim - rest + 1};
+        return {Hope::none, priority, begun, 0};
+    }
+    void add_progress(JobEntry& entry, const Time& time) {
+        auto& steps = entry.progress[time.number];
+        steps.assign(time.steps.size(), StepProgress{});
+        for (std::uint32_t step = 0; step < steps.size(); ++step) {
+            StepProgress& progress = steps[step];
+            const Step& wanted = entry.job.fixed.spec.steps[step];
+            progress.bits.assign(time.steps[step].tasks.size(), 0);
+            if (!wanted.long_running) {
+                double length = double(durations.expect(entry, step)) / 1e6;
+                progress.cpu_each = double(wanted.cpu) * length;
+                progress.memory_each = double(wanted.memory) * length;
+            }
+            for (std::uint32_t index = 0; index < progress.bits.size(); ++index) count_task(entry, time, step, index, progress);
+        }
+        for (std::uint32_t step = 0; step < steps.size(); ++step) list(entry, time, step);
+    }
+    void count_task(const JobEntry& entry, const Time& time, std::uint32_t step, std::uint32_t index, StepProgress& progress) {
+        ++operations;
+        const Task& task = time.steps[step].tasks[index];
+        std::uint8_t bits = 0;
+        if (task.waiting()) bits |= waits;
+        if (!task.done) bits |= unfinished;
+        if (!task.placements.empty()) bits |= placed;
+        if (wants_copy(entry, time, step, index)) bits |= copy;
+        std::uint8_t changed = bits ^ progress.bits[index];
+        if (!changed) return;
+        progress.bits[index] = bits;
+        if (changed & waits) bits & waits ? void(progress.waiting.insert(index)) : void(progress.waiting.erase(index));
+        if (changed & copy) bits & copy ? void(progress.copies.insert(index)) : void(progress.copies.erase(index));
+        if (changed & unfinished) bits & unfinished ? ++progress.unfinished : --progress.unfinished;
+        if (changed & placed) bits & placed ? ++progress.placed : --progress.placed;
+    }
+    // Puts the step into the order of what is ready, or takes it out, and counts what waits.
+    void list(JobEntry& entry, const Time& time, std::uint32_t step) {
+        auto& steps = entry.progress.at(time.number);
+        StepProgress& progress = steps[step];
+        if (!progress.turn_come)
+            progress.turn_come = std::all_of(entry.job.fixed.spec.steps[step].depends.begin(), entry.job.fixed.spec.steps[step].depends.end(),
+                                             [&](std::uint32_t earlier) { return steps[earlier].unfinished == 0; });
+        count_backlog(entry, progress, std::int64_t(progress.waiting.size()));
+        bool ready_now = progress.turn_come && (!progress.waiting.empty() || !progress.copies.empty());
+        if (!ready_now) return unlist(entry, time.number, step);
+        if (progress.listed) return;
+        progress.listed = true;
+        ready.insert(key(entry, time.number, step));
+        plan_wanted = true;
+    }
+    void unlist(JobEntry& entry, std::uint64_t number, std::uint32_t step) {
+        StepProgress& progress = entry.progress.at(number)[step];
+        if (!progress.listed) return;
+        progress.listed = false;
+        ready.erase(key(entry, number, step));
+    }
+    static ReadyKey key(const JobEntry& entry, std::uint64_t number, std::uint32_t step) {
+        return {entry.hope == Hope::none, entry.priority, entry.hope, entry.order, entry.job.fixed.id, number, step};
+    }
+    // Work of jobs that can't earn any more keeps nobody out.
+    void count_backlog(JobEntry& entry, StepProgress& progress, std::int64_t waiting) {
+        QueueBacklog& queue = backlog[entry.queue()];
+        std::int64_t was_ready = progress.counted_ready, is_ready = progress.turn_come ? waiting : 0;
+        queue.ready += is_ready - was_ready;
+        progress.counted_ready = is_ready;
+        std::int64_t counts = entry.hope == Hope::none ? 0 : waiting;
+        std::int64_t more = counts - progress.counted;
+        progress.counted = counts;
+        queue.tasks += more;
+        queue.cpu += double(more) * progress.cpu_each;
+        queue.memory += double(more) * progress.memory_each;
+        if (queue.tasks == 0) queue.cpu = queue.memory = 0;  // no rounding stays behind
+    }
+    static void use(Load& load, const RunEntry& run, std::int64_t sign) {
+        Load::Use& each = load.used[run.priority];
+        each.cpu += sign * run.cpu, each.memory += sign * run.memory, each.runs += sign;
+    }
+    static void count_room(WorkerEntry& worker) {
+        worker.room.cpu = worker.account.cpu - worker.cpu_used;
+        worker.room.memory = worker.account.memory - worker.memory_used;
+        worker.room.gpu = worker.account.gpu - worker.gpu_used;
+    }
+};
+
+}  // namespace calicostall
