--- a/source/control/plan/view.hpp
+++ b/source/control/plan/view.hpp
@@ -65,7 +65,7 @@
 };
 
 // One run that takes room on a worker, orders in doubt and stops under way included.
-struct Run {
+struct PlanRun {
     std::uint64_t id = 0;          // the caller's own number, comes back in the plan
     Standing standing;             // `rest` as it was at its start
     Resources room;
@@ -78,7 +78,7 @@
     bool backfill = false;         // as the start said
 };
 
-struct Worker {
+struct PlanWorker {
     Name service = 0;
     std::vector<Name> labels;
     Name rack = 0;
@@ -87,7 +87,7 @@
     double trust = 1;              // 0..1: workers that drop out, refuse or fail earn it back step by step
     bool open = true;              // takes starts: reconciled, heard of lately, not leaving
     std::uint32_t runs_most = 0;   // so many runs at once at most, while it shows whether it works again; 0: no bound
-    std::vector<Run> runs;
+    std::vector<PlanRun> runs;
     bool has(Name label) const { return label == 0 || std::find(labels.begin(), labels.end(), label) != labels.end(); }
 };
 
--- a/tests/placement.cpp
+++ b/tests/placement.cpp
@@ -13,11 +13,11 @@
     explicit World(PlannerSettings given = {}) : settings(given), items(settings), demand(settings) {}
     std::uint32_t worker(Resources capacity, Name rack = 0, std::vector<Name> labels = {}, double pace = 1, double trust = 1) {
         if (rack) labels.push_back(rack);
-        Worker worker{1, labels, rack, capacity, {}, pace, trust, true, {}};
+        PlanWorker worker{1, labels, rack, capacity, {}, pace, trust, true, {}};
         return fleet.add(worker);
     }
     std::uint64_t run(std::uint32_t place, Resources room, Micros from, Micros until, std::int64_t level = 0, std::uint64_t gang = 0, bool checkpoints = false) {
-        Run run;
+        PlanRun run;
         run.id = ++last, run.room = room, run.started = from, run.expected_end = until, run.gang = gang, run.checkpoints = checkpoints;
         run.standing = {level, from, until + seconds(10), until - from, false};
         fleet.begin_run(place, run);
@@ -382,7 +382,7 @@
         if (row.stops) {
             EXPECT(wait_of(plan, item.id)->reason == Reason::pushing && reservation_of(plan, item.id)->from == world.now + world.settings.stop_grace);
             // Once it stops, nothing more is stopped for the same item, and nothing starts before the room is free.
-            Run* run = world.fleet.find_run(0, id);
+            PlanRun* run = world.fleet.find_run(0, id);
             run->stopping = true, run->expected_end = world.now + world.settings.stop_grace;
             world.now += milliseconds(5);
             Plan next = world.plan();
@@ -411,7 +411,7 @@
         if (!world.fleet.at(place).free.holds(room)) continue;
         auto id = world.run(place, room, world.now - milliseconds(*rc::gen::inRange(0, 9000)), world.now + milliseconds(*rc::gen::inRange(-500, 9000)), *rc::gen::inRange(0, 3),
                             std::uint64_t(*rc::gen::element(0, 0, 0, 500)), *rc::gen::arbitrary<bool>());
-        Run* run = world.fleet.find_run(place, id);
+        PlanRun* run = world.fleet.find_run(place, id);
         run->stopping = *rc::gen::element(false, false, false, true);
         run->preemptable = *rc::gen::element(true, true, false);
     }
@@ -439,7 +439,7 @@
         std::map<std::pair<std::uint64_t, std::uint32_t>, std::uint32_t> on_worker;
         for (const Start& start : plan.starts) {
             const Item& item = *world.items.find(start.item);
-            const Worker& worker = world.fleet.at(start.worker);
+            const PlanWorker& worker = world.fleet.at(start.worker);
             RC_ASSERT(free[start.worker].holds(item.room));  // stops under way and stops of this plan still count
             free[start.worker] -= item.room;
             RC_ASSERT(worker.trust >= world.settings.trust_least && start.task < item.count);
@@ -472,7 +472,7 @@
         Plan plan = world.plan();
         std::set<std::uint64_t> stopped;
         for (const Stop& stop : plan.stops) {
-            const Run* run = world.fleet.find_run(stop.worker, stop.run);
+            const PlanRun* run = world.fleet.find_run(stop.worker, stop.run);
             const Item* item = world.items.find(stop.for_item);
             RC_ASSERT(run && item && run->preemptable && !run->stopping && stopped.insert(stop.run).second);
             Standing standing = run->standing;
@@ -482,7 +482,7 @@
             RC_ASSERT(double(expected_over(*run, world.now) - world.now) >= world.settings.ratio_remaining * double(world.now - run->started));
         }
         for (const Stop& stop : plan.stops) {
-            const Run* run = world.fleet.find_run(stop.worker, stop.run);
+            const PlanRun* run = world.fleet.find_run(stop.worker, stop.run);
             if (run->gang)
                 for (const auto& [place, id] : *world.fleet.gang(run->gang)) RC_ASSERT(stopped.contains(id));
         }
@@ -512,7 +512,7 @@
         }
         Plan plan = world.plan();
         for (const Stop& stop : plan.stops) {
-            Run* run = world.fleet.find_run(stop.worker, stop.run);
+            PlanRun* run = world.fleet.find_run(stop.worker, stop.run);
             run->stopping = true, run->expected_end = world.now + world.settings.stop_grace;
             ++pushed[running.at(stop.run).first.id];
         }
@@ -603,7 +603,7 @@
         for (int each = 0; each < 6; ++each) {
             auto place = std::uint32_t(*rc::gen::inRange<int>(0, int(world.fleet.places())));
             if (!world.fleet.used(place)) continue;
-            const Worker& worker = world.fleet.at(place);
+            const PlanWorker& worker = world.fleet.at(place);
             if (*rc::gen::arbitrary<bool>() && !worker.runs.empty()) world.fleet.end_run(place, worker.runs.front().id);
             else world.fleet.describe(place, 1, worker.labels, worker.rack, worker.capacity + Resources{500, 500, 0});
         }
