The two-stage planner plans on the ordinary path

Cause: placement had no reservations, pushed nothing out, and its plans were made by a budget alone. Tests: tests/scheduling.cpp compares the same counts (the key of a ready step lost its order, the free room its name).

--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -138,6 +138,16 @@
     return 0;
 }
 
+// The planner's weights and ratios: each is an option of `control`, checked with its bounds.
+PlannerSettings planner_options(const cxxopts::ParseResult& given, Findings& findings) {
+    PlannerSettings settings;
+    each_planner_option(settings, [&](const char* name, const char*, double& value) {
+        if (given.count(name)) value = given[name].as<double>();
+    });
+    settings.check(findings);
+    return settings;
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -152,6 +162,10 @@
         "season", "forecast: how many spans make a season, as 24 for days of hours (0: none)", cxxopts::value<std::int64_t>()->default_value("0"))(
         "pressure", "forecast: the share of the fleet from which urgent work is expected to wait", cxxopts::value<double>()->default_value("0.85"))(
         "command", "", cxxopts::value<std::string>())("file", "", cxxopts::value<std::vector<std::string>>());
+    PlannerSettings usual;
+    each_planner_option(usual, [&](const char* name, const char* what, double& value) {
+        options.add_options("placement")(name, fmt::format("control: {}", what), cxxopts::value<double>()->default_value(fmt::format("{:g}", value)));
+    });
     options.parse_positional({"command", "file"});
     options.positional_help("COMMAND [FILE]");
     Findings findings;
@@ -222,7 +236,12 @@
             if (!findings.empty()) return report(usage_error, findings);
             control.scheduler.status_kept = settings.status_kept;
             control.scheduler.stop_grace = settings.stop_grace;
-            control.scheduler.placer.remote_factor = settings.remote_factor;
+            control.scheduler.planner = planner_options(given, findings);
+            control.scheduler.planner.remote_factor = settings.remote_factor;
+            control.scheduler.planner.stop_grace = settings.stop_grace;
+            control.scheduler.planner.restore = settings.restore;
+            control.scheduler.planner.checkpoint_every = settings.checkpoint_every;
+            if (!findings.empty()) return report(usage_error, findings);
             auto role = std::make_unique<Control>(control, *loop);
             return run_role(*role, *loop, path, text);
         }
--- a/source/control/jobs/planning/planning.hpp
+++ b/source/control/jobs/planning/planning.hpp
@@ -1,111 +1,245 @@
-// Goes through what is ready, most urgent first, as far as its budget goes, and says what starts where.
+// Keeps the planner's view of jobs and workers by what has changed, asks for a plan and carries it out.
 #pragma once
-#include "control/jobs/planning/selection.hpp"
 #include "control/jobs/state/state.hpp"
+#include "control/plan/planner.hpp"
 
 namespace calicostall {
 
 class Planning {
 public:
-    explicit Planning(State& state) : state_(state) {}
+    explicit Planning(State& state) : state_(state), items_(state.settings.planner), demand_(state.settings.planner) {}
 
-    // `start` is called for each run that is to begin: start(entry, time, step, index, worker, first of its gang).
+    // `start` is called for each run that is to begin: start(entry, time, step, index, worker, first of its gang), and
+    // answers its entry; `stop` for each that is to make way: stop(worker, run).
     // Returns whether everything ready was looked at; otherwise the next call goes on where this one stopped.
-    template <class Start>
-    bool plan(Micros now, Start start) {
-        std::vector<Candidate> candidates;
+    template <class Start, class Stop>
+    bool plan(Micros now, Micros wall, Start start, Stop stop) {
+        bring_up_to_date(now, wall);
+        if (items_.empty()) return resume_.reset(), true;
+        items_.advance(now);
+        demand_.advance(now);
+        Plan plan = make_plan({state_.settings.planner, items_, fleet_, demand_, state_.least_priority(), now, resume_});
+        state_.operations += plan.looked_at + plan.evaluations;
+        resume_ = plan.resume;
+        for (const calicostall::Stop& each : plan.stops) carry_out(each, stop);
+        carry_out_starts(plan, now, start);
+        return !plan.unfinished;
+    }
+    void clear() {
+        resume_.reset();
+        places_.clear(), lives_.clear(), steps_.clear(), keys_.clear();
+        items_.clear(), demand_.clear();
+        fleet_ = Fleet{};
+    }
+    const Fleet& fleet() const { return fleet_; }
+    const WaitingItems& items() const { return items_; }
+
+private:
+    // What the planner knows a step's tasks by: most of them as one item, those that are particular each by itself.
+    struct StepItems {
+        std::uint64_t group = 0;
+        std::map<std::uint32_t, std::uint64_t> single;
+    };
+    struct ItemPlace {
+        StepKey step;
+        std::vector<std::uint32_t> tasks;
+    };
+
+    void bring_up_to_date(Micros now, Micros wall) {
+        // The planner's clock is the steady one; due times follow the wall clock, which may be set.
+        if (std::abs(wall - now - offset_) > milliseconds(50)) {
+            offset_ = wall - now;
+            state_.steps_touched.insert(state_.ready.begin(), state_.ready.end());
+        }
+        for (const std::string& life : std::exchange(state_.workers_touched, {})) update_worker(life, now);
         for (auto& [life, worker] : state_.workers) {
-            if (!state_.usable(worker, now)) continue;
+            if (!worker.counted) continue;
             double trust = state_.conducts.trust(worker.node, now);
-            candidates.push_back({&worker, trust, trust < 0.4});
+            fleet_.judge(worker.place, state_.usable(worker, now), worker.pace.value(), std::max(trust, state_.settings.planner.trust_least), trust < 0.4 ? 1 : 0);
         }
-        if (candidates.empty()) return true;
-        for (auto& [service, load] : state_.loads) load.measure(now, state_.settings.urgent_memory);
-        full_.clear();
-        const std::uint64_t begun = state_.operations, budget = state_.settings.plan_budget;
-        // Half of the budget goes to the most urgent, the other half on from where the last plan stopped.
-        ReadyKey resumed_at;
-        bool resumed = stopped_at_.has_value();
-        if (resumed) resumed_at = *stopped_at_;
-        auto stopped = walk(state_.ready.begin(), resumed ? &resumed_at : nullptr, begun + (resumed ? budget / 2 : budget), candidates, now, start);
-        if (stopped && !resumed) return stopped_at_ = stopped, false;
-        if (resumed) {
-            stopped = walk(state_.ready.lower_bound(resumed_at), nullptr, state_.operations + budget / 2, candidates, now, start);
-            if (stopped) return stopped_at_ = stopped, false;
-        }
-        stopped_at_.reset();
-        return true;
+        for (const StepKey& key : std::exchange(state_.steps_touched, {})) update_step(key, now);
+    }
+    Micros steady(Micros wall) const { return wall - offset_; }
+    Standing steady(Standing standing) const {
+        standing.begun = steady(standing.begun), standing.due = steady(standing.due);
+        return standing;
     }
-    void clear() { stopped_at_.reset(); }
 
-private:
-    using Place = std::set<ReadyKey>::iterator;
+    // --- workers ---
 
-    template <class Start>
-    std::optional<ReadyKey> walk(Place place, const ReadyKey* until, std::uint64_t most, std::vector<Candidate>& candidates, Micros now, Start& start) {
-        while (place != state_.ready.end()) {
-            ReadyKey key = *place;
-            if (until && !(key < *until)) return std::nullopt;
-            if (state_.operations >= most) return key;
-            ++state_.operations;
-            place_step(key, candidates, now, start);
-            place = state_.ready.upper_bound(key);
+    void update_worker(const std::string& life, Micros now) {
+        auto found = state_.workers.find(life);
+        auto known = places_.find(life);
+        if (found == state_.workers.end() || !found->second.counted) {
+            if (known == places_.end()) return;
+            for (const PlanRun& run : fleet_.at(known->second).runs) demand_.remove(fleet_.at(known->second).service, run.standing.level, run.room);
+            fleet_.remove(known->second);
+            places_.erase(known);
+            return;
+        }
+        WorkerEntry& worker = found->second;
+        Name service = names_.of(worker.account.service);
+        std::vector<Name> labels;
+        for (const std::string& label : worker.account.labels) labels.push_back(names_.of(label));
+        Name rack = labels.size() > 1 ? labels[1] : 0;
+        Resources capacity{worker.account.cpu, worker.account.memory, worker.account.gpu};
+        if (known == places_.end()) {
+            PlanWorker fresh;
+            fresh.service = service, fresh.labels = labels, fresh.rack = rack, fresh.capacity = capacity;
+            worker.place = fleet_.add(std::move(fresh));
+            places_[life] = worker.place;
+            if (lives_.size() <= worker.place) lives_.resize(worker.place + 1);
+            lives_[worker.place] = life;
+        } else if (const PlanWorker& old = fleet_.at(worker.place); old.service != service || old.labels != labels || old.capacity != capacity) {
+            for (const PlanRun& run : old.runs) demand_.remove(old.service, run.standing.level, run.room);
+            fleet_.renew_runs(worker.place, {});
+            fleet_.describe(worker.place, service, labels, rack, capacity);
         }
-        return std::nullopt;
+        for (const PlanRun& run : fleet_.at(worker.place).runs) demand_.remove(service, run.standing.level, run.room);
+        std::vector<PlanRun> runs;
+        runs.reserve(worker.runs.size());
+        for (const auto& [name, entry] : worker.runs) runs.push_back(run_of(entry, now));
+        for (const PlanRun& run : runs) demand_.add(service, run.standing.level, run.room);
+        fleet_.renew_runs(worker.place, std::move(runs));
     }
-    template <class Start>
-    void place_step(const ReadyKey& key, std::vector<Candidate>& candidates, Micros now, Start& start) {
-        JobEntry& entry = state_.jobs.at(key.job);
-        Job& job = entry.job;
-        Time* time = job.find_time(key.time);
-        const StepProgress& progress = entry.progress.at(key.time)[key.step];
-        const Step& wanted = job.fixed.spec.steps[key.step];
-        if (wanted.gang && (progress.placed != 0 || progress.waiting.size() != progress.bits.size())) return;
-        const std::string& service = state_.service_of(job);
-        if (is_full(service, wanted)) return;
-        Load& load = state_.loads[service];
-        std::vector<std::uint32_t> tasks(progress.waiting.begin(), progress.waiting.end());
-        tasks.insert(tasks.end(), progress.copies.begin(), progress.copies.end());
-        const std::int64_t urgent = state_.least_priority();
-        if (key.priority > urgent) {
-            auto use = load.used.find(key.priority);
-            bool first = use == load.used.end() || use->second.runs == 0;  // a queue is never shut out wholly
-            size_t most = load.tasks_open(state_.settings, key.priority, load.share_of(wanted.cpu, wanted.memory), state_.durations.expect(entry, key.step));
-            if (wanted.gang && most < tasks.size() && !first) return;
-            if (!wanted.gang && tasks.size() > most) tasks.resize(std::max<size_t>(most, first ? 1 : 0));
-            if (tasks.empty()) return;
+    PlanRun run_of(const RunEntry& entry, Micros now) {
+        PlanRun run;
+        run.id = entry.serial;
+        run.room = {entry.cpu, entry.memory, entry.gpu};
+        run.started = entry.ordered_at > 0 ? entry.ordered_at : entry.since;
+        run.standing.level = entry.priority;
+        run.stopping = entry.state == RunState::stopping;
+        run.backfill = entry.backfill;
+        run.preemptable = false;
+        Micros length = seconds(1);
+        if (auto job = state_.jobs.find(entry.name.job); job != state_.jobs.end()) {
+            const Step& step = job->second.job.fixed.spec.steps[entry.name.step];
+            length = state_.durations.expect(job->second, entry.name.step);
+            if (entry.remote) length = Micros(double(length) * state_.settings.planner.remote_factor);
+            run.standing = steady(job->second.standing);
+            run.standing.level = entry.priority;
+            run.checkpoints = step.checkpoints;
+            run.preemptable = entry.state == RunState::running && !entry.stop_wanted && !step.long_running && !entry.doubled && !job->second.job.ended();
+            if (step.gang) run.gang = 1 + std::hash<std::string>{}(fmt::format("{} {}", RunName{entry.name.job, entry.name.time, entry.name.step, 0, 0}.task(), entry.name.run)) / 2;
+            if (step.long_running) length = never;
         }
-        StepWish wish{&wanted, service, key.priority == urgent, {}, {}, {}};
-        for (std::uint32_t index : progress.copies) wish.apart[index] = job.moving.workers[time->steps[key.step].tasks[index].placements[0].worker].life;
-        if (wanted.anti_affinity)
+        Micros shown = entry.shown_at - entry.ordered_at;
+        if (entry.percent >= 10 && shown > 0 && entry.ordered_at > 0) length = shown * 100 / entry.percent;
+        run.expected_end = run.stopping ? now + state_.settings.planner.stop_grace : run.started + length;
+        return run;
+    }
+
+    // --- items ---
+
+    void update_step(const StepKey& key, Micros now) {
+        auto found = state_.jobs.find(key.job);
+        JobEntry* entry = found == state_.jobs.end() || !found->second.open ? nullptr : &found->second;
+        const StepProgress* progress = nullptr;
+        if (entry)
+            if (auto steps = entry->progress.find(key.time); steps != entry->progress.end() && steps->second[key.step].listed) progress = &steps->second[key.step];
+        auto known = steps_.find(key);
+        if (!progress) {
+            if (known == steps_.end()) return;
+            drop(known->second.group);
+            for (const auto& [index, id] : known->second.single) drop(id);
+            steps_.erase(known);
+            return;
+        }
+        StepItems& items = steps_[key];
+        const Step& step = entry->job.fixed.spec.steps[key.step];
+        std::vector<std::uint32_t> group;
+        std::map<std::uint32_t, std::uint64_t> single;
+        if (step.gang) {
+            if (progress->placed == 0 && progress->waiting.size() == progress->bits.size()) group.assign(progress->waiting.begin(), progress->waiting.end());
+        } else {
+            for (std::uint32_t index : progress->waiting) {
+                if (entry->failed_on.empty() || !entry->failed_on.contains({key.time, key.step, index})) group.push_back(index);
+                else single[index] = 0;
+            }
+            for (std::uint32_t index : progress->copies) single[index] = 0;
+        }
+        if (group.empty()) drop(std::exchange(items.group, 0));
+        else put(items.group, key, *entry, std::move(group), now);
+        for (const auto& [index, id] : items.single)
+            if (single.contains(index)) single[index] = id;
+            else drop(id);
+        for (auto& [index, id] : single) put(id, key, *entry, {index}, now);
+        items.single = std::move(single);
+    }
+    void drop(std::uint64_t id) {
+        if (id == 0) return;
+        items_.erase(id);
+        keys_.erase(id);
+    }
+    void put(std::uint64_t& id, const StepKey& key, JobEntry& entry, std::vector<std::uint32_t> tasks, Micros now) {
+        const Step& step = entry.job.fixed.spec.steps[key.step];
+        if (id == 0) id = ++last_item_;
+        Item item;
+        item.id = id;
+        item.standing = steady(entry.standing);
+        item.service = names_.of(state_.service_of(entry.job));
+        item.room = {step.cpu, step.memory, step.gpu};
+        item.count = std::uint32_t(tasks.size());
+        item.duration = std::max<Micros>(1, state_.durations.expect(entry, key.step));
+        item.needs = names_.of(step.needs), item.affinity = names_.of(step.affinity);
+        item.anti_affinity = step.anti_affinity;
+        item.gang = step.gang, item.same_rack = step.same_rack, item.checkpoints = step.checkpoints;
+        item.preemptable = !step.long_running;
+        item.standing.lasting = step.long_running;
+        const Time* time = entry.job.find_time(key.time);
+        if (step.anti_affinity && time)
             for (const Task& task : time->steps[key.step].tasks)
-                for (const Placement& placement : task.placements) wish.on_worker[job.moving.workers[placement.worker].life]++;
-        if (!entry.failed_on.empty())
-            for (std::uint32_t index : tasks)
-                if (auto found = entry.failed_on.find({key.time, key.step, index}); found != entry.failed_on.end()) wish.failed[index] = &found->second;
-        std::vector<Choice> chosen = select_workers(wish, tasks, candidates, state_.operations);
-        if (chosen.size() < tasks.size() && !wanted.gang && wanted.needs.empty() && wanted.anti_affinity == 0 && progress.copies.empty())
-            full_.push_back({service, wanted.cpu, wanted.memory, wanted.gpu});
-        bool first = true;
-        for (const Choice& choice : chosen) {
-            start(entry, *time, key.step, choice.index, *choice.worker, first, now);
-            first = false;
+                for (const Placement& placement : task.placements)
+                    if (auto place = places_.find(entry.job.moving.workers[placement.worker].life); place != places_.end()) item.on_worker.emplace_back(place->second, 1);
+        if (tasks.size() == 1 && time && !step.gang) {
+            for (const Placement& placement : time->steps[key.step].tasks[tasks[0]].placements)
+                if (auto place = places_.find(entry.job.moving.workers[placement.worker].life); place != places_.end()) item.away.push_back(place->second);
+            if (auto failed = entry.failed_on.find({key.time, key.step, tasks[0]}); failed != entry.failed_on.end())
+                for (const std::string& node : failed->second)
+                    if (auto life = state_.nodes.find(node); life != state_.nodes.end())
+                        if (auto place = places_.find(life->second); place != places_.end()) item.disliked.push_back(place->second);
         }
+        auto service = fleet_.service(item.service);
+        double mean = service.count ? double(service.capacity.cpu) / double(service.count) : 0;
+        items_.put(std::move(item), now, mean > 0 ? double(step.cpu) / mean : 0);
+        keys_[id] = {key, std::move(tasks)};
     }
-    // Where a smaller task found no room in this plan, a larger one finds none either.
-    struct Full {
-        std::string service;
-        std::int64_t cpu, memory, gpu;
-    };
-    bool is_full(const std::string& service, const Step& step) const {
-        return std::any_of(full_.begin(), full_.end(), [&](const Full& each) {
-            return each.service == service && step.cpu >= each.cpu && step.memory >= each.memory && step.gpu >= each.gpu;
-        });
+
+    // --- carrying out ---
+
+    template <class Stop>
+    void carry_out(const calicostall::Stop& each, Stop& stop) {
+        auto worker = state_.workers.find(lives_[each.worker]);
+        if (worker == state_.workers.end()) return;
+        for (auto& [name, run] : worker->second.runs)
+            if (run.serial == each.run) return stop(worker->second, run);
+    }
+    template <class Start>
+    void carry_out_starts(const Plan& plan, Micros now, Start& start) {
+        for (const calicostall::Start& each : plan.starts) {
+            auto item = keys_.find(each.item);
+            if (item == keys_.end()) continue;
+            const ItemPlace& place = item->second;
+            JobEntry& entry = state_.jobs.at(place.step.job);
+            Time* time = entry.job.find_time(place.step.time);
+            auto worker = state_.workers.find(lives_[each.worker]);
+            if (!time || worker == state_.workers.end() || each.task >= place.tasks.size()) continue;
+            start(entry, *time, place.step.step, place.tasks[each.task], worker->second, each.task == 0, now).backfill = each.backfill;
+        }
     }
 
     State& state_;
-    std::optional<ReadyKey> stopped_at_;
-    std::vector<Full> full_;
+    Names names_;
+    Fleet fleet_;
+    WaitingItems items_;
+    UrgentDemand demand_;
+    std::map<std::string, std::uint32_t> places_;  // life -> place in the fleet
+    std::vector<std::string> lives_;               // place in the fleet -> life
+    std::map<StepKey, StepItems> steps_;
+    std::unordered_map<std::uint64_t, ItemPlace> keys_;
+    std::uint64_t last_item_ = 0;
+    Micros offset_ = 0;
+    std::optional<Cursor> resume_;
 };
 
 }  // namespace calicostall
--- a/source/control/jobs/runs/judge.hpp
+++ b/source/control/jobs/runs/judge.hpp
@@ -15,7 +15,7 @@
         const Step& step = entry.job.fixed.spec.steps[run.name.step];
         Micros took = run.ordered_at > 0 ? now - run.ordered_at : 0;
         if (took <= 0 || step.long_running || !worker.measurable) return;
-        if (run.remote) took = Micros(double(took) / state_.settings.placer.remote_factor);
+        if (run.remote) took = Micros(double(took) / state_.settings.planner.remote_factor);
         // Only siblings of the same step are a measure; an estimate is too rough to speak against a worker.
         if (Durations::measured(entry, run.name.step)) worker.pace.note(double(took) / double(state_.durations.expect(entry, run.name.step)), 0.2);
         if (worker.pace.slow()) return;  // a slow worker tells nothing of the job
@@ -71,7 +71,7 @@
 private:
     Micros expected(const RunEntry& run, const JobEntry& entry) {
         Micros usual = state_.durations.expect(entry, run.name.step);
-        return run.remote ? Micros(double(usual) * state_.settings.placer.remote_factor) : usual;
+        return run.remote ? Micros(double(usual) * state_.settings.planner.remote_factor) : usual;
     }
     // A run that takes far longer than its siblings speaks against its worker before it ends.
     void judge_progress(WorkerEntry& worker, RunEntry& run, Micros now) {
--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -55,6 +55,7 @@
             while (!worker.orders.empty() && worker.orders.front().number <= ask.taken) worker.orders.pop_front();
         for (const OrderResult& result : ask.results) take_result(worker, result, now);
         if (ask.report && ask.report->life == life && ask.report->fence == state_.epoch) take_report(worker, *ask.report, now, wall);
+        if (ask.report || !ask.results.empty()) state_.touch(worker);
         if (!was_usable && state_.usable(worker, now)) state_.plan_wanted = true;
     }
     // `confirmed_at`: when a majority surely still followed this owner.
@@ -104,13 +105,19 @@
     // --- starts and stops ---
 
     // The run is intended from now on; its order leaves once the record has it.
-    void intend(JobEntry& entry, const Time& time, std::uint32_t step, std::uint32_t index, std::uint32_t run, WorkerEntry& worker, Micros now, Micros wall) {
+    RunEntry& intend(JobEntry& entry, const Time& time, std::uint32_t step, std::uint32_t index, std::uint32_t run, WorkerEntry& worker, Micros now, Micros wall) {
         RunName name{entry.job.fixed.id, time.number, step, index, run};
-        state_.add_run(worker, entry, name, RunState::intended, now);
+        RunEntry& run_entry = state_.add_run(worker, entry, name, RunState::intended, now);
         state_.task_changed(entry, time.number, step, index, wall);
         entry.after.push_back([this, life = worker.account.life, name, now] { order_start(life, name, now); });
         counters().add("runs_intended");
         state_.mark(entry);
+        return run_entry;
+    }
+    // A run makes way for work that goes before it.
+    void push_out(WorkerEntry& worker, RunEntry& run) {
+        counters().add("runs_pushed_out");
+        want_stop(worker, run);
     }
     // The job has ended: nothing of it goes on.
     void stop_job(JobEntry& entry) {
@@ -227,6 +234,7 @@
     void want_stop(WorkerEntry& worker, RunEntry& run) {
         if (run.stop_wanted) return;
         run.stop_wanted = true;
+        state_.touch(worker);
         // An intent that has not become an order is stopped all the same: the order is not given any more.
         run.state = RunState::stopping;
         give_order(worker, {0, OrderKind::stop, {}, run.name.task(), run.name.run, {}, {}});
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -297,12 +297,13 @@
     }
     void plan(Micros now, Micros wall, Micros confirmed_at) {
         if (confirmed_at < 0 || now - confirmed_at > settings_.hold / 2) return;
-        bool finished = planning_.plan(now, [this, wall](JobEntry& entry, Time& time, std::uint32_t step, std::uint32_t index, WorkerEntry& worker, bool first, Micros at) {
+        auto start = [this, wall](JobEntry& entry, Time& time, std::uint32_t step, std::uint32_t index, WorkerEntry& worker, bool first, Micros at) -> RunEntry& {
             bool gang = entry.job.fixed.spec.steps[step].gang;
             if (!gang || first) run_ = entry.job.next_run(time, step, index);
             entry.job.place(time, step, index, run_, {worker.account.life, worker.node});
-            runs_.intend(entry, time, step, index, run_, worker, at, wall);
-        });
+            return runs_.intend(entry, time, step, index, run_, worker, at, wall);
+        };
+        bool finished = planning_.plan(now, wall, start, [this](WorkerEntry& worker, RunEntry& run) { runs_.push_out(worker, run); });
         admission_.lag.plan_finished(finished, now);
         if (!finished) state_.plan_wanted = true;
     }
--- a/source/control/jobs/settings.hpp
+++ b/source/control/jobs/settings.hpp
@@ -1,7 +1,7 @@
 // What the scheduler is told at its start, and what it needs of the record.
 #pragma once
 #include "common.hpp"
-#include "control/plan/placer.hpp"
+#include "control/plan/settings.hpp"
 
 namespace calicostall {
 
@@ -16,14 +16,10 @@
     Micros stop_grace = milliseconds(900);
     Micros still_least = milliseconds(1500);  // a run without progress for so long stands still
     Micros history_span = 0;              // how long a span of the history is; 0: none is kept
-    Micros urgent_memory = seconds(8);  // how fast the peak of urgent work is forgotten
-    Micros urgent_length = seconds(4);  // a task this long keeps clear of all of it
-    double urgent_most = 0.4;           // at most this share is kept free for it
-    size_t plan_budget = 6000;          // rooms and items that one plan may look at before it goes on in the next
     Micros settle = seconds(6);           // a new owner learns its workers, and clients try again what an earlier one had
     std::int64_t tasks_most = 5000;       // tasks that wait for a start; beyond it no job is taken
     Micros lag_most = milliseconds(600);  // an owner later than this takes no new job
-    PlacerSettings placer;
+    PlannerSettings planner;
     // When a hold that was last allowed at `allowed` has surely lapsed (a worker's clock may run 2% slow).
     Micros lapse_after(Micros confirmed) const { return confirmed + hold + hold / 50 + hold_margin; }
 };
--- a/source/control/jobs/state/job_entry.hpp
+++ b/source/control/jobs/state/job_entry.hpp
@@ -3,12 +3,10 @@
 #include "common.hpp"
 #include "control/jobs/job.hpp"
 #include "control/jobs/state/worker.hpp"
+#include "control/plan/waiting.hpp"
 
 namespace calicostall {
 
-// What a job still can earn: all, a part, or nothing any more.
-enum class Hope { aim, late, none };
-
 // One step at one time: its tasks counted, so that nobody walks them.
 struct StepProgress {
     std::set<std::uint32_t> waiting;  // not done and placed nowhere
@@ -32,7 +30,7 @@
     bool open = false;       // counted among the open jobs
     Hope hope = Hope::aim;
     std::int64_t priority = 0;
-    Micros order = 0;
+    Standing standing;       // by the wall clock
     std::map<std::uint64_t, std::vector<StepProgress>> progress;  // by number of the time
     std::map<RunName, WorkerEntry*> runs;                         // what takes room for it, and where
     std::map<std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>, std::set<std::string>> failed_on;  // task -> machines
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -12,16 +12,12 @@
 
 namespace calicostall {
 
-// A step of a job that has waiting tasks whose turn has come; the smallest is placed first.
-struct ReadyKey {
-    bool hopeless = false;
-    std::int64_t priority = 0;
-    Hope hope = Hope::aim;
-    Micros order = 0;
+// One step of one time of a job.
+struct StepKey {
     std::string job;
     std::uint64_t time = 0;
     std::uint32_t step = 0;
-    auto operator<=>(const ReadyKey&) const = default;
+    auto operator<=>(const StepKey&) const = default;
 };
 
 class State {
@@ -36,7 +32,9 @@
     std::map<std::string, std::string> nodes;  // side machine -> life of its worker
     std::map<std::string, Load> loads;         // by service
     Backlog backlog;                           // by queue
-    std::set<ReadyKey> ready;
+    std::set<StepKey> ready;                   // steps with waiting tasks whose turn has come
+    std::set<StepKey> steps_touched;           // what the planner is to look at again
+    std::set<std::string> workers_touched;
     std::multimap<Micros, std::string> turns_due;           // when the hope of a job changes next (wall)
     std::multimap<Micros, std::string> expiries;            // when an ended job may be forgotten (wall)
     std::multimap<Micros, std::pair<std::string, RunName>> looks_due;  // when a run is judged next
@@ -45,12 +43,14 @@
     HistoryRecorder history;
     Conducts conducts;
     bool plan_wanted = false;
+    std::uint64_t last_serial = 0;
     size_t held = 0;               // runs that take room anywhere
     size_t open_jobs = 0;
     std::uint64_t operations = 0;  // what the work of an event is measured by
 
     void clear() {
         jobs.clear(), dirty.clear(), workers.clear(), nodes.clear(), loads.clear(), backlog.clear(), ready.clear();
+        steps_touched.clear(), workers_touched.clear();
         turns_due.clear(), expiries.clear(), looks_due.clear();
         history.clear(), conducts.clear();
         config = Config{};
@@ -93,7 +93,7 @@
         ++open_jobs;
         QueueBacklog& queue = backlog[entry.queue()];
         queue.service = service_of(entry.job);
-        queue.priority = turn_of(entry, wall).priority;
+        queue.priority = turn_of(entry, wall).standing.level;
         ++queue.pending;
         for (const Time& time : entry.job.moving.times) add_progress(entry, time);
         count_turn(entry, wall);
@@ -150,10 +150,8 @@
         if (!entry.open) return;
         Turn turn = turn_of(entry, wall);
         if (turn.next != 0) turns_due.emplace(turn.next, entry.job.fixed.id);
-        if (turn.hope == entry.hope && turn.priority == entry.priority && turn.order == entry.order) return;
-        for (auto& [number, steps] : entry.progress)
-            for (std::uint32_t step = 0; step < steps.size(); ++step) unlist(entry, number, step);
-        entry.hope = turn.hope, entry.priority = turn.priority, entry.order = turn.order;
+        if (turn.hope == entry.hope && turn.standing == entry.standing) return;
+        entry.hope = turn.hope, entry.priority = turn.standing.level, entry.standing = turn.standing;
         for (const Time& time : entry.job.moving.times)
             if (entry.progress.contains(time.number))
                 for (std::uint32_t step = 0; step < time.steps.size(); ++step) list(entry, time, step);
@@ -173,14 +171,14 @@
 
     // The worker's account has changed: what it offers counts for its service.
     void account_changed(WorkerEntry& worker, const WorkerAccount& account) {
-        if (worker.room.life == account.life && worker.account.service == account.service && worker.account.cpu == account.cpu &&
+        if (worker.counted && worker.account.life == account.life && worker.account.service == account.service && worker.account.cpu == account.cpu &&
             worker.account.memory == account.memory && worker.account.gpu == account.gpu && worker.account.labels == account.labels) {
             worker.account = account;
             return;
         }
         uncount(worker);
         worker.account = account;
-        worker.room = {account.life, account.service, account.labels, 0, 0, 0, account.cpu, account.memory, 1};
+        worker.counted = true;
         Load& load = loads[account.service];
         load.whole_cpu += account.cpu, load.whole_memory += account.memory;
         for (auto& [name, run] : worker.runs) use(load, run, 1);
@@ -188,11 +186,12 @@
     }
     // The worker and its runs no longer count for its service.
     void uncount(WorkerEntry& worker) {
-        if (worker.room.life.empty()) return;
+        touch(worker);
+        if (!worker.counted) return;
         Load& load = loads[worker.account.service];
         load.whole_cpu -= worker.account.cpu, load.whole_memory -= worker.account.memory;
         for (auto& [name, run] : worker.runs) use(load, run, -1);
-        worker.room = Room{};
+        worker.counted = false;
     }
     RunEntry& add_run(WorkerEntry& worker, JobEntry& entry, const RunName& name, RunState state, Micros now) {
         const Step& step = entry.job.fixed.spec.steps[name.step];
@@ -201,6 +200,7 @@
         run.cpu = step.cpu;
         run.memory = step.memory;
         run.gpu = step.gpu;
+        run.serial = ++last_serial;
         run.state = state;
         run.since = now;
         run.estimate = step.estimate;
@@ -210,8 +210,9 @@
         worker.memory_used += run.memory;
         worker.gpu_used += run.gpu;
         ++held;
+        touch(worker);
         entry.runs[name] = &worker;
-        if (!worker.room.life.empty()) use(loads[worker.account.service], run, 1);
+        if (worker.counted) use(loads[worker.account.service], run, 1);
         count_room(worker);
         return worker.runs[name] = run;
     }
@@ -223,7 +224,8 @@
         worker.memory_used -= run.memory;
         worker.gpu_used -= run.gpu;
         --held;
-        if (!worker.room.life.empty()) use(loads[worker.account.service], run, -1);
+        touch(worker);
+        if (worker.counted) use(loads[worker.account.service], run, -1);
         if (auto job = jobs.find(name.job); job != jobs.end()) job->second.runs.erase(name);
         worker.runs.erase(found);
         count_room(worker);
@@ -245,6 +247,7 @@
         return run != found->second->runs.end() && run->second.doubled;
     }
 
+    void touch(const WorkerEntry& worker) { workers_touched.insert(worker.account.life); }
     void mark(JobEntry& entry) {
         if (!entry.dirty) dirty.push_back(entry.job.fixed.id);
         entry.dirty = true;
@@ -253,8 +256,7 @@
 private:
     struct Turn {
         Hope hope;
-        std::int64_t priority;
-        Micros order;
+        Standing standing;
         Micros next;  // when the hope changes by itself; 0: never
     };
     enum Bits : std::uint8_t { waits = 1, unfinished = 2, placed = 4, copy = 8 };
@@ -286,10 +288,10 @@
         }
         Micros begun = job.timed() ? job.fixed.spec.first_at + Micros(time ? time->number : 0) * job.fixed.spec.interval : job.fixed.accepted_wall;
         Micros aim = Micros(extension * double(chain)) + target;
-        if (lasting) return {Hope::late, priority, begun, 0};
-        if (wall + rest <= begun + aim) return {Hope::aim, priority, begun + aim - rest, begun + aim - rest + 1};
-        if (wall + rest <= begun + 3 * aim) return {Hope::late, priority, begun, begun + 3 * aim - rest + 1};
-        return {Hope::none, priority, begun, 0};
+        Standing standing{priority, begun, begun + aim, rest, lasting};
+        Hope hope = hope_of(standing, wall);
+        Micros next = lasting || hope == Hope::none ? 0 : begun + (hope == Hope::aim ? 1 : 3) * aim - rest + 1;
+        return {hope, standing, next};
     }
     void add_progress(JobEntry& entry, const Time& time) {
         auto& steps = entry.progress[time.number];
@@ -333,19 +335,19 @@
         count_backlog(entry, progress, std::int64_t(progress.waiting.size()));
         bool ready_now = progress.turn_come && (!progress.waiting.empty() || !progress.copies.empty());
         if (!ready_now) return unlist(entry, time.number, step);
-        if (progress.listed) return;
+        StepKey key{entry.job.fixed.id, time.number, step};
+        if (!progress.listed) ready.insert(key);
         progress.listed = true;
-        ready.insert(key(entry, time.number, step));
+        steps_touched.insert(std::move(key));
         plan_wanted = true;
     }
     void unlist(JobEntry& entry, std::uint64_t number, std::uint32_t step) {
         StepProgress& progress = entry.progress.at(number)[step];
         if (!progress.listed) return;
         progress.listed = false;
-        ready.erase(key(entry, number, step));
-    }
-    static ReadyKey key(const JobEntry& entry, std::uint64_t number, std::uint32_t step) {
-        return {entry.hope == Hope::none, entry.priority, entry.hope, entry.order, entry.job.fixed.id, number, step};
+        StepKey key{entry.job.fixed.id, number, step};
+        ready.erase(key);
+        steps_touched.insert(std::move(key));
     }
     // Work of jobs that can't earn any more keeps nobody out.
     void count_backlog(JobEntry& entry, StepProgress& progress, std::int64_t waiting) {
@@ -366,9 +368,7 @@
         each.cpu += sign * run.cpu, each.memory += sign * run.memory, each.runs += sign;
     }
     static void count_room(WorkerEntry& worker) {
-        worker.room.cpu = worker.account.cpu - worker.cpu_used;
-        worker.room.memory = worker.account.memory - worker.memory_used;
-        worker.room.gpu = worker.account.gpu - worker.gpu_used;
+        worker.free = {worker.account.cpu - worker.cpu_used, worker.account.memory - worker.memory_used, worker.account.gpu - worker.gpu_used};
     }
 };
 
--- a/source/control/jobs/state/worker.hpp
+++ b/source/control/jobs/state/worker.hpp
@@ -2,7 +2,7 @@
 #pragma once
 #include "common.hpp"
 #include "control/jobs/job.hpp"
-#include "control/plan/placer.hpp"
+#include "control/plan/view.hpp"
 #include "control/plan/sense.hpp"
 #include "shared/wire/frames.hpp"
 
@@ -28,6 +28,8 @@
     std::uint64_t shown = 0;    // reports since its percent last rose
     bool doubled = false;       // a copy may run beside it
     bool judged = false;        // it has counted against its worker's pace
+    std::uint64_t serial = 0;   // its number for the planner
+    bool backfill = false;      // started into a gap before a reservation
 };
 
 struct WorkerEntry {
@@ -52,7 +54,9 @@
     bool measurable = true;    // its last report came without a gap before it
     bool silent = false;       // its side gets no answer from it
     std::int64_t cpu_used = 0, memory_used = 0, gpu_used = 0;
-    Room room;                 // what is free, kept up with each change
+    Resources free;            // kept up with each change
+    bool counted = false;      // its account counts for its service
+    std::uint32_t place = 0;   // in the planner's fleet, once it is there
 };
 
 }  // namespace calicostall
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -126,7 +126,7 @@
     };
     std::map<std::string, std::int64_t> pending, ready, tasks;
     std::set<std::tuple<std::string, std::uint64_t, std::uint32_t>> listed, walked_listed;
-    for (const ReadyKey& key : state.ready) listed.insert({key.job, key.time, key.step});
+    for (const StepKey& key : state.ready) listed.insert({key.job, key.time, key.step});
     size_t open = 0, runs_of_jobs = 0;
     for (const auto& [id, entry] : state.jobs) {
         runs_of_jobs += entry.runs.size();
@@ -179,7 +179,7 @@
         same(worker.cpu_used, cpu, "room used of " + life);
         if (worker.placeholder) continue;
         whole[worker.account.service] += worker.account.cpu;
-        same(worker.room.cpu, worker.account.cpu - cpu, "room of " + life);
+        same(worker.free.cpu, worker.account.cpu - cpu, "room of " + life);
     }
     same(state.held, held, "runs held");
     same(runs_of_jobs, of_known_jobs, "runs by job");
@@ -259,7 +259,7 @@
     EXPECT_SAID(large <= small + 2, fmt::format("an end costs {} operations among 10 jobs, {} among 600", small, large));
     // A plan stays within its budget, whatever waits.
     SchedulerSettings settings;
-    settings.plan_budget = 500, settings.tasks_most = 1000000, settings.settle = seconds(10000);
+    settings.planner.looks_most = 100, settings.planner.evaluations_most = 400, settings.tasks_most = 1000000, settings.settle = seconds(10000);
     Bench bench(3, settings);
     for (std::uint64_t id = 1; id <= 2000; ++id) bench.post("/a/", id, fmt::format(R"({{"job_spec":"x","steps":[{{"count":2,"cpu":{},"estimate_ms":600000}}]}})", 15000 - id));
     for (int round = 0; round < 30; ++round) {
