--- a/source/control/jobs/runs/judge.hpp
+++ b/source/control/jobs/runs/judge.hpp
@@ -17,7 +17,7 @@
         if (took <= 0 || step.long_running || !worker.measurable) return;
         if (run.remote) took = Micros(double(took) / state_.settings.placer.remote_factor);
         // Only siblings of the same step are a measure; an estimate is too rough to speak against a worker.
-        if (Durations::measured(entry, run.name.step)) worker.pace.note(double(took) / double(state_.durations.expect(entry, run.name.step)), 0.2);
+        if (Durations::measured(entry, run.name.step)) worker.pace.note(relative(double(took) / double(state_.durations.expect(entry, run.name.step))), 0.2);
         if (worker.pace.slow()) return;  // a slow worker tells nothing of the job
         state_.durations.note(entry, run.name.step, took);
     }
@@ -81,12 +81,22 @@
         Micros usual = expected(run, job->second), elapsed = now - run.ordered_at;
         if (elapsed < usual + milliseconds(200)) return;
         double whole = run.percent > 0 ? double(elapsed) * 100 / double(run.percent) : double(elapsed) * 2;
-        if (whole < 2 * double(usual)) return;
+        double ratio = whole / double(usual) / std::exp(fleet_);
+        if (ratio < 2) return;
         run.judged = true;
-        if (Durations::measured(job->second, run.name.step)) worker.pace.note(whole / double(usual), 0.2);
+        if (Durations::measured(job->second, run.name.step)) worker.pace.note(ratio, 0.2);
+    }
+
+    // The ratio against what the whole fleet shows of late: expectations that are off speak against nobody.
+    double relative(double ratio) {
+        double said = std::log(std::clamp(ratio, 0.1, 10.0));
+        double shown = ratio / std::exp(fleet_);
+        fleet_ += 0.02 * (said - fleet_);
+        return shown;
     }
 
     State& state_;
+    double fleet_ = 0;  // running mean of the logarithms of all ratios
 };
 
 }  // namespace calicostall
