--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -73,15 +73,17 @@
             }
         }
         size_t usable = 0;
-        std::string slow, away;
+        std::string slow, away, doubted;
         for (const auto& [life, worker] : state_.workers) {
             usable += worker.reconciled && !worker.silent && !worker.account.draining;
             if (!worker.reconciled) away += fmt::format("{}{}", away.empty() ? "" : ",", worker.node.empty() ? life : worker.node + (worker.placeholder ? "(unheard)" : worker.silent ? "(silent)" : ""));
+            if (double trust = state_.conducts.trust(worker.node, worker.heard_at); trust < 0.7) doubted += fmt::format("{}{}:{:.1f}", doubted.empty() ? "" : ",", worker.node, trust);
             if (worker.pace.slow()) slow += fmt::format("{}{}:{:.1f}", slow.empty() ? "" : ",", worker.node, worker.pace.value());
         }
         text += fmt::format(" room_used=cpu:{:.2f},memory:{:.2f} workers={}/{}", cpu > 0 ? double(cpu_used) / double(cpu) : 0, memory > 0 ? double(memory_used) / double(memory) : 0, usable, state_.workers.size());
         if (!away.empty()) text += " unreconciled=" + away;
         if (!slow.empty()) text += " slow=" + slow;
+        if (!doubted.empty()) text += " doubted=" + doubted;
         return text;
     }
     bool anything_held() const { return state_.held > 0; }
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -173,7 +173,11 @@
         std::int64_t cpu = 0;
         for (const auto& [name, run] : worker.runs) {
             cpu += run.cpu;
-            of_known_jobs += state.jobs.contains(name.job);
+            auto job = state.jobs.find(name.job);
+            of_known_jobs += job != state.jobs.end();
+            if (job != state.jobs.end())
+                for (const Time& time : job->second.job.moving.times)
+                    if (time.number == name.time && !job->second.job.wanted(time, name.step, name.index, name.run)) same(run.stop_wanted, true, "stop of a run that nobody wants " + name.task());
             if (!worker.placeholder) used[worker.account.service][run.priority].cpu += run.cpu, used[worker.account.service][run.priority].runs++;
         }
         same(worker.cpu_used, cpu, "room used of " + life);
