--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -393,7 +393,8 @@
         worker.reconciled = false;
         worker.look = true;
         ++worker.era;
-        state_.conducts.note_lapse(worker.node, now);
+        // A side that is heard all the while lost its hold by the owner's doing, not by its worker's.
+        if (worker.silent || now - worker.heard_at > seconds(1)) state_.conducts.note_lapse(worker.node, now);
         clear_runs(worker, End::lapsed, wall, now);
     }
 
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -419,6 +419,42 @@
     for (const auto& [name, run] : bench.scheduler.workers().at(worker.life).runs) EXPECT_SAID(!run.stop_wanted, "stopped unseen " + name.task());
 }
 
+// Holds that lapse because the owner had no majority don't speak against the workers; those of silent ones do.
+void lapses_are_judged() {
+    for (bool silent : {false, true}) {
+        Bench bench(1);
+        auto& worker = bench.workers[0];
+        size_t lapses = 0;
+        bool paused = false;
+        for (std::uint64_t id = 1; id <= 3; ++id) {
+            bench.post("/a/", id, R"({"job_spec":"x","steps":[{"count":1,"cpu":1000,"estimate_ms":60000}]})");
+            for (int round = 0; round < 80; ++round) {
+                bench.now += milliseconds(100);
+                bench.turn();
+                bench.report(worker);
+                if (!worker.active.empty()) break;
+            }
+            const Micros confirmed = bench.now;
+            std::uint64_t era = bench.scheduler.workers().at(worker.life).era;
+            for (int round = 0; round < 60; ++round) {
+                bench.now += milliseconds(100);
+                SideAsk ask;
+                ask.node = worker.node, ask.incarnation = 1, ask.number = ++worker.number, ask.epoch = Epoch{7}, ask.taken = worker.taken, ask.silent = silent;
+                ask.worker = WorkerAccount{worker.life, "svc", "", "", 16000, 64000, 0, {"a", "r0"}, false, -1};
+                bench.scheduler.take_side(ask, bench.now, bench.now);
+                bench.scheduler.answer_side(worker.node, silent ? bench.now : confirmed, bench.now);
+                bench.scheduler.tick(bench.now, bench.now, silent ? bench.now : confirmed);
+                paused = paused || bench.scheduler.state().conducts.paused(worker.node, bench.now);
+            }
+            lapses += bench.scheduler.workers().at(worker.life).era - era;
+            worker.active.clear();
+            bench.ledger.commit();
+        }
+        EXPECT_SAID(lapses >= 2, fmt::format("{} lapses", lapses));
+        EXPECT_SAID(paused == silent, silent ? "a silent worker that lapses again and again is paused" : "the owner's own lapses pause nobody");
+    }
+}
+
 }  // namespace
 
 int main() {
@@ -429,5 +465,6 @@
     trust_table();
     attempts_are_spread();
     unseen_runs_go_on();
+    lapses_are_judged();
     return result();
 }
