The record in parts, and takeovers by difference

Cause: each start and end of one task rewrote a job's whole moving text on every disk, and each takeover sent and wrote every register anew, ended jobs included. Change: registers have numbered parts; writes carry what changed since the version that the member acknowledged, named as base (else it says lacking and gets all). A job is a head, a part for each touched task and one for each worker's life; an ended job with nothing placed is its head alone. Prepare asks tell what the candidate has, answers hold the rest; one adopt instead of a mark for each key, with a stamp in each head so that a reload gives the epochs back. Purges name the version; a key that comes again goes on above what was forgotten (before, it could be purged after it was acknowledged). Under load writes are gathered.

--- a/source/control/jobs/job.hpp
+++ b/source/control/jobs/job.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "common.hpp"
 #include "control/jobs/spec.hpp"
+#include "control/store/register.hpp"
 #include "shared/wire/cbor.hpp"
 
 namespace calicostall {
@@ -47,9 +48,6 @@
 struct StepState {
     std::vector<Task> tasks;
     std::uint32_t failed_run = 0;  // the last run of a gang that counted as failed
-    using IsFrame = void;
-    template <class Visitor>
-    void describe(Visitor& visit) { visit(tasks), visit(failed_run); }
     bool done() const {
         return std::all_of(tasks.begin(), tasks.end(), [](const Task& task) { return task.done; });
     }
@@ -59,9 +57,6 @@
 struct Time {
     std::uint64_t number = 0;
     std::vector<StepState> steps;
-    using IsFrame = void;
-    template <class Visitor>
-    void describe(Visitor& visit) { visit(number), visit(steps); }
     bool done() const {
         return std::all_of(steps.begin(), steps.end(), [](const StepState& step) { return step.done(); });
     }
@@ -84,9 +79,25 @@
     std::uint64_t next_time = 0;
     std::vector<LifeName> workers;
     std::vector<Time> times;
+};
+
+// A job in the record: the head, one numbered part for each task that was ever touched, one for each life of a worker.
+struct TimeHead {
+    std::uint64_t number = 0;
+    std::vector<std::uint32_t> failed_runs;  // of each step
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(ending), visit(ended_wall), visit(begun), visit(next_time), visit(workers), visit(times); }
+    void describe(Visitor& visit) { visit(number), visit(failed_runs); }
+};
+struct JobHead {
+    Ending ending = Ending::none;
+    Micros ended_wall = 0;
+    bool begun = false;
+    std::uint64_t next_time = 0;
+    std::vector<TimeHead> times;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(ending), visit(ended_wall), visit(begun), visit(next_time), visit(times); }
 };
 
 // Names one run of one task anywhere.
@@ -143,26 +154,68 @@
         return job;
     }
     std::string packed_fixed() const { return pack(fixed); }
-    std::string packed_moving() const { return pack(moving); }
-    static std::optional<Job> unpacked(const std::string& fixed, const std::string& moving) {
-        auto first = unpack<JobFixed>(fixed);
-        auto second = unpack<JobMoving>(moving);
-        if (!first || !second) return std::nullopt;
+    // What changed since the last call, for the record. Once nothing of an ended job is placed, only its head is left.
+    // Example: ledger.propose(key, std::nullopt, job.packed_changes(), told);
+    Patch packed_changes() {
+        JobHead head{moving.ending, moving.ended_wall, moving.begun, moving.next_time, {}};
+        if (ended() && !has_placements()) {
+            touched_.clear();
+            return Patch(pack(head), {}, true);
+        }
+        for (const Time& time : moving.times) {
+            TimeHead& each = head.times.emplace_back(TimeHead{time.number, {}});
+            for (const StepState& step : time.steps) each.failed_runs.push_back(step.failed_run);
+        }
+        std::vector<Part> parts;
+        for (std::uint64_t number : touched_) {
+            const Task* task = task_of(number);
+            parts.push_back({number, task ? pack(*task) : std::string()});
+        }
+        for (; workers_packed_ < moving.workers.size(); ++workers_packed_) parts.push_back({worker_bit | workers_packed_, pack(moving.workers[workers_packed_])});
+        touched_.clear();
+        return Patch(pack(head), std::move(parts));
+    }
+    // Example: std::optional<Job> job = Job::unpacked(value); if (!job) counters().add("jobs_unreadable");
+    static std::optional<Job> unpacked(const Register& value) {
+        auto fixed = unpack<JobFixed>(value.fixed);
+        auto head = unpack<JobHead>(value.moving);
+        if (!fixed || !head) return std::nullopt;
         Job job;
-        job.fixed = std::move(*first);
+        job.fixed = std::move(*fixed);
         job.fixed.extension = double(job.fixed.extension_thousandths) / 1000;
-        job.moving = std::move(*second);
+        job.moving.ending = head->ending;
+        job.moving.ended_wall = head->ended_wall;
+        job.moving.begun = head->begun;
+        job.moving.next_time = head->next_time;
+        for (const TimeHead& each : head->times) {
+            Time& time = job.moving.times.emplace_back(job.empty_time(each.number));
+            if (each.failed_runs.size() != time.steps.size()) return std::nullopt;
+            for (size_t step = 0; step < time.steps.size(); ++step) time.steps[step].failed_run = each.failed_runs[step];
+        }
+        for (const auto& [number, bytes] : value.parts) {
+            if (number & worker_bit) {
+                auto life = unpack<LifeName>(bytes);
+                if (!life || (number & ~worker_bit) != job.moving.workers.size()) return std::nullopt;
+                job.moving.workers.push_back(std::move(*life));
+                continue;
+            }
+            Task* task = job.task_of(number);
+            auto read = unpack<Task>(bytes);
+            if (!task || !read) return std::nullopt;
+            *task = std::move(*read);
+            job.placed_ += task->placements.size();
+        }
+        job.workers_packed_ = job.moving.workers.size();
+        for (const Time& time : job.moving.times)
+            for (const StepState& step : time.steps)
+                for (const Task& task : step.tasks)
+                    for (const Placement& placement : task.placements)
+                        if (placement.worker >= job.moving.workers.size()) return std::nullopt;
         return job;
     }
 
     bool ended() const { return moving.ending != Ending::none; }
-    bool has_placements() const {
-        for (const Time& time : moving.times)
-            for (const StepState& step : time.steps)
-                for (const Task& task : step.tasks)
-                    if (!task.placements.empty()) return true;
-        return false;
-    }
+    bool has_placements() const { return placed_ != 0; }
     const char* phase() const {
         switch (moving.ending) {
             case Ending::done: return "done";
@@ -180,14 +233,7 @@
         return fixed.spec.first_at + Micros(moving.next_time) * fixed.spec.interval;
     }
     Time& add_time() {
-        Time time;
-        time.number = moving.next_time++;
-        for (const Step& step : fixed.spec.steps) {
-            StepState state;
-            state.tasks.resize(step.count);
-            time.steps.push_back(std::move(state));
-        }
-        moving.times.push_back(std::move(time));
+        moving.times.push_back(empty_time(moving.next_time++));
         return moving.times.back();
     }
     Time* find_time(std::uint64_t number) {
@@ -223,6 +269,8 @@
         Task& task = time.steps[step].tasks[index];
         task.last_run = std::max(task.last_run, run);
         task.placements.push_back({run, worker_place(life)});
+        ++placed_;
+        touch(time.number, step, index);
         moving.begun = true;
         return run;
     }
@@ -241,7 +289,9 @@
         StepState& state = time.steps[name.step];
         Task& task = state.tasks[name.index];
         const Step& step = fixed.spec.steps[name.step];
-        std::erase_if(task.placements, [&](const Placement& each) { return each.run == name.run && moving.workers[each.worker].life == life; });
+        placed_ -= std::erase_if(task.placements, [&](const Placement& each) { return each.run == name.run && moving.workers[each.worker].life == life; });
+        if (!step.gang) touch(name.time, name.step, name.index);
+        else for (size_t index = 0; index < state.tasks.size(); ++index) touch(name.time, name.step, index);
         if (!saved.empty()) {
             task.saved = saved;
             if (step.gang)
@@ -271,7 +321,7 @@
             bool empty = true;
             for (const StepState& each : time.steps)
                 for (const Task& member : each.tasks) empty = empty && member.placements.empty();
-            if (empty) std::erase_if(moving.times, [&](const Time& each) { return each.number == name.time; });
+            if (empty) drop_time(name.time);
         }
         return true;
     }
@@ -290,10 +340,31 @@
     }
 
 private:
+    // Part numbers: a life of a worker by its place, a task by time (24 bits), step (15) and index (24).
+    static constexpr std::uint64_t worker_bit = std::uint64_t(1) << 63;
+    static std::uint64_t part_of(std::uint64_t time, size_t step, size_t index) { return time << 39 | std::uint64_t(step) << 24 | std::uint64_t(index); }
+    void touch(std::uint64_t time, size_t step, size_t index) { touched_.insert(part_of(time, step, index)); }
+    Task* task_of(std::uint64_t number) {
+        return find_task({{}, number >> 39, std::uint32_t(number >> 24 & 0x7fff), std::uint32_t(number & 0xffffff), 0});
+    }
+    Time empty_time(std::uint64_t number) const {
+        Time time;
+        time.number = number;
+        for (const Step& step : fixed.spec.steps) time.steps.emplace_back().tasks.resize(step.count);
+        return time;
+    }
+    void drop_time(std::uint64_t number) {
+        for (size_t step = 0; step < fixed.spec.steps.size(); ++step)
+            for (size_t index = 0; index < fixed.spec.steps[step].count; ++index) touch(number, step, index);
+        std::erase_if(moving.times, [&](const Time& each) { return each.number == number; });
+    }
     void finish(Ending ending, Micros wall) {
         moving.ending = ending;
         moving.ended_wall = wall;
     }
+
+    std::set<std::uint64_t> touched_;  // tasks whose part of the record is not up to date
+    size_t workers_packed_ = 0, placed_ = 0;
 };
 
 }  // namespace calicostall
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -34,8 +34,8 @@
 
 // What the scheduler needs of the record: proposals that come back committed or not at all.
 template <class T>
-concept Ledger = requires(T ledger, std::string key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
-    ledger.propose(key, fixed, moving, told);
+concept Ledger = requires(T ledger, std::string key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> told) {
+    ledger.propose(key, fixed, patch, told);
     ledger.confirm(key, told);
     ledger.bury(key);
 };
@@ -100,7 +100,7 @@
                 config_ = parse_config(value.moving, findings);
             }
             if (!key.starts_with("job/") || value.fixed.empty()) continue;
-            auto job = Job::unpacked(value.fixed, value.moving);
+            auto job = Job::unpacked(value);
             if (!job) {
                 counters().add("jobs_unreadable");
                 continue;
@@ -415,7 +415,7 @@
         entry.job = Job::accept(std::move(fixed));
         (void)now;
         counters().add("jobs_accepted");
-        ledger_.propose(key_of(id), entry.job.packed_fixed(), entry.job.packed_moving(), [this, id, done](bool committed) {
+        ledger_.propose(key_of(id), entry.job.packed_fixed(), entry.job.packed_changes(), [this, id, done](bool committed) {
             if (committed) {
                 auto found = jobs_.find(id);
                 if (found != jobs_.end()) {
@@ -550,7 +550,7 @@
         entry.dirty = false;
         auto after = std::make_shared<std::vector<std::function<void()>>>(std::move(entry.after));
         entry.after.clear();
-        ledger_.propose(key_of(entry.job.fixed.id), std::nullopt, entry.job.packed_moving(), [after](bool committed) {
+        ledger_.propose(key_of(entry.job.fixed.id), std::nullopt, entry.job.packed_changes(), [after](bool committed) {
             if (committed)
                 for (auto& each : *after) each();
         });
@@ -714,7 +714,7 @@
             if (shown.contains(name)) continue;
             if (run.state == RunState::stopping && stopped.contains(fmt::format("{} {}", name.task(), name.run))) gone.push_back(name);
             else if (run.state == RunState::ordered && !worker.reconciled) order_start(worker.account.life, name, now);
-            else if (run.state == RunState::stopping && !worker.reconciled)
+            else if (run.state == RunState::stopping && (!worker.reconciled || ++run.missing % 8 == 0))  // the answer to a stop may be lost
                 give_order(worker, {0, OrderKind::stop, {}, name.task(), name.run, {}, {}});
             else if (run.state == RunState::running && ++run.missing >= 3) want_stop(worker, run);
         }
--- a/source/control/store/disk.hpp
+++ b/source/control/store/disk.hpp
@@ -36,22 +36,11 @@
         while (mdb_cursor_get(cursor, &key, &value, MDB_NEXT) == 0) {
             std::string name(static_cast<char*>(key.mv_data), key.mv_size);
             std::string_view bytes(static_cast<char*>(value.mv_data), value.mv_size);
-            bool sound = true;
-            if (name.starts_with("r/")) {
-                auto read = unpack<Register>(bytes);
-                if (read) replica.registers[name.substr(2)] = std::move(*read);
-                sound = bool(read);
-            } else {
-                auto read = unpack<Epoch>(bytes);
-                sound = bool(read);
-                if (read && name == "m/identity") replica.identity = Identity{read->value};
-                if (read && name == "m/promised") replica.promised = *read;
-                if (read && name == "m/synced") replica.synced = *read;
-            }
-            if (!sound) unreadable = "the entry " + name + " cannot be read";
+            if (!replica.load(name, bytes)) unreadable = "the entry " + name + " cannot be read";
         }
         mdb_cursor_close(cursor);
         mdb_txn_commit(transaction);
+        if (!replica.finish_load() && unreadable.empty()) unreadable = "a value lacks its head";
         return unreadable;
     }
     // Writes at once; for the very first entries of a new disk.
@@ -116,14 +105,14 @@
         bool good = true;
         if (identity) good = put("m/identity", pack(Epoch{identity_.value}));
         for (const Item& item : batch) {
-            if (item.change.promised) good = good && put("m/promised", pack(*item.change.promised));
-            if (item.change.synced) good = good && put("m/synced", pack(*item.change.synced));
-            for (const auto& [key, value] : item.change.puts) good = good && put("r/" + key, pack(value));
-            for (const std::string& key : item.change.drops) {
-                std::string name = "r/" + key;
-                MDB_val value{name.size(), name.data()};
-                int code = mdb_del(transaction, table_, &value, nullptr);
-                good = good && (code == 0 || code == MDB_NOTFOUND);
+            for (const auto& [name, bytes] : item.change.entries) {
+                if (bytes) {
+                    good = good && put(name, *bytes);
+                } else {
+                    MDB_val key{name.size(), const_cast<char*>(name.data())};
+                    int code = mdb_del(transaction, table_, &key, nullptr);
+                    good = good && (code == 0 || code == MDB_NOTFOUND);
+                }
             }
         }
         if (!good) {
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "common.hpp"
 #include "control/store/register.hpp"
+#include "shared/wire/cbor.hpp"
 
 namespace calicostall {
 
@@ -9,6 +10,8 @@
     Micros retry = milliseconds(100);
     Micros ask_again = milliseconds(30);  // a daemon that does not trust this one yet
     size_t batch_bytes = 512 * 1024;
+    // Under load changes are gathered for half as long as the last write took, at most so long; after a pause nothing waits.
+    Micros gather_most = milliseconds(6);
 };
 
 // A message the caller is to carry to one member and to bring the answer of back with its ticket.
@@ -18,7 +21,7 @@
     std::variant<PrepareAsk, WriteAsk> ask;
 };
 
-// States: idle -> preparing (asks for a higher epoch) -> handing (rewrites the newest values) -> acting.
+// States: idle -> preparing (asks for a higher epoch) -> handing (what differs is written anew) -> acting.
 class Owner {
 public:
     enum class State { idle, preparing, handing, acting };
@@ -35,13 +38,21 @@
     Micros confirmed_at() const { return confirmed_at_; }
     std::uint64_t takeovers() const { return takeovers_; }
 
-    // Begins a takeover; `seen` is the highest epoch known.
-    void take_over(const Core& core, Epoch seen) {
+    // Begins a takeover; `seen` is the highest epoch known, `mine` what this daemon's own replica holds: the others
+    // send only what differs from it.
+    // Example: owner.take_over(core, std::max(replica.promised, highest), replica.registers);
+    void take_over(const Core& core, Epoch seen, std::map<std::string, Register> mine = {}) {
         const Member* me = core.find(self_);
         if (!me) return;
         give_up();
         core_ = core;
         epoch_ = Epoch{(std::max(seen.value, epoch_.value) / number_room + 1) * number_room + me->number % number_room};
+        mine_ = std::move(mine);
+        Holdings known;
+        for (const auto& [key, value] : mine_) known.list.push_back({key, value.epoch, value.version});
+        known_ = pack(known);
+        core_epoch_ = Epoch{};
+        core_version_ = Version{};
         ++takeovers_;
         change_state(State::preparing);
     }
@@ -56,21 +67,33 @@
         waits_.clear();
         links_.clear();
         registers_.clear();
+        mine_.clear();
+        known_.clear();
+        chosen_.clear();
         grants_.clear();
         tombs_.clear();
         learners_.clear();
-        held_.clear();
+        floor_version_ = Version{};
         for (Told& each : told) each(false);
     }
 
     // Proposes the key's next value. `told` is called once a majority has it (or with false when given up).
-    void propose(const std::string& key, std::optional<std::string> fixed, std::string moving, Told told) {
-        Register& value = registers_[key];
-        value.version.value++;
+    void propose(const std::string& key, std::optional<std::string> fixed, Patch patch, Told told) {
+        auto [place, fresh] = registers_.try_emplace(key);
+        Register& value = place->second;
+        tombs_.erase(key);
+        // A key that was forgotten and comes again goes on above every version that was forgotten.
+        value.version.value = std::max(value.version.value, fresh ? floor_version_.value : 0) + 1;
         value.epoch = epoch_;
         if (fixed) value.fixed = std::move(*fixed);
-        value.moving = std::move(moving);
-        for (auto& [identity, link] : links_) link.dirty.insert(key);
+        value.moving = std::move(patch.moving);
+        value.change(patch.parts, patch.all);
+        for (auto& [identity, link] : links_) {
+            Missing& missing = link.dirty[key];
+            missing.replaces = missing.replaces || patch.all;
+            missing.whole = missing.whole || fixed;
+            for (const Part& part : patch.parts) missing.parts.insert(part.number);
+        }
         if (told) waits_.push_back({key, value.version, 0, std::move(told)});
     }
     // Called once the key's present value is on a majority that was asked after this call.
@@ -120,7 +143,7 @@
 
     // Forgets ended keys: an empty value everywhere first, the key itself only when every member has that.
     void bury(const std::string& key) {
-        propose(key, std::string(), std::string(), nullptr);
+        propose(key, std::string(), Patch({}, {}, true), nullptr);
         tombs_.insert(key);
     }
 
@@ -135,7 +158,11 @@
                 if (grants_.contains(identity) || learners_.contains(identity)) continue;
                 // The own promise is raised last: until the others trust this daemon, the present owner is left alone.
                 if (identity == self_ && grants_.size() + 1 < core_.majority()) continue;
-                errands.push_back(dispatch(link, now, PrepareAsk{self_, identity, epoch_}));
+                bool sounding = identity != self_ && !link.ready;
+                errands.push_back(dispatch(link, now, PrepareAsk{self_, identity, epoch_, sounding ? PrepareKind::sounding : PrepareKind::grant, sounding ? "" : known_}));
+            } else if (!link.compared) {
+                // One that was not among the majority: what it holds is learnt before it is written to.
+                errands.push_back(dispatch(link, now, PrepareAsk{self_, identity, epoch_, PrepareKind::late, known_}));
             } else {
                 std::optional<WriteAsk> ask = next_write(identity, link);
                 if (ask) errands.push_back(dispatch(link, now, std::move(*ask)));
@@ -143,23 +170,34 @@
         }
         return errands;
     }
+    // When `pump` has something to send that it held back.
+    std::optional<Micros> next_pump() const {
+        std::optional<Micros> next;
+        for (const auto& [identity, link] : links_)
+            if (!link.flying && (!link.dirty.empty() || link.round < round_wanted_)) next = std::min(next.value_or(link.not_before), link.not_before);
+        return next;
+    }
 
     // The answer to an errand; none when it failed.
     void take(std::uint64_t ticket, const PrepareAnswer* answer, Micros now) {
         Link* link = landing(ticket);
-        if (!link || state_ != State::preparing) return;
+        if (!link || state_ == State::idle) return;
         if (!answer) return hold_off(*link, now);
         link->heard_at = now;
-        if (answer->verdict == Verdict::granted) {
-            grants_[link->member.identity] = *answer;
-            adopt_core(*answer);
-            if (state_ == State::preparing && granted_majority()) begin_handing();
-        } else {
-            if (answer->promised > epoch_) return outbid(answer->promised);
-            if (answer->verdict == Verdict::stranger) link->gone = true;
-            hold_off(*link, now);
-            if (answer->verdict == Verdict::untrusted) link->not_before = now + settings_.ask_again;
+        switch (answer->verdict) {
+            case Verdict::ready: link->ready = true; return;
+            case Verdict::granted:
+                if (state_ != State::preparing) return compare(*link, *answer);
+                grants_[link->member.identity] = *answer;
+                adopt_core(*answer);
+                if (state_ == State::preparing && granted_majority()) begin_handing();
+                return;
+            default: break;
         }
+        if (answer->promised > epoch_) return outbid(answer->promised);
+        if (answer->verdict == Verdict::stranger) link->gone = true;
+        hold_off(*link, now);
+        if (answer->verdict == Verdict::untrusted) link->not_before = now + settings_.ask_again;
     }
     void take(std::uint64_t ticket, const WriteAnswer* answer, Micros now) {
         Link* link = landing(ticket);
@@ -175,25 +213,36 @@
             put_back(*link);
             return hold_off(*link, now);
         }
+        bool busy = link->written_at >= 0 && link->sent_at - link->written_at <= settings_.gather_most;
+        link->written_at = now;
+        if (busy) link->not_before = now + std::min((now - link->sent_at) / 2, settings_.gather_most);
+        if (link->adopting) {
+            link->adopting = false;
+            link->has.merge(link->alike);
+            link->alike.clear();
+            link->excepted.clear();
+        }
         std::set<std::string> lacking(answer->lacking.begin(), answer->lacking.end());
-        for (const auto& [key, version] : link->in_flight) {
+        std::vector<std::string> buried;
+        for (const auto& [key, flight] : link->in_flight) {
             if (lacking.contains(key)) {
                 link->has.erase(key);
-                link->marks.erase(key);
-                link->dirty.insert(key);
+                if (registers_.contains(key)) link->dirty[key].whole = true;
                 continue;
             }
-            link->has.insert(key);
-            Version& held = held_[key][link->member.identity];
-            held = std::max(held, version);
-            if (tombs_.contains(key)) settle_tomb(key);
+            link->has[key] = flight.version;
+            if (tombs_.contains(key)) buried.push_back(key);
         }
-        for (const std::string& key : link->purging) link->purges.erase(key);
         link->in_flight.clear();
+        for (const auto& [key, version] : link->purging) {
+            auto purge = link->purges.find(key);
+            if (purge != link->purges.end() && purge->second == version) link->purges.erase(purge);
+        }
         link->purging.clear();
         if (link->completing && lacking.empty()) link->synced = true;
         link->round = std::max(link->round, link->flying_round);
         link->answered_from = link->sent_at;
+        for (const std::string& key : buried) settle_tomb(key);
         if (state_ == State::handing && synced_majority()) change_state(State::acting);
         note_confirmation();
         tell();
@@ -203,17 +252,28 @@
     std::optional<Epoch> outbid_by;
 
 private:
+    // What a member lacks of a key, counted from the version that it is known to have.
+    struct Missing {
+        std::set<std::uint64_t> parts;
+        bool replaces = false, whole = false;
+    };
+    struct Flight {
+        Version version;
+        Missing missing;
+    };
     struct Link {
         Member member;
         std::uint64_t flying = 0;
-        Micros sent_at = 0, not_before = 0, heard_at = -1, answered_from = -1;
+        Micros sent_at = 0, not_before = 0, heard_at = -1, answered_from = -1, written_at = -1;
         std::uint64_t round = 0, flying_round = 0;
+        bool ready = false, compared = false, adopting = false;
         bool synced = false, completing = false, gone = false;
-        std::set<std::string> dirty;
-        std::set<std::string> has;              // keys of which it has the fixed part
-        std::map<std::string, Version> marks;   // keys it already holds in the newest version
-        std::map<std::string, Version> in_flight;
-        std::set<std::string> purges, purging;
+        std::map<std::string, Missing> dirty;
+        std::map<std::string, Version> has;    // what it acknowledged under this epoch
+        std::map<std::string, Version> alike;  // what it has under this epoch once it has adopted
+        std::vector<std::string> excepted;
+        std::map<std::string, Flight> in_flight;
+        std::map<std::string, Version> purges, purging;
     };
     struct Wait {
         std::string key;
@@ -221,6 +281,7 @@
         std::uint64_t round;
         Told told;
     };
+    using Content = std::pair<Epoch, Version>;
     static constexpr std::uint64_t number_room = 64;
 
     void change_state(State state) { state_ = state; }
@@ -240,9 +301,15 @@
         }
         return nullptr;
     }
-    // What got no answer may be there or not; it is sent again.
+    // What got no answer may be there or not; it is sent again. One that took it will find the base gone, and gets all.
     void put_back(Link& link) {
-        for (const auto& [key, version] : link.in_flight) link.dirty.insert(key);
+        for (auto& [key, flight] : link.in_flight) {
+            if (!registers_.contains(key)) continue;
+            Missing& missing = link.dirty[key];
+            missing.parts.merge(flight.missing.parts);
+            missing.replaces = missing.replaces || flight.missing.replaces;
+            missing.whole = missing.whole || flight.missing.whole;
+        }
         link.in_flight.clear();
         link.purging.clear();
     }
@@ -257,34 +324,39 @@
         for (const Member& member : core_.members) wanted[member.identity] = member;
         for (const auto& [identity, member] : learners_) wanted[identity] = member;
         std::erase_if(links_, [&](const auto& each) { return !wanted.contains(each.first); });
-        for (const auto& [identity, member] : wanted) {
-            auto [place, fresh] = links_.try_emplace(identity);
-            place->second.member = member;
-            if (!fresh) continue;
-            for (const auto& [key, value] : registers_) place->second.dirty.insert(key);
-        }
+        for (const auto& [identity, member] : wanted) links_[identity].member = member;
     }
     std::optional<WriteAsk> next_write(Identity identity, Link& link) {
-        bool idle_probe = (state_ == State::acting || state_ == State::handing) && !link.synced && link.dirty.empty();
-        if (link.dirty.empty() && link.purges.empty() && link.round >= round_wanted_ && !idle_probe &&
-            !(link.heard_at < 0))
-            return std::nullopt;
-        WriteAsk ask{self_, identity, epoch_, false, false, {}, {}};
+        if (link.dirty.empty() && link.purges.empty() && link.round >= round_wanted_ && link.synced) return std::nullopt;
+        WriteAsk ask{self_, identity, epoch_, false, false, {}, {}, link.adopting, {}};
+        if (link.adopting) ask.excepted = link.excepted;
         size_t bytes = 0;
         link.in_flight.clear();
-        for (auto key = link.dirty.begin(); key != link.dirty.end() && bytes < settings_.batch_bytes; key = link.dirty.erase(key)) {
-            const Register& value = registers_[*key];
-            WriteEntry entry{*key, Carries::all, value};
-            auto mark = link.marks.find(*key);
-            if (mark != link.marks.end() && mark->second == value.version) entry.carries = Carries::mark;
-            else if (link.has.contains(*key) && !tombs_.contains(*key)) entry.carries = Carries::moving;
-            if (entry.carries != Carries::all) entry.value.fixed.clear();
-            if (entry.carries == Carries::mark) entry.value.moving.clear();
-            bytes += key->size() + entry.value.fixed.size() + entry.value.moving.size() + 32;
-            link.in_flight[*key] = value.version;
+        for (auto each = link.dirty.begin(); each != link.dirty.end() && bytes < settings_.batch_bytes; each = link.dirty.erase(each)) {
+            const auto& [key, missing] = *each;
+            const Register& value = registers_.at(key);
+            auto has = link.has.find(key);
+            WriteEntry entry{key, Carries::all, epoch_, value.version, {}, {}, value.moving, {}, missing.replaces};
+            if (has != link.has.end() && !missing.whole) {
+                entry.carries = Carries::changes;
+                entry.base = has->second;
+            } else {
+                entry.fixed = value.fixed;
+            }
+            if (entry.carries == Carries::all || missing.replaces) {
+                for (const auto& [number, part] : value.parts) entry.parts.push_back({number, part});
+            } else {
+                for (std::uint64_t number : missing.parts) {
+                    auto part = value.parts.find(number);
+                    entry.parts.push_back({number, part == value.parts.end() ? std::string() : part->second});
+                }
+            }
+            bytes += key.size() + entry.fixed.size() + entry.moving.size() + 32;
+            for (const Part& part : entry.parts) bytes += part.bytes.size() + 12;
+            link.in_flight[key] = {value.version, std::move(each->second)};
             ask.entries.push_back(std::move(entry));
         }
-        ask.purges.assign(link.purges.begin(), link.purges.end());
+        for (const auto& [key, version] : link.purges) ask.purges.push_back({key, version});
         link.purging = link.purges;
         ask.complete = !link.synced && link.dirty.empty();
         ask.level = link.dirty.empty();
@@ -310,6 +382,8 @@
         for (const KeyedRegister& each : answer.registers) {
             if (each.key != "core" || !unpack_core) continue;
             std::optional<Core> core = unpack_core(each.value.moving);
+            auto mine = mine_.find("core");
+            if (mine != mine_.end() && !each.value.newer_than(mine->second)) continue;
             if (!core || std::tie(each.value.epoch, each.value.version) <= std::tie(core_epoch_, core_version_)) continue;
             core_epoch_ = each.value.epoch;
             core_version_ = each.value.version;
@@ -318,56 +392,98 @@
             tie_links();
         }
     }
+    // What a member holds, from its answer: all of `mine_` but for what it named.
+    std::map<std::string, Content> holdings(const PrepareAnswer& answer) const {
+        std::map<std::string, Content> held;
+        for (const auto& [key, value] : mine_) held.emplace_hint(held.end(), key, Content{value.epoch, value.version});
+        for (const std::string& key : answer.lacking) held.erase(key);
+        for (const KeyedRegister& each : answer.registers) held[each.key] = {each.value.epoch, each.value.version};
+        return held;
+    }
     void begin_handing() {
         Epoch floor;
         for (const auto& [identity, grant] : grants_) floor = std::max(floor, grant.synced);
         registers_.clear();
-        held_.clear();
-        for (const auto& [identity, grant] : grants_)
-            for (const KeyedRegister& each : grant.registers) {
-                if (each.value.epoch < floor) continue;
-                auto [place, fresh] = registers_.try_emplace(each.key, each.value);
-                if (!fresh && each.value.newer_than(place->second)) place->second = each.value;
-            }
-        links_.clear();
-        tie_links();
-        for (auto& [identity, grant] : grants_) {
-            auto link = links_.find(identity);
-            if (link == links_.end()) continue;
-            for (const KeyedRegister& each : grant.registers) {
-                auto found = registers_.find(each.key);
-                if (found == registers_.end()) continue;
-                if (!found->second.newer_than(each.value)) link->second.marks[each.key] = each.value.version;
-                if (each.value.epoch >= floor && each.value.fixed == found->second.fixed) link->second.has.insert(each.key);
-            }
+        // The newest value of each key on the majority. What was known is on it unless each of them lacks it or has another.
+        std::map<std::string, size_t> elsewhere;
+        for (const auto& [identity, grant] : grants_) {
+            for (const std::string& key : grant.lacking) elsewhere[key]++;
+            for (const KeyedRegister& each : grant.registers)
+                if (mine_.contains(each.key)) elsewhere[each.key]++;
+        }
+        auto weigh = [&](const std::string& key, const Register& value) {
+            if (value.epoch < floor) return;
+            auto [place, fresh] = registers_.try_emplace(key, value);
+            if (!fresh && value.newer_than(place->second)) place->second = value;
+        };
+        for (const auto& [key, value] : mine_) {
+            auto found = elsewhere.find(key);
+            if (found == elsewhere.end() || found->second < grants_.size()) weigh(key, value);
         }
+        for (const auto& [identity, grant] : grants_)
+            for (const KeyedRegister& each : grant.registers) weigh(each.key, each.value);
         for (auto& [key, value] : registers_) {
+            chosen_[key] = {value.epoch, value.version};
             value.epoch = epoch_;
-            if (value.fixed.empty() && value.moving.empty()) tombs_.insert(key);
+            if (value.empty()) tombs_.insert(key);
+        }
+        std::map<Identity, Link> before;
+        before.swap(links_);
+        tie_links();
+        for (auto& [identity, link] : links_) {
+            if (auto old = before.find(identity); old != before.end()) link.heard_at = old->second.heard_at;
+            if (auto grant = grants_.find(identity); grant != grants_.end()) compare(link, grant->second);
         }
+        // The contents are in `registers_` now; of what was known its epochs and versions are still needed.
+        for (auto& [key, value] : mine_) value.fixed.clear(), value.moving.clear(), value.parts.clear();
         grants_.clear();
         change_state(State::handing);
     }
+    // Learns what the member holds. What equals the chosen value, or the present one, need not be written again.
+    void compare(Link& link, const PrepareAnswer& answer) {
+        std::map<std::string, Content> held = holdings(answer);
+        link.compared = link.adopting = true;
+        for (const auto& [key, content] : held) {
+            auto value = registers_.find(key);
+            if (value == registers_.end()) {
+                link.excepted.push_back(key);
+                // Left over from before a member went: forgotten by all the others since.
+                if (content.first == epoch_) link.purges[key] = content.second;
+                continue;
+            }
+            auto chosen = chosen_.find(key);
+            bool alike = content == Content{epoch_, value->second.version} || (chosen != chosen_.end() && content == chosen->second);
+            if (alike) link.alike[key] = content.second;
+            else link.excepted.push_back(key);
+        }
+        for (const auto& [key, value] : registers_) {
+            auto alike = link.alike.find(key);
+            if (alike == link.alike.end() || alike->second != value.version) link.dirty[key].whole = true;
+            else link.dirty.erase(key);
+        }
+    }
     void settle_tomb(const std::string& key) {
         auto found = registers_.find(key);
         if (found == registers_.end() || holders(key, found->second.version) < core_.members.size()) return;
+        Version version = found->second.version;
+        floor_version_ = std::max(floor_version_, version);
         tombs_.erase(key);
-        registers_.erase(key);
-        held_.erase(key);
+        registers_.erase(found);
         for (auto& [identity, link] : links_) {
             link.dirty.erase(key);
             link.has.erase(key);
-            link.purges.insert(key);
+            link.alike.erase(key);
+            link.purges[key] = version;
         }
     }
     // How many members have the key in this version or a later one.
     size_t holders(const std::string& key, Version version) const {
-        auto found = held_.find(key);
-        if (found == held_.end()) return 0;
         size_t count = 0;
         for (const Member& member : core_.members) {
-            auto held = found->second.find(member.identity);
-            count += held != found->second.end() && held->second >= version;
+            auto link = links_.find(member.identity);
+            if (link == links_.end()) continue;
+            auto has = link->second.has.find(key);
+            count += has != link->second.has.end() && has->second >= version;
         }
         return count;
     }
@@ -416,10 +532,13 @@
     Core core_;
     Epoch core_epoch_;
     Version core_version_;
+    Version floor_version_;
     Micros confirmed_at_ = -1;
     std::uint64_t takeovers_ = 0, last_ticket_ = 0, round_wanted_ = 0;
     std::map<std::string, Register> registers_;
-    std::map<std::string, std::map<Identity, Version>> held_;
+    std::map<std::string, Register> mine_;        // what the own replica held when the takeover began
+    std::string known_;                           // the same as packed Holdings
+    std::map<std::string, Content> chosen_;       // which contents the takeover settled on
     std::map<Identity, Link> links_;
     std::map<Identity, PrepareAnswer> grants_;
     std::map<Identity, Member> learners_;
--- a/source/control/store/register.hpp
+++ b/source/control/store/register.hpp
@@ -4,16 +4,47 @@
 
 namespace calicostall {
 
-// One key's value: `fixed` never changes after the first version, `moving` does.
+// One numbered piece of a value; in a change, empty bytes drop it.
+struct Part {
+    std::uint64_t number = 0;
+    std::string bytes;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(number), visit(bytes); }
+    bool operator==(const Part&) const = default;
+};
+
+// What a proposal changes of a value: `moving` is replaced, then the parts named here (or, with `all`, every part).
+// Example: owner.propose("job/1", std::nullopt, Patch{head, {{7, task}}}, told);
+struct Patch {
+    std::string moving;
+    std::vector<Part> parts;
+    bool all = false;
+    Patch(std::string moving = {}, std::vector<Part> parts = {}, bool all = false) : moving(std::move(moving)), parts(std::move(parts)), all(all) {}
+    Patch(const char* moving) : moving(moving) {}
+};
+
+// One key's value: `fixed` never changes after the first version, `moving` and the parts do.
+// (epoch, version) tells one content from all others: only the owner of an epoch gives versions under it.
 struct Register {
     Epoch epoch;
     Version version;
     std::string fixed;
     std::string moving;
+    std::map<std::uint64_t, std::string> parts;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(epoch), visit(version), visit(fixed), visit(moving); }
+    void describe(Visitor& visit) { visit(epoch), visit(version), visit(fixed), visit(moving), visit(parts); }
+    bool operator==(const Register&) const = default;
     bool newer_than(const Register& other) const { return std::tie(epoch, version) > std::tie(other.epoch, other.version); }
+    bool empty() const { return fixed.empty() && moving.empty() && parts.empty(); }
+    void change(const std::vector<Part>& changed, bool all) {
+        if (all) parts.clear();
+        for (const Part& part : changed) {
+            if (part.bytes.empty()) parts.erase(part.number);
+            else parts[part.number] = part.bytes;
+        }
+    }
 };
 
 // A member of the core: `number` is never used twice, `address` is where its replica listens.
@@ -48,44 +79,83 @@
     }
 };
 
-struct PrepareAsk {
-    Identity from, to;
-    Epoch epoch;
+struct KeyedRegister {
+    std::string key;
+    Register value;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(from), visit(to), visit(epoch); }
+    void describe(Visitor& visit) { visit(key), visit(value); }
 };
 
-struct KeyedRegister {
+// That somebody holds a key, and which content of it.
+struct Holding {
     std::string key;
-    Register value;
+    Epoch epoch;
+    Version version;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(key), visit(value); }
+    void describe(Visitor& visit) { visit(key), visit(epoch), visit(version); }
+};
+struct Holdings {
+    std::vector<Holding> list;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(list); }
+};
+
+// sounding: would it be granted? (nothing is promised, and nothing big is sent to one that does not trust the asker)
+// grant: the ordinary prepare. late: the epoch has its majority, and only what the replica holds is wanted, without contents.
+enum class PrepareKind { grant, sounding, late };
+
+struct PrepareAsk {
+    Identity from, to;
+    Epoch epoch;
+    PrepareKind kind = PrepareKind::grant;
+    std::string known;  // packed Holdings, sorted by key: what the asker has already
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(from), visit(to), visit(epoch), visit(kind), visit(known); }
 };
 
-enum class Verdict { granted, outdated, untrusted, stranger, error };
+// ready: a sounding that would be granted.
+enum class Verdict { granted, outdated, untrusted, stranger, error, ready };
 
 struct PrepareAnswer {
     Verdict verdict = Verdict::error;
     Epoch promised, synced;
     Micros wall = 0;
-    std::vector<KeyedRegister> registers;
+    std::vector<KeyedRegister> registers;  // held here in another content than `known` says, or not known there
+    std::vector<std::string> lacking;      // known there and not held here
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(verdict), visit(promised), visit(synced), visit(wall), visit(registers); }
+    void describe(Visitor& visit) { visit(verdict), visit(promised), visit(synced), visit(wall), visit(registers), visit(lacking); }
 };
 
-// How much of a register a write carries: the rest is what the replica has.
-enum class Carries { all, moving, mark };
+// How much of a register a write carries: all of it, or what changed since the version `base` of the same epoch.
+enum class Carries { all, changes };
 
 struct WriteEntry {
     std::string key;
     Carries carries = Carries::all;
-    Register value;
+    Epoch epoch;
+    Version version, base;
+    std::string fixed, moving;
+    std::vector<Part> parts;
+    bool replaces = false;  // the parts not named are dropped
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) {
+        visit(key), visit(carries), visit(epoch), visit(version), visit(base), visit(fixed), visit(moving), visit(parts), visit(replaces);
+    }
+};
+
+// The key is forgotten, unless a later version was written since.
+struct Purge {
+    std::string key;
+    Version version;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(key), visit(carries), visit(value); }
+    void describe(Visitor& visit) { visit(key), visit(version); }
 };
 
 struct WriteAsk {
@@ -94,17 +164,21 @@
     bool complete = false;  // with these entries the replica has all that the owner has
     bool level = false;     // after these entries nothing more is waiting for the replica
     std::vector<WriteEntry> entries;
-    std::vector<std::string> purges;
+    std::vector<Purge> purges;
+    bool adopt = false;                // once an epoch: all that the replica holds gets this epoch,
+    std::vector<std::string> excepted;  // but these keys
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(from), visit(to), visit(epoch), visit(complete), visit(level), visit(entries), visit(purges); }
+    void describe(Visitor& visit) {
+        visit(from), visit(to), visit(epoch), visit(complete), visit(level), visit(entries), visit(purges), visit(adopt), visit(excepted);
+    }
 };
 
 struct WriteAnswer {
     Verdict verdict = Verdict::error;
     Epoch promised;
     Micros wall = 0;
-    std::vector<std::string> lacking;  // keys whose missing part the replica does not have
+    std::vector<std::string> lacking;  // keys of which the replica does not have what the entry builds on
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) { visit(verdict), visit(promised), visit(wall), visit(lacking); }
--- a/source/shared/wire/cbor.hpp
+++ b/source/shared/wire/cbor.hpp
@@ -55,6 +55,11 @@
         array(list.size());
         for (const T& value : list) put(value);
     }
+    template <class Key, class T>
+    void put_whole(const std::map<Key, T>& table) {
+        array(table.size() * 2);
+        for (const auto& [key, value] : table) put(key), put(value);
+    }
     template <class T>
     void put_whole(const std::optional<T>& maybe) {
         array(maybe ? 1 : 0);
@@ -163,6 +168,16 @@
             list.push_back(std::move(value));
         }
     }
+    template <class Key, class T>
+    void read_whole(std::map<Key, T>& table) {
+        table.clear();
+        if (!take(Item::Kind::array) || item_.number > left_.size() || item_.number % 2) { sound = false; return; }
+        for (std::uint64_t count = item_.number / 2; sound && count > 0; --count) {
+            Key key{};
+            read(key);
+            read(table[key]);
+        }
+    }
     template <class T>
     void read_whole(std::optional<T>& maybe) {
         maybe.reset();
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -215,7 +215,7 @@
 
     struct Ledger {
         Daemon* daemon;
-        void propose(const std::string& key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) { daemon->live->owner.propose(key, fixed, moving, told); }
+        void propose(const std::string& key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> told) { daemon->live->owner.propose(key, fixed, patch, told); }
         void confirm(const std::string& key, std::function<void(bool)> told) { daemon->live->owner.confirm(key, told); }
         void bury(const std::string& key) { daemon->live->owner.bury(key); }
     };
@@ -277,7 +277,7 @@
         for (size_t to : my.detector.tick(world.now)) reach(to, [from = place](Daemon& other) { other.live->detector.alive(from, other.world.now); });
         if (my.detector.trusts_itself() && my.owner.state() == Owner::State::idle && world.now >= my.next_takeover) {
             my.next_takeover = world.now + ms(150);
-            my.owner.take_over(core(), std::max(my.replica.promised, my.highest));
+            my.owner.take_over(core(), std::max(my.replica.promised, my.highest), my.replica.registers);
         }
         if (!my.detector.trusts_itself()) my.owner.give_up();
         if (my.owner.outbid_by) my.highest = std::max(my.highest, *my.owner.outbid_by), my.owner.outbid_by.reset();
