The core grows to all control daemons with a disk; order of a turn; an owner too slow gives way

Cause: three or four daemons cannot bear two lost disks; beats waited behind planning. Beats, promises and writes come before planning; turns end after 20 ms and rest as long as they took. Self-suspicion by late timers. Identities of founders by xxHash. Tests: table of the suspicion in tests/detector.cpp.

--- a/source/control.hpp
+++ b/source/control.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "common.hpp"
 #include "control/detector/detector.hpp"
+#include "control/detector/suspicion.hpp"
 #include "control/jobs/scheduler.hpp"
 #include "control/store/disk.hpp"
 #include "control/store/owner.hpp"
@@ -9,6 +10,7 @@
 #include "shared/http/listener.hpp"
 #include "shared/http/loop.hpp"
 #include "shared/http/slab.hpp"
+#include "shared/news/locator.hpp"
 #include "shared/news/pace.hpp"
 #include "shared/settings/settings.hpp"
 #include "shared/time/judge.hpp"
@@ -26,7 +28,14 @@
     Micros probe_busy = milliseconds(300), probe_idle = milliseconds(800);
     Micros catching_up_most = milliseconds(1200);
     Micros count_every = seconds(5);
-    Micros gone_after = seconds(2);
+    // A silent member goes after `gone_after` where a joiner waits or has just come in its stead: another machine may be
+    // lost as soon as that one has caught up. Else it goes after `given_up_after`, longer than freezes and cuts last,
+    // as each change of the core costs a hand-over when the member comes back; and never from a core of three.
+    Micros gone_after = seconds(2), given_up_after = seconds(12), replacing = seconds(10);
+    size_t core_most = 9;
+    Micros turn_most = milliseconds(20);  // a turn's rounds end here; what is left waits for the next one
+    Micros rest_most = milliseconds(8);   // between two turns: as long as the last one took, at most so long
+    SuspicionSettings suspicion;
     Micros alone_after = milliseconds(1000);  // without a majority a daemon suspects itself
 };
 
@@ -39,7 +48,8 @@
           detector_(settings_.detector, 0, 1, steady_now()),
           owner_(settings_.owner, Identity{}),
           ledger_{this},
-          scheduler_(settings_.scheduler, ledger_) {}
+          scheduler_(settings_.scheduler, ledger_),
+          suspicion_(settings_.suspicion) {}
 
     // Opens disk and listeners; returns what went wrong.
     Findings open() {
@@ -92,13 +102,14 @@
     void take_settings(const Settings& machine) {
         std::lock_guard guard(lock_);
         settings_.machine.seeds = machine.seeds;
+        if (locator_) locator_->add_seeds(seed_replicas());
     }
 
 private:
     struct LedgerAdapter {
         Control* control;
-        void propose(const std::string& key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
-            control->owner_.propose(key, std::move(fixed), std::move(moving), std::move(told));
+        void propose(const std::string& key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> told) {
+            control->owner_.propose(key, std::move(fixed), std::move(patch), std::move(told));
             control->turn_wanted_ = true;
         }
         void confirm(const std::string& key, std::function<void(bool)> told) {
@@ -136,24 +147,20 @@
         bool among = std::find(seeds.begin(), seeds.end(), settings_.machine.control) != seeds.end();
         std::random_device device;
         replica_.identity = Identity{(std::uint64_t(device()) << 32 | device()) | 1};
-        if (!settings_.machine.first_start || !among) return;
+        // One without a disk that counts never founds and never votes: it answers under an identity that no core knows.
+        if (!settings_.machine.first_start || !among || !settings_.machine.counted) return;
         Core core;
         core.next_number = 1;
         core.size_wanted = seeds.size();
+        std::string all;
+        for (const std::string& seed : seeds) all += seed + ";";
+        std::uint64_t origin = XXH3_64bits(all.data(), all.size());
         for (const std::string& seed : seeds) {
-            std::uint64_t hash = 1469598103934665603ull;
-            for (const std::string& each : seeds)
-                for (char letter : each + ";") hash = (hash ^ std::uint8_t(letter)) * 1099511628211ull;
-            for (char letter : seed) hash = (hash ^ std::uint8_t(letter)) * 1099511628211ull;
-            Member member{core.next_number++, Identity{hash | 1}, replica_address(seed), seed};
+            Member member{core.next_number++, Identity{XXH3_64bits_withSeed(seed.data(), seed.size(), origin) | 1}, replica_address(seed), seed};
             if (seed == settings_.machine.control) replica_.identity = member.identity;
             core.members.push_back(member);
         }
-        Register value{Epoch{0}, Version{1}, {}, pack(core)};
-        replica_.registers["core"] = value;
-        Change change;
-        change.puts.emplace_back("core", value);
-        founding_ = std::move(change);
+        founding_ = replica_.found("core", Register{Epoch{0}, Version{1}, {}, pack(core), {}});
     }
     void learn_core(Micros now) {
         if (founding_) {
@@ -179,14 +186,45 @@
         detector_.reorder(*place_, core_.members.size(), place, now);
         log_line("control", "core of {}, place {}", core_.members.size(), *place_);
     }
+    std::vector<std::string> seed_replicas() const {
+        std::vector<std::string> addresses;
+        for (const std::string& seed : settings_.machine.seeds)
+            if (std::string address = replica_address(seed); address != own_address_) addresses.push_back(address);
+        return addresses;
+    }
+    // One outside the core learns owner, core and configuration as fronts do, to pass calls and news on. So does a member
+    // that nobody grants an epoch for long: it may have been let go while it was away, and then it asks to join again.
+    void follow_core(Micros now) {
+        if (place_ && locator_) {
+            auto [mark, peers] = locator_->peers();
+            if (mark > core_mark_ && std::find(peers.begin(), peers.end(), own_address_) == peers.end()) {
+                log_line("control", "is no member any more");
+                place_.reset();
+                owner_.give_up();
+            }
+        }
+        bool ungranted = owner_.state() == Owner::State::preparing && now > next_takeover_ + seconds(2);
+        if ((place_ && !ungranted) || locator_ || seed_replicas().empty()) return;
+        locator_ = std::make_unique<Locator>(Locator::Settings{settings_.machine.node, seed_replicas()}, loop_, [this] {
+            std::lock_guard guard(lock_);
+            if (Epoch epoch = locator_->epoch(); epoch.value != 0) note_owner(epoch, locator_->owner());
+            turn();
+        });
+        locator_->open();
+    }
+    // Only a daemon with a disk that counts asks to join: the owner first, else whoever may know it.
     void ask_to_join(Micros now) {
-        if (place_ || now < next_join_ || leaving_) return;
+        if (place_ || now < next_join_ || leaving_ || !settings_.machine.counted) return;
         next_join_ = now + milliseconds(400);
         JoinAsk ask{replica_.identity, own_address_, settings_.machine.control, false};
-        for (const std::string& seed : settings_.machine.seeds) {
-            std::string address = replica_address(seed);
+        std::vector<std::string> addresses = seed_replicas();
+        if (locator_)
+            for (const std::string& peer : locator_->peers().second) addresses.push_back(peer);
+        if (std::string owner = owner_address(); !owner.empty()) addresses.push_back(owner);
+        std::sort(addresses.begin(), addresses.end());
+        addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
+        for (const std::string& address : addresses)
             if (address != own_address_) loop_.ask({.url = "http://" + address + "/inner/join", .body = pack(ask)}, nullptr);
-        }
     }
     void take_join(const JoinAsk& ask) {
         if (!acting()) {
@@ -199,55 +237,67 @@
             return;
         }
         if (owner_.core().find(ask.identity)) return;
-        if (!joiner_ || joiner_->identity != ask.identity) log_line("control", "{} asks to join as {:x}", ask.address, ask.identity.value);
-        joiner_ = Member{0, ask.identity, ask.address, ask.control};
-        joiner_heard_ = steady_now();
+        auto [joiner, fresh] = joiners_.try_emplace(ask.identity);
+        joiner->second = {Member{0, ask.identity, ask.address, ask.control}, steady_now()};
+        if (!fresh) return;
+        log_line("control", "{} asks to join as {:x}", ask.address, ask.identity.value);
         turn_wanted_ = true;
     }
-    // The core changes by one member at a time, and only under an acting owner.
+    // The core changes by one member at a time, and only under an acting owner: it grows to every counted daemon there is.
     void tend_core(Micros now) {
-        if (!joiner_ || core_changing_) return;
-        if (now - joiner_heard_ > seconds(3)) {
-            owner_.drop_learner(joiner_->identity);
-            joiner_.reset();
-            return;
+        for (auto joiner = joiners_.begin(); joiner != joiners_.end();) {
+            bool joined = owner_.core().find(joiner->first) != nullptr;
+            if (joined || now - joiner->second.heard_at > seconds(3)) {
+                owner_.drop_learner(joiner->first);
+                joiner = joiners_.erase(joiner);
+                continue;
+            }
+            if (!owner_.has_learner(joiner->first)) {
+                owner_.add_learner(joiner->second.member);
+                turn_wanted_ = true;
+            }
+            ++joiner;
         }
+        if (core_changing_) return;
         Core core = owner_.core();
-        if (core.find(joiner_->identity)) {
-            owner_.drop_learner(joiner_->identity);
-            joiner_.reset();
-            return;
-        }
-        if (!owner_.has_learner(joiner_->identity)) {
-            owner_.add_learner(*joiner_);
-            turn_wanted_ = true;
-        }
-        if (core.members.size() >= core.size_wanted) {
-            const Member* victim = nullptr;
-            for (const Member& member : core.members) {
-                if (member.identity == replica_.identity) continue;
-                bool lost = member.address == joiner_->address || owner_.is_gone(member.identity) ||
-                            !owner_.heard_since(member.identity, std::max(now - settings_.gone_after, acting_since_));
-                if (lost && now - acting_since_ > settings_.gone_after) victim = &member;
-                if (member.address == joiner_->address) {
-                    victim = &member;
-                    break;
-                }
-            }
-            if (!victim) return;
+        if (const Member* victim = lost_member(core, now)) {
             log_line("control", "member {} at {} leaves the core", victim->number, victim->address);
             std::uint64_t number = victim->number;
             std::erase_if(core.members, [&](const Member& member) { return member.number == number; });
             return change_core(core);
         }
-        if (!owner_.learner_ready(joiner_->identity)) return;
-        Member member = *joiner_;
-        member.number = core.next_number++;
-        core.members.push_back(member);
-        log_line("control", "member {} at {} joins the core", member.number, member.address);
-        change_core(core);
+        if (core.members.size() >= settings_.core_most) return;
+        for (const auto& [identity, joiner] : joiners_) {
+            if (!owner_.learner_ready(identity)) continue;
+            Member member = joiner.member;
+            member.number = core.next_number++;
+            core.members.push_back(member);
+            joined_at_ = now;
+            log_line("control", "member {} at {} joins the core", member.number, member.address);
+            return change_core(core);
+        }
     }
-    void change_core(const Core& core) {
+    // A member whose disk is surely gone, or that was silent for too long while a majority of the rest is heard.
+    const Member* lost_member(const Core& core, Micros now) const {
+        Micros since = now - acting_since_;
+        bool replaced = !joiners_.empty() || (joined_at_ != 0 && now - joined_at_ < settings_.replacing);
+        Micros patience = replaced ? settings_.gone_after : settings_.given_up_after;
+        for (const Member& member : core.members) {
+            if (member.identity == replica_.identity) continue;
+            bool same_place = std::any_of(joiners_.begin(), joiners_.end(), [&](const auto& each) { return each.second.member.address == member.address; });
+            bool gone = same_place || (owner_.is_gone(member.identity) && since > milliseconds(500));
+            bool silent = since > patience && !owner_.heard_since(member.identity, now - patience);
+            if (!gone && !silent) continue;
+            if (core.members.size() <= 3 && joiners_.empty()) continue;
+            size_t heard = 0;
+            for (const Member& other : core.members)
+                heard += other.identity != member.identity && (other.identity == replica_.identity || owner_.heard_since(other.identity, now - seconds(1)));
+            if (heard >= (core.members.size() - 1) / 2 + 1) return &member;
+        }
+        return nullptr;
+    }
+    void change_core(Core core) {
+        core.size_wanted = core.members.size();
         core_changing_ = true;
         owner_.set_core(core, pack(core), [this](bool) { core_changing_ = false; });
         turn_wanted_ = true;
@@ -266,18 +316,36 @@
             return;
         }
         turning_ = true;
-        for (int round = 0; round < 20; ++round) {
+        Micros begun_at = steady_now(), now = begun_at;
+        for (int round = 0; round < 8; ++round) {
             turn_wanted_ = false;
-            turn_once(steady_now());
-            if (!turn_wanted_) break;
+            turn_once(now);
+            now = steady_now();
+            if (!turn_wanted_ || now - begun_at > settings_.turn_most) break;
         }
         turning_ = false;
-        schedule(steady_now());
+        turn_ended_at_ = now;
+        turn_took_ = now - begun_at;
+        schedule(now);
     }
+    // For what comes in: a turn now, unless the last one was so long ago that the next may gather more.
+    void turn_soon() {
+        if (turning_) {
+            turn_wanted_ = true;
+            return;
+        }
+        Micros now = steady_now();
+        if (now - turn_ended_at_ >= std::min(turn_took_, settings_.rest_most)) return turn();
+        turn_wanted_ = true;
+        schedule(now);
+    }
+    // First what others wait for on time (beats, promises, writes), then planning, then what planning proposed.
     void turn_once(Micros now) {
+        follow_core(now);
         learn_core(now);
         ask_to_join(now);
         if (place_ && !leaving_) elect(now);
+        for (Errand& errand : owner_.pump(now)) carry(std::move(errand));
         if (acting()) {
             tend_core(now);
             Micros wall = judge_.wall(wall_now(), now);
@@ -305,15 +373,16 @@
         bool catching_up = now < catching_up_until_;
         if (!detector_.trusts_itself() || core_.members.size() < 2 || owner_.reaches_majority(now - settings_.alone_after / 2)) majority_at_ = now;
         bool alone = now - majority_at_ > settings_.alone_after;
-        detector_.set_silent(stalled || catching_up || alone);
+        bool too_slow = core_.members.size() > 1 && suspicion_.stands_back(now);
+        detector_.set_silent(stalled || catching_up || alone || too_slow);
         size_t before = detector_.trusted();
         for (size_t place : detector_.tick(now)) send_alive(place, false);
         if (before != detector_.trusted()) log_line("detector", "trusts place {} after {}", detector_.trusted(), before);
-        if (detector_.trusts_itself() && !stalled && owner_.state() == Owner::State::idle && now >= next_takeover_) {
+        if (detector_.trusts_itself() && !stalled && !too_slow && owner_.state() == Owner::State::idle && now >= next_takeover_) {
             next_takeover_ = now + milliseconds(150);
-            owner_.take_over(core_, std::max(replica_.promised, highest_epoch_));
+            owner_.take_over(core_, std::max(replica_.promised, highest_epoch_), replica_.registers);
         }
-        if ((!detector_.trusts_itself() || stalled || (alone && owner_.acting())) && owner_.state() != Owner::State::idle) {
+        if ((!detector_.trusts_itself() || stalled || too_slow || (alone && owner_.acting())) && owner_.state() != Owner::State::idle) {
             log_line("control", "gives way, epoch {}", owner_.epoch().value);
             owner_.give_up();
         }
@@ -325,6 +394,7 @@
             scheduler_epoch_ = owner_.epoch();
             acting_since_ = now;
             core_changing_ = false;
+            joined_at_ = 0;
             log_line("control", "owner under epoch {}, {} registers", owner_.epoch().value, owner_.registers().size());
             scheduler_.begin(owner_.epoch(), owner_.registers(), now);
             if (!owner_.core().members.empty() && owner_.registers().count("core") == 0) owner_.set_core(owner_.core(), pack(owner_.core()), nullptr);
@@ -333,7 +403,7 @@
         if (!owner_.acting() && scheduler_epoch_.value != 0) {
             scheduler_epoch_ = Epoch{};
             scheduler_.end_ownership();
-            joiner_.reset();
+            joiners_.clear();
         }
     }
     void schedule(Micros now) {
@@ -342,6 +412,8 @@
         if (owner_.state() != Owner::State::idle) next = std::min(next, now + (owner_.acting() ? milliseconds(100) : settings_.owner.ask_again));
         if (acting()) next = std::min(next, scheduler_.next_tick(now, judge_.wall(wall_now(), now)));
         if (sides_asked_) next = std::min(next, sides_due_);
+        if (auto pump = owner_.next_pump()) next = std::min(next, *pump);
+        if (turn_wanted_) next = std::min(next, turn_ended_at_ + std::min(turn_took_, settings_.rest_most));
         next = std::max(next, now + 500);
         if (timer_at_ != 0 && timer_at_ <= next + 500 && timer_at_ > now - milliseconds(50)) return;
         timer_at_ = next;
@@ -349,6 +421,9 @@
             std::lock_guard guard(lock_);
             if (timer_at_ != next) return;
             timer_at_ = 0;
+            Micros fired_at = steady_now();
+            if (suspicion_.fired(fired_at - next, owner_.acting() ? std::optional(acting_since_) : std::nullopt, fired_at))
+                log_line("control", "is too slow to be owner, timers fire {} ms late", (fired_at - next) / 1000);
             lateness_ += (std::max<Micros>(0, steady_now() - next) - lateness_) / 8;
             turn();
         });
@@ -372,7 +447,7 @@
         std::uint64_t ticket = errand.ticket;
         if (errand.to.identity == replica_.identity) {
             if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask)) serve_prepare(*prepare, [this, ticket](PrepareAnswer answer) { owner_.take(ticket, &answer, steady_now()), turn(); });
-            else serve_write(std::get<WriteAsk>(errand.ask), [this, ticket](WriteAnswer answer) { owner_.take(ticket, &answer, steady_now()), turn(); });
+            else serve_write(std::get<WriteAsk>(errand.ask), [this, ticket](WriteAnswer answer) { owner_.take(ticket, &answer, steady_now()), turn_soon(); });
             return;
         }
         bool preparing = std::holds_alternative<PrepareAsk>(errand.ask);
@@ -392,7 +467,8 @@
                           if (frame) judge_.note(address, frame->wall, now);
                           owner_.take(ticket, frame ? &*frame : nullptr, now);
                       }
-                      turn();
+                      if (preparing || !owner_.acting()) turn();
+                      else turn_soon();
                   });
     }
     template <class Told>
@@ -484,13 +560,13 @@
             *shared = std::move(request.reply);
             std::lock_guard guard(lock_);
             serve_call(*ask, [shared](CallAnswer answer) { shared->send(Response::cbor(pack(answer))); });
-            turn();
+            turn_soon();
         } else if (request.path == "/inner/side") {
             auto ask = unpack<SideAsk>(request.body);
             if (!ask) return refuse();
             std::lock_guard guard(lock_);
             serve_side(std::move(*ask), std::move(request.reply));
-            turn();
+            turn_soon();
         } else {
             request.reply.send(Response::plain(404));
         }
@@ -624,6 +700,16 @@
             revision = config_revision_;
             config = &found->second.moving;
         }
+        std::string followed;
+        if (locator_ && !place_ && locator_->revision() > revision) {
+            revision = locator_->revision();
+            followed = locator_->config();
+            config = &followed;
+        }
+        if (locator_ && !place_) {
+            auto [mark, peers] = locator_->peers();
+            if (mark > core_mark_) core_mark_ = mark, followed_core_ = std::move(peers);
+        }
         // Without news nobody is looked at before the first wait is over.
         std::tuple told(known_epoch_, revision, core_mark_);
         if (told == news_told_ && now < news_due_) return;
@@ -638,7 +724,8 @@
             }
             NewsAnswer answer{revision, {}, known_epoch_, known_owner_, core_mark_, {}};
             if (config && revision > wait->ask.config_revision) answer.config = *config;
-            for (const Member& member : core_.members) answer.peers.push_back(member.address);
+            if (place_) for (const Member& member : core_.members) answer.peers.push_back(member.address);
+            else answer.peers = followed_core_;
             wait->reply.send(Response::cbor(pack(answer)));
             wait = news_.erase(wait);
         }
@@ -660,6 +747,7 @@
     Owner owner_;
     LedgerAdapter ledger_;
     Scheduler<LedgerAdapter> scheduler_;
+    SelfSuspicion suspicion_;
     ClockJudge judge_;
     std::unique_ptr<Listener> inner_, control_;
     std::string own_address_;
@@ -668,8 +756,15 @@
     std::uint64_t core_mark_ = 0;
     std::optional<size_t> place_;
     std::optional<Change> founding_;
-    std::optional<Member> joiner_;
-    Micros joiner_heard_ = 0, next_join_ = 0;
+    struct Joiner {
+        Member member;
+        Micros heard_at = 0;
+    };
+    std::map<Identity, Joiner> joiners_;
+    Micros joined_at_ = 0, next_join_ = 0;
+    std::unique_ptr<Locator> locator_;  // while outside the core
+    std::vector<std::string> followed_core_;
+    Micros turn_ended_at_ = 0, turn_took_ = 0;
     bool core_changing_ = false;
     bool leaving_ = false, turning_ = false, turn_wanted_ = false;
     Micros catching_up_until_ = 0, majority_at_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0, counted_at_ = 0, timer_at_ = 0;
--- a/source/shared/news/locator.hpp
+++ b/source/shared/news/locator.hpp
@@ -65,6 +65,11 @@
         std::lock_guard guard(lock_);
         return revision_;
     }
+    // The core as it was last heard of, and its version; the version is 0 when nothing was heard.
+    std::pair<std::uint64_t, std::vector<std::string>> peers() const {
+        std::lock_guard guard(lock_);
+        return {core_mark_, peers_};
+    }
     bool in_touch(Micros now) const {
         std::lock_guard guard(lock_);
         return heard_at_ >= 0 && now - heard_at_ < settings_.wait + seconds(3);
--- a/tests/detector.cpp
+++ b/tests/detector.cpp
@@ -1,5 +1,6 @@
 // The design page's three tasks as tables, and its promise as a property.
 #include "control/detector/detector.hpp"
+#include "control/detector/suspicion.hpp"
 
 #include "check.hpp"
 
@@ -133,9 +134,40 @@
     property("stability", good);
 }
 
+// Self-suspicion by lateness: what is told of the timers, and whether and for how long the owner stands back.
+void table_suspicion() {
+    struct Row { const char* what; Micros late, every; int times; Micros acting_since; bool stands_back; };
+    for (const Row& row : {Row{"in time", ms(20), ms(100), 100, 0, false}, Row{"late for long", ms(400), ms(500), 5, 0, true},
+                           Row{"late but too short", ms(400), ms(100), 14, 0, false}, Row{"a single long freeze", seconds(4), ms(100), 1, 0, false},
+                           Row{"a young takeover", ms(400), ms(500), 5, seconds(9), false}, Row{"between the bounds", ms(200), ms(500), 20, 0, false}}) {
+        SelfSuspicion suspicion({});
+        bool begins = false;
+        Micros now = seconds(10);
+        for (int time = 0; time < row.times; ++time) begins = suspicion.fired(row.late, row.acting_since, now += row.every) || begins;
+        EXPECT_SAID(begins == row.stands_back && suspicion.stands_back(now) == row.stands_back, row.what);
+    }
+    // Each time it stands back for twice as long; a time between in time keeps it from counting on; calm resets the pause.
+    SelfSuspicion suspicion({});
+    Micros now = seconds(100);
+    auto until_it_stands_back = [&] {
+        for (int time = 0; time < 50; ++time)
+            if (suspicion.fired(ms(400), 0, now += ms(500))) break;
+        Micros begun = now;
+        while (suspicion.stands_back(now)) now += ms(100);
+        return now - begun;
+    };
+    EXPECT(until_it_stands_back() == seconds(3));
+    for (int time = 0; time < 40; ++time) EXPECT(!suspicion.fired(time % 4 == 3 ? ms(10) : ms(400), 0, now += ms(500)));
+    EXPECT(until_it_stands_back() == seconds(6));
+    for (int time = 0; time < 400; ++time) suspicion.fired(ms(5), 0, now += ms(100));
+    EXPECT(until_it_stands_back() == seconds(3));
+    EXPECT(!suspicion.fired(ms(900), std::nullopt, now));
+}
+
 }  // namespace
 
 int main() {
+    table_suspicion();
     table_task_one();
     table_task_two();
     table_task_three();
