The owner ended by itself when a new worker asked before it reported

Cause: the planner's fleet was told of a worker under the life of its account, which was still empty. It was judged without being there. Change: it is told after the account is taken; what is not in the fleet is not judged. Test: a worker that asks without a report (seen to fail without the change); take-overs among the drawn events of tests/scheduling.cpp.

--- a/source/control/jobs/planning/planning.hpp
+++ b/source/control/jobs/planning/planning.hpp
@@ -53,7 +53,7 @@
         }
         for (const std::string& life : std::exchange(state_.workers_touched, {})) update_worker(life, now);
         for (auto& [life, worker] : state_.workers) {
-            if (!worker.counted) continue;
+            if (!worker.counted || !places_.contains(life)) continue;
             double trust = state_.conducts.trust(worker.node, now);
             fleet_.judge(worker.place, state_.usable(worker, now), worker.pace.value(), std::max(trust, state_.settings.planner.trust_least), trust < 0.4 ? 1 : 0);
         }
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -179,6 +179,7 @@
         uncount(worker);
         worker.account = account;
         worker.counted = true;
+        touch(worker);
         Load& load = loads[account.service];
         load.whole_cpu += account.cpu, load.whole_memory += account.memory;
         for (auto& [name, run] : worker.runs) use(load, run, 1);
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -13,12 +13,15 @@
 struct TestLedger {
     std::deque<std::function<void(bool)>> open;
     size_t proposals = 0;
-    void propose(const std::string&, std::optional<std::string>, std::string, std::function<void(bool)> told) {
+    std::map<std::string, Register> registers;
+    void propose(const std::string& key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
         ++proposals;
+        if (fixed) registers[key].fixed = *fixed;
+        registers[key].moving = std::move(moving);
         if (told) open.push_back(std::move(told));
     }
     void confirm(const std::string&, std::function<void(bool)> told) { open.push_back(std::move(told)); }
-    void bury(const std::string&) {}
+    void bury(const std::string& key) { registers.erase(key); }
     void commit() {
         while (!open.empty()) {
             auto told = std::move(open.front());
@@ -46,7 +49,7 @@
     std::vector<Worker> workers;
 
     explicit Bench(size_t count, SchedulerSettings settings = {}) : scheduler(settings, ledger) {
-        std::map<std::string, Register> registers;
+        auto& registers = ledger.registers;
         registers["config"].moving =
             R"({"revision":1,"services":[{"name":"svc","guards":true}],"routes":[)"
             R"({"host":"jobs.example","path_prefix":"/a/","service":"svc","priority":0,"max_attempts":3,"extension":1.5,"target_ms":300},)"
@@ -70,12 +73,12 @@
         ask.node = worker.node;
         ask.incarnation = 1;
         ask.number = ++worker.number;
-        ask.epoch = Epoch{7};
+        ask.epoch = Epoch{epoch};
         ask.taken = worker.taken;
         ask.worker = WorkerAccount{worker.life, "svc", "", "", 16000, 64000, 0, {"a", "r" + worker.node.substr(5, 1)}, worker.draining, -1};
         HoldReport look;
         look.life = worker.life;
-        look.fence = Epoch{7};
+        look.fence = Epoch{epoch};
         for (auto& [task, run] : worker.active) look.active.push_back({task, run, "", 50});
         look.finished.assign(worker.finished.begin(), worker.finished.end());
         look.stops = worker.stops;
@@ -100,6 +103,13 @@
         worker.finished.push_back({++worker.end, task, found->second, how, ""});
         worker.active.erase(found);
     }
+    // A new owner begins with what the record holds; its clock may be another one.
+    void take_over() {
+        ledger.commit();
+        scheduler.begin(Epoch{++epoch}, ledger.registers, now);
+        for (Worker& worker : workers) worker.taken = 0;
+    }
+    std::uint64_t epoch = 7;
     void reborn(Worker& worker) {
         std::string before = worker.life;
         worker.life = fmt::format("{}-{}", before.substr(0, before.rfind('-')), ++worker.births);
@@ -218,6 +228,7 @@
                 case 4: bench.reborn(worker); break;
                 case 5: bench.now += seconds(*rc::gen::inRange(0, 6)); break;
                 case 6: worker.draining = !worker.draining; break;
+                case 7: bench.take_over(); break;
                 default:
                     if (!worker.active.empty()) {
                         auto which = std::next(worker.active.begin(), std::ptrdiff_t(*rc::gen::inRange<size_t>(0, worker.active.size())));
@@ -415,6 +426,18 @@
     for (const auto& [name, run] : bench.scheduler.workers().at(worker.life).runs) EXPECT_SAID(!run.stop_wanted, "stopped unseen " + name.task());
 }
 
+// A worker that was heard of but has not reported yet, the first of a new owner: nothing is started there.
+void unreported_worker() {
+    Bench bench(0);
+    bench.post("/a/", 1, R"({"job_spec":"x","steps":[{"count":1,"cpu":1000,"estimate_ms":100}]})");
+    SideAsk ask;
+    ask.node = "side-0", ask.incarnation = 1, ask.number = 1, ask.epoch = Epoch{7};
+    ask.worker = WorkerAccount{"i-0-0", "svc", "", "", 16000, 64000, 0, {"a", "r0"}, false, -1};
+    bench.scheduler.take_side(ask, bench.now, bench.now);
+    bench.turn();
+    EXPECT(bench.scheduler.workers().at("i-0-0").runs.empty());
+}
+
 }  // namespace
 
 int main() {
@@ -425,5 +448,6 @@
     trust_table();
     attempts_are_spread();
     unseen_runs_go_on();
+    unreported_worker();
     return result();
 }
