--- /dev/null
+++ b/tests/cluster/daemon.hpp
@@ -0,0 +1,421 @@
+// A control daemon without sockets: its processor, disk and links are simulated; detector, record and scheduler are the real ones.
+// Joining, the core's changes and the election follow control.hpp step by step.
+#pragma once
+#include "cluster/world.hpp"
+
+namespace calicostall::tests {
+
+struct Options {
+    size_t daemons = 3, workers = 4, others = 0, losses = 1;
+    Micros gone_after = seconds(2);
+    // The slow processor: work is counted by `meter`, and this much of it takes a microsecond. Without a meter work takes no time.
+    std::uint64_t (*meter)() = nullptr;
+    double work_a_micro = 0;
+    Micros message_cost = 0;
+    DetectorSettings detector{ms(100), ms(400), ms(100), seconds(3), seconds(20)};
+    SchedulerSettings scheduler{};
+};
+
+struct Daemon {
+    World& world;
+    Oracle& oracle;
+    std::vector<std::unique_ptr<Daemon>>& all;
+    const Options& options;
+    size_t place;                        // the machine; its address is "d<place>"
+    Replica disk;
+    bool up = true, cut = false, mute = false, deaf = false, removed = false;
+    Micros slow_disk_until = 0, troubled_until = 0;
+    std::uint64_t incarnation = 0;
+    std::uint64_t work_done = 0, turns = 0;
+    Micros busy_until = 0;
+
+    struct Ledger {
+        Daemon* daemon;
+        void propose(const std::string& key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
+            bool of_job = key.starts_with("job/");
+            if (of_job) daemon->world.moment("proposed");
+            daemon->live->owner.propose(key, std::move(fixed), std::move(moving), [told = std::move(told), of_job, daemon = daemon](bool committed) {
+                if (of_job && committed) daemon->world.moment("committed");
+                if (told) told(committed);
+            });
+            if (of_job) daemon->world.moment("sent");
+        }
+        void confirm(const std::string& key, std::function<void(bool)> told) { daemon->live->owner.confirm(key, std::move(told)); }
+        void bury(const std::string& key) { daemon->live->owner.bury(key); }
+    };
+    struct Live {
+        Replica replica;
+        Detector detector;
+        Owner owner;
+        Ledger ledger;
+        Scheduler<Ledger> scheduler;
+        Core core;
+        std::optional<std::pair<Epoch, Version>> core_version;
+        std::optional<size_t> place;      // in the core
+        std::optional<Member> joiner;
+        bool core_changing = false;
+        Epoch scheduler_epoch, highest, known_epoch;
+        std::string known_owner;
+        Micros next_takeover = 0, probed = 0, joiner_heard = 0, next_join = 0, catching_up_until = 0, majority_at = 0, acting_since = 0;
+        Live(Daemon* daemon, const Replica& from, Micros now)
+            : replica(from), detector(daemon->options.detector, 0, 1, now), owner({}, from.identity), ledger{daemon}, scheduler(daemon->options.scheduler, ledger), majority_at(now) {
+            owner.unpack_core = [](const std::string& packed) { return unpack<Core>(packed); };
+        }
+    };
+    std::unique_ptr<Live> live;
+
+    Daemon(World& world, Oracle& oracle, std::vector<std::unique_ptr<Daemon>>& all, const Options& options, size_t place, const Replica& disk, bool first)
+        : world(world), oracle(oracle), all(all), options(options), place(place), disk(disk) {
+        begin(first);
+    }
+    std::string address() const { return fmt::format("d{}", place); }
+    void begin(bool first = false) {
+        up = true;
+        ++incarnation;
+        inbox.clear(), outbox.clear(), disk_queue.clear();
+        running = disk_busy = waking = false;
+        busy_until = world.now;
+        live = std::make_unique<Live>(this, disk, world.now);
+        live->catching_up_until = first ? 0 : world.now + ms(1200);
+        world.after(0, [this, life = incarnation] { tick(life); });
+    }
+    void kill() {
+        up = false;
+        ++incarnation;
+        live.reset();
+    }
+    // The daemon comes back with nothing on its disk, under an identity of its own.
+    void wipe(std::uint64_t fresh) {
+        disk = Replica{};
+        disk.identity = Identity{fresh};
+    }
+    // Stands still: what arrives waits, and old timers fire on waking.
+    void freeze(Micros length) { busy_until = std::max(busy_until, world.now) + length; }
+    bool acting() const { return up && live->owner.acting() && live->scheduler_epoch == live->owner.epoch(); }
+    bool whole() const { return up && !cut && !mute && !deaf && world.now >= troubled_until && live->place.has_value(); }
+
+    // --- processor: one thing after the other; what it sends leaves when its work is done ---
+
+    std::deque<std::function<void()>> inbox;
+    std::vector<std::function<void()>> outbox;
+    bool running = false, waking = false;
+    void enter(std::uint64_t life, std::function<void()> act) {
+        if (!up || incarnation != life) return;
+        inbox.push_back(std::move(act));
+        serve_inbox();
+    }
+    void serve_inbox() {
+        if (running) return;
+        running = true;
+        const std::uint64_t life = incarnation;
+        while (up && incarnation == life && !inbox.empty()) {
+            if (world.now < busy_until) {
+                if (!waking) waking = true, world.after(busy_until - world.now, [this, life] { if (incarnation == life) waking = false, serve_inbox(); });
+                break;
+            }
+            auto act = std::move(inbox.front());
+            inbox.pop_front();
+            std::uint64_t before = options.meter ? options.meter() : 0;
+            act();
+            if (incarnation != life) return;
+            if (options.meter) {
+                std::uint64_t work = options.meter() - before;
+                work_done += work;
+                busy_until = std::max(busy_until, world.now) + options.message_cost + Micros(double(work) / options.work_a_micro);
+            }
+            std::vector<std::function<void()>> leaving;
+            leaving.swap(outbox);
+            for (auto& send : leaving) {
+                if (busy_until <= world.now) send();
+                else world.after(busy_until - world.now, [this, life, send = std::move(send)] { if (up && incarnation == life) send(); });
+            }
+        }
+        running = false;
+    }
+
+    // --- links ---
+
+    template <class Act>
+    void reach(size_t to, Act act) {
+        auto send = [this, to, act] {
+            Daemon& other = *all[to];
+            if (cut || mute || other.cut || other.deaf || !other.up) return;
+            // What has left arrives, though its sender may be dead by then.
+            world.after(world.dice.between(ms(1), ms(8)), [this, &other, act, to_life = other.incarnation] {
+                if (cut || mute || other.cut || other.deaf) return;
+                other.enter(to_life, [act, &other] { act(other); });
+            });
+        };
+        if (running) outbox.push_back(send);
+        else send();
+    }
+    std::optional<size_t> machine_at(const std::string& address) const {
+        if (address.size() < 2) return std::nullopt;
+        size_t number = std::stoul(address.substr(1));
+        return number < all.size() ? std::optional(number) : std::nullopt;
+    }
+
+    // --- disk: one sync takes all that waits ---
+
+    struct Write { Change change; std::function<void()> then; };
+    std::vector<Write> disk_queue;
+    bool disk_busy = false;
+    Micros disk_since = 0;
+    void persist(Change change, std::function<void()> then) {
+        if (change.empty() && disk_queue.empty() && !disk_busy) return then();
+        disk_queue.push_back({std::move(change), std::move(then)});
+        if (!disk_busy) sync();
+    }
+    void sync() {
+        disk_busy = true;
+        disk_since = world.now;
+        std::vector<Write> batch;
+        batch.swap(disk_queue);
+        Micros takes = world.now < slow_disk_until ? world.dice.between(ms(50), ms(900)) : world.dice.between(ms(1), ms(6));
+        world.after(takes, [this, batch = std::move(batch), life = incarnation] {
+            if (!up || incarnation != life) return;
+            for (const Write& write : batch) apply(write.change);
+            disk_busy = false;
+            if (!disk_queue.empty()) sync();
+            for (const Write& write : batch) enter(life, write.then);
+        });
+    }
+    void apply(const Change& change) {
+        if (change.promised) disk.promised = *change.promised;
+        if (change.synced) disk.synced = *change.synced;
+        for (const auto& [key, value] : change.puts) disk.registers[key] = value;
+        for (const std::string& key : change.drops) disk.registers.erase(key);
+    }
+
+    // --- the core, as control.hpp has it ---
+
+    void learn_core() {
+        Live& my = *live;
+        auto found = my.replica.registers.find("core");
+        if (found == my.replica.registers.end()) return;
+        if (my.core_version && *my.core_version == std::pair(found->second.epoch, found->second.version)) return;
+        auto core = unpack<Core>(found->second.moving);
+        if (!core) return;
+        my.core_version = std::pair(found->second.epoch, found->second.version);
+        std::optional<Identity> trusted;
+        if (my.place && my.detector.trusted() < my.core.members.size()) trusted = my.core.members[my.detector.trusted()].identity;
+        bool same = my.core.members.size() == core->members.size();
+        for (size_t each = 0; same && each < core->members.size(); ++each) same = my.core.members[each].identity == core->members[each].identity;
+        my.core = std::move(*core);
+        my.place = my.core.place_of(my.replica.identity);
+        if (same || !my.place) return;
+        my.detector.reorder(*my.place, my.core.members.size(), trusted ? my.core.place_of(*trusted).value_or(0) : 0, world.now);
+    }
+    void ask_to_join() {
+        Live& my = *live;
+        if (my.place || world.now < my.next_join) return;
+        my.next_join = world.now + ms(400);
+        JoinAsk ask{my.replica.identity, address(), "", false};
+        for (size_t seed = 0; seed < std::min<size_t>(3, all.size()); ++seed)
+            if (seed != place) reach(seed, [ask](Daemon& other) { other.take_join(ask); });
+    }
+    void take_join(const JoinAsk& ask) {
+        Live& my = *live;
+        if (!acting()) {
+            auto owner = machine_at(my.known_owner);
+            if (!ask.relayed && owner && *owner != place) {
+                JoinAsk onward = ask;
+                onward.relayed = true;
+                reach(*owner, [onward](Daemon& other) { other.take_join(onward); });
+            }
+            return;
+        }
+        if (my.owner.core().find(ask.identity)) return;
+        my.joiner = Member{0, ask.identity, ask.address, ask.control};
+        my.joiner_heard = world.now;
+    }
+    void tend_core() {
+        Live& my = *live;
+        if (!my.joiner || my.core_changing) return;
+        Core core = my.owner.core();
+        if (world.now - my.joiner_heard > seconds(3) || core.find(my.joiner->identity)) {
+            my.owner.drop_learner(my.joiner->identity);
+            my.joiner.reset();
+            return;
+        }
+        if (!my.owner.has_learner(my.joiner->identity)) my.owner.add_learner(*my.joiner);
+        if (core.members.size() >= core.size_wanted) {
+            const Member* victim = nullptr;
+            for (const Member& member : core.members) {
+                if (member.identity == my.replica.identity) continue;
+                bool lost = member.address == my.joiner->address || my.owner.is_gone(member.identity) ||
+                            !my.owner.heard_since(member.identity, std::max(world.now - options.gone_after, my.acting_since));
+                if (lost && world.now - my.acting_since > options.gone_after) victim = &member;
+                if (member.address == my.joiner->address) {
+                    victim = &member;
+                    break;
+                }
+            }
+            if (!victim) return;
+            std::uint64_t number = victim->number;
+            std::erase_if(core.members, [&](const Member& member) { return member.number == number; });
+            return change_core(core);
+        }
+        if (!my.owner.learner_ready(my.joiner->identity)) return;
+        Member member = *my.joiner;
+        member.number = core.next_number++;
+        core.members.push_back(member);
+        change_core(core);
+    }
+    void change_core(const Core& core) {
+        live->core_changing = true;
+        live->owner.set_core(core, pack(core), [this, life = incarnation](bool) { if (incarnation == life && live) live->core_changing = false; });
+    }
+
+    // --- the turn ---
+
+    void tick(std::uint64_t life) {
+        if (!up || incarnation != life) return;
+        if (inbox.empty() || world.now >= busy_until) enter(life, [this] { turn(); });
+        world.after(ms(10), [this, life] { tick(life); });
+    }
+    void turn() {
+        Live& my = *live;
+        ++turns;
+        learn_core();
+        ask_to_join();
+        if (my.place) elect();
+        if (acting()) {
+            tend_core();
+            my.scheduler.tick(world.now, world.now, my.owner.confirmed_at());
+            if (world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100)) my.probed = world.now, my.owner.probe();
+        }
+        for (Errand& errand : my.owner.pump(world.now)) carry(std::move(errand));
+    }
+    void elect() {
+        Live& my = *live;
+        const Micros now = world.now;
+        bool stalled = disk_busy && now - disk_since > ms(600);
+        if (my.owner.state() == Owner::State::handing || my.owner.acting()) my.catching_up_until = 0;
+        bool catching_up = now < my.catching_up_until;
+        if (!my.detector.trusts_itself() || my.core.members.size() < 2 || my.owner.reaches_majority(now - ms(500))) my.majority_at = now;
+        bool alone = now - my.majority_at > seconds(1);
+        my.detector.set_silent(stalled || catching_up || alone);
+        for (size_t to : my.detector.tick(now))
+            if (auto machine = machine_at(my.core.members[to].address); machine && *machine != place)
+                reach(*machine, [identity = my.replica.identity](Daemon& other) {
+                    auto from = other.live->core.place_of(identity);
+                    size_t before = other.live->detector.trusted();
+                    if (from && other.live->place) other.live->detector.alive(*from, other.world.now);
+                    if (before != other.live->detector.trusted()) other.turn();
+                });
+        if (my.detector.trusts_itself() && !stalled && my.owner.state() == Owner::State::idle && now >= my.next_takeover) {
+            my.next_takeover = now + ms(150);
+            my.owner.take_over(my.core, std::max(my.replica.promised, my.highest));
+        }
+        if ((!my.detector.trusts_itself() || stalled || (alone && my.owner.acting())) && my.owner.state() != Owner::State::idle) my.owner.give_up();
+        if (my.owner.outbid_by) my.highest = std::max(my.highest, *my.owner.outbid_by), my.owner.outbid_by.reset();
+        if (my.owner.acting() && my.scheduler_epoch != my.owner.epoch()) {
+            my.scheduler_epoch = my.owner.epoch();
+            my.acting_since = now;
+            my.core_changing = false;
+            my.scheduler.begin(my.owner.epoch(), my.owner.registers(), now);
+            if (!my.owner.core().members.empty() && my.owner.registers().count("core") == 0) my.owner.set_core(my.owner.core(), pack(my.owner.core()), nullptr);
+            note_owner(my.owner.epoch(), address());
+            owned.push_back(my.owner.epoch().value);
+            world.moment("took over");
+        }
+        if (!my.owner.acting() && my.scheduler_epoch.value) my.scheduler_epoch = Epoch{}, my.scheduler.end_ownership(), my.joiner.reset();
+    }
+    std::vector<std::uint64_t> owned;    // epochs that this machine acted under
+    void note_owner(Epoch epoch, const std::string& from) {
+        live->highest = std::max(live->highest, epoch);
+        if (epoch < live->known_epoch) return;
+        live->known_epoch = epoch;
+        live->known_owner = from;
+    }
+    template <class Frame>
+    static Frame over_the_wire(const Options& options, const Frame& frame) {
+        if (!options.meter) return frame;
+        return *unpack<Frame>(pack(frame));
+    }
+    void carry(Errand errand) {
+        auto machine = machine_at(errand.to.address);
+        auto answered = std::make_shared<bool>(false);
+        std::uint64_t ticket = errand.ticket, life = incarnation;
+        world.after(ms(700), [this, ticket, answered, life, prepare = std::holds_alternative<PrepareAsk>(errand.ask)] {
+            if (*answered) return;
+            enter(life, [this, ticket, answered, prepare] {
+                if (*answered) return;
+                *answered = true;
+                if (prepare) live->owner.take(ticket, static_cast<const PrepareAnswer*>(nullptr), world.now);
+                else live->owner.take(ticket, static_cast<const WriteAnswer*>(nullptr), world.now);
+            });
+        });
+        if (!machine) return;
+        auto serve = [this, errand = std::move(errand), answered, ticket](Daemon& other) {
+            auto back = [this, &other, answered, ticket](auto answer) {
+                auto land = [answered, ticket, answer](Daemon& self) {
+                    if (*answered) return;
+                    *answered = true;
+                    auto frame = over_the_wire(self.options, answer);
+                    self.live->owner.take(ticket, &frame, self.world.now);
+                    if (self.options.meter) self.turn();
+                };
+                if (&other == this) land(other);
+                else other.reach(place, land);
+            };
+            if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask)) other.serve_prepare(*prepare, back);
+            else other.serve_write(over_the_wire(options, std::get<WriteAsk>(errand.ask)), back);
+        };
+        if (*machine == place) serve(*this);
+        else reach(*machine, serve);
+    }
+    template <class Back>
+    void serve_prepare(const PrepareAsk& ask, Back back) {
+        bool trusted = live->place && live->core.place_of(ask.from) == std::optional(live->detector.trusted());
+        auto [answer, change] = live->replica.prepare(ask, trusted);
+        if (answer.verdict == Verdict::granted && ask.from != live->replica.identity && live->owner.state() != Owner::State::idle) live->owner.give_up();
+        persist(std::move(change), [back, answer = std::move(answer)] { back(answer); });
+    }
+    template <class Back>
+    void serve_write(const WriteAsk& ask, Back back) {
+        auto [answer, change] = live->replica.write(ask);
+        if (answer.verdict == Verdict::granted) {
+            learn_core();
+            const Member* from = live->core.find(ask.from);
+            if (from) note_owner(ask.epoch, from->address);
+            Micros& until = live->catching_up_until;
+            if (ask.from != live->replica.identity && ask.level) until = 0;
+            else if (ask.from != live->replica.identity && until != 0) until = std::max(until, world.now + ms(1200));
+        }
+        persist(std::move(change), [back, answer = std::move(answer)] { back(answer); });
+    }
+    // A call taken by any daemon: served by the owner, passed on once by the others.
+    void serve_call(const CallAsk& ask, std::function<void(CallFate, Response)> told) {
+        if (acting()) {
+            if (ask.path == "/config" && ask.host.empty()) {
+                if (ask.method == "PUT") live->scheduler.put_config(ask, told);
+                else live->scheduler.get_config(told);
+            } else {
+                live->scheduler.call(ask, world.now, world.now, told);
+            }
+            if (options.meter) turn();
+            return;
+        }
+        auto owner = machine_at(live->known_owner);
+        if (ask.relayed || !owner || *owner == place) return told(CallFate::elsewhere, Response::later(503, 1));
+        CallAsk onward = ask;
+        onward.relayed = true;
+        // What is passed on may be done though no answer comes back.
+        auto open = std::make_shared<bool>(true);
+        auto once = [open, told](CallFate fate, Response response) {
+            if (!*open) return;
+            *open = false;
+            told(fate, std::move(response));
+        };
+        world.after(seconds(2), [this, once, life = incarnation] { enter(life, [once] { once(CallFate::doubtful, Response::plain(504)); }); });
+        reach(*owner, [this, onward, once](Daemon& other) {
+            other.serve_call(onward, [this, &other, once](CallFate fate, Response response) {
+                other.reach(place, [once, fate, response](Daemon&) { once(fate, response); });
+            });
+        });
+    }
+};
+
+}  // namespace calicostall::tests
--- /dev/null
+++ b/tests/cluster/world.hpp
@@ -0,0 +1,65 @@
+// Simulated time and dice, and the oracle that holds what the workers together know to be true.
+#pragma once
+#include "control/jobs/scheduler.hpp"
+#include "control/detector/detector.hpp"
+#include "control/store/owner.hpp"
+#include "control/store/replica.hpp"
+
+#include "../check.hpp"
+
+namespace calicostall::tests {
+
+constexpr Micros ms(std::int64_t count) { return milliseconds(count); }
+inline const char* const host = "jobs.example";
+inline const char* const prefix = "/q/";
+inline const char* const other_prefix = "/r/";
+
+// Draws numbers from one seed, so that a schedule is repeated exactly.
+struct Dice {
+    std::uint64_t state;
+    std::uint64_t roll(std::uint64_t sides) {
+        state = state * 6364136223846793005ull + 1442695040888963407ull;
+        return (state >> 33) % sides;
+    }
+    Micros between(Micros low, Micros high) { return low + Micros(roll(std::uint64_t(high - low + 1))); }
+};
+
+struct World {
+    Micros now = seconds(100);
+    std::multimap<Micros, std::function<void()>> events;
+    Dice dice{1};
+    std::vector<std::string> broken;  // rules, as the oracle saw them
+    std::function<void(const char*)> at_moment;  // told of each moment of a plan's way from intent to noted end
+    void moment(const char* name) { if (at_moment) at_moment(name); }
+    void after(Micros wait, std::function<void()> act) { events.emplace(now + wait, std::move(act)); }
+    void check(bool good, const std::string& rule) {
+        if (!good && broken.size() < 10) broken.push_back(fmt::format("{:.3f}: {}", double(now) / 1e6, rule));
+    }
+    void run_until(Micros end) {
+        while (!events.empty() && events.begin()->first <= end) {
+            now = std::max(now, events.begin()->first);
+            auto act = std::move(events.begin()->second);
+            events.erase(events.begin());
+            act();
+        }
+        now = end;
+    }
+};
+
+struct Oracle {
+    explicit Oracle(World& world) : world(world) {}
+    World& world;
+    std::map<std::string, int> running;             // task -> runs on workers that are up
+    std::set<std::string> done, noted_done;         // tasks
+    std::map<std::string, std::uint32_t> noted_failed;
+    std::map<std::pair<std::string, std::uint32_t>, std::set<std::string>> gangs;  // "ID.K.STEP" and run -> members present
+    std::set<std::pair<std::string, std::uint32_t>> ended_gangs;                    // a member of this run ended other than done
+    std::map<std::string, std::set<std::string>> saved;  // task -> checkpoints that its runs wrote
+    std::map<std::string, Micros> cancelled_at;     // job -> when its cancelling was acknowledged
+    size_t alone = 0, starts = 0;
+    std::map<std::string, Job> sent;                // jobs as clients sent them, by ID
+    std::uint32_t attempts_most = 3;
+    Micros cancel_within = seconds(5), drain_within = seconds(5);
+};
+
+}  // namespace calicostall::tests
