--- a/tests/membership.cpp
+++ b/tests/membership.cpp
@@ -34,13 +34,10 @@
             wiped_at = run.taken_revision;
             Daemon* owner = run.owner();
             if (!owner) return;
-            size_t left = run.options.losses;
             run.strike_daemon(*owner, {wipe_daemon, 0, 0, ms(700)});
-            for (auto& daemon : run.daemons)
-                if (--left > 0 && daemon->up) {
-                    run.strike_daemon(*daemon, {wipe_daemon, 0, 0, ms(700)});
-                    break;
-                }
+            if (run.options.losses < 2) return;
+            auto next = std::find_if(run.daemons.begin(), run.daemons.end(), [](const auto& daemon) { return daemon->up; });
+            run.strike_daemon(**next, {wipe_daemon, 0, 0, ms(700)});
         });
     std::vector<std::string> broken = run.play({});
     if (wiped_at < 3) broken.push_back("too few configurations were taken");
