--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -23,7 +23,7 @@
     const Options& options;
     size_t place;                        // the machine; its address is "d<place>"
     Replica disk;
-    bool up = true, cut = false, mute = false, deaf = false, removed = false;
+    bool up = true, cut = false, mute = false, deaf = false, parted = false, removed = false;  // parted: from its peers only
     Micros slow_disk_until = 0, troubled_until = 0;
     std::uint64_t incarnation = 0;
     std::uint64_t work_done = 0, turns = 0;
@@ -33,6 +33,7 @@
         Daemon* daemon;
         void propose(const std::string& key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
             bool of_job = key.starts_with("job/");
+            if (key == "config") daemon->world.moment("config proposed");
             if (of_job) daemon->world.moment("proposed");
             daemon->live->owner.propose(key, std::move(fixed), std::move(moving), [told = std::move(told), of_job, daemon = daemon](bool committed) {
                 if (of_job && committed) daemon->world.moment("committed");
@@ -92,7 +93,7 @@
     // Stands still: what arrives waits, and old timers fire on waking.
     void freeze(Micros length) { busy_until = std::max(busy_until, world.now) + length; }
     bool acting() const { return up && live->owner.acting() && live->scheduler_epoch == live->owner.epoch(); }
-    bool whole() const { return up && !cut && !mute && !deaf && world.now >= troubled_until && live->place.has_value(); }
+    bool whole() const { return up && !cut && !mute && !deaf && !parted && world.now >= troubled_until && live->place.has_value(); }
 
     // --- processor: one thing after the other; what it sends leaves when its work is done ---
 
@@ -139,10 +140,10 @@
     void reach(size_t to, Act act) {
         auto send = [this, to, act] {
             Daemon& other = *all[to];
-            if (cut || mute || other.cut || other.deaf || !other.up) return;
+            if (cut || mute || other.cut || other.deaf || parted || other.parted || !other.up) return;
             // What has left arrives, though its sender may be dead by then.
             world.after(world.dice.between(ms(1), ms(8)), [this, &other, act, to_life = other.incarnation] {
-                if (cut || mute || other.cut || other.deaf) return;
+                if (cut || mute || other.cut || other.deaf || parted || other.parted) return;
                 other.enter(to_life, [act, &other] { act(other); });
             });
         };
@@ -386,6 +387,13 @@
         }
         persist(std::move(change), [back, answer = std::move(answer)] { back(answer); });
     }
+    // The configuration that a front is told of, as control.hpp answers for news.
+    std::pair<std::uint64_t, std::string> news() const {
+        auto found = live->replica.registers.find("config");
+        if (found == live->replica.registers.end() || found->second.moving.empty()) return {};
+        Findings findings;
+        return {parse_config(found->second.moving, findings).revision, found->second.moving};
+    }
     // A call taken by any daemon: served by the owner, passed on once by the others.
     void serve_call(const CallAsk& ask, std::function<void(CallFate, Response)> told) {
         if (acting()) {
--- a/tests/cluster/run.hpp
+++ b/tests/cluster/run.hpp
@@ -11,7 +11,7 @@
     Micros at = 0, length = 0;
 };
 
-enum Trouble { kill_daemon, cut_daemon, rebirth, cut_side, kill_all, wipe_daemon, replace_daemon, mute_daemon, deafen_daemon, freeze_daemon, slow_disk,
+enum Trouble { kill_daemon, cut_daemon, rebirth, cut_side, kill_all, wipe_daemon, replace_daemon, mute_daemon, deafen_daemon, freeze_daemon, slow_disk, part_daemon,
                slow_worker, stuck_worker, silent_worker, flapping_worker, draining_worker, trouble_count };
 
 // A side as the frames require it: stateless but for what the owner said last.
@@ -259,7 +259,24 @@
         }
         world.check(changes.empty(), fmt::format("CONFIG nobody sent what is in force {}", where));
     }
+    // A front takes any newer configuration that a daemon shows it, as locator.hpp does.
+    struct Front {
+        std::uint64_t revision = 0;
+        std::string text;
+    };
+    std::array<Front, 2> fronts;
+    void hear_news(size_t number) {
+        Front& front = fronts[number];
+        Daemon& daemon = *daemons[world.dice.roll(daemons.size())];
+        if (daemon.up && !daemon.cut && !daemon.mute && world.now >= daemon.busy_until) {
+            auto [revision, text] = daemon.news();
+            if (revision > front.revision) front = {revision, text};
+        }
+        if (front.revision) check_in_force(front.text, front.revision, "at a front");
+        world.after(world.dice.between(ms(60), ms(140)), [this, number] { hear_news(number); });
+    }
     void race(Micros from, Micros to) {
+        for (size_t number = 0; number < fronts.size(); ++number) world.after(from, [this, number] { hear_news(number); });
         for (Micros at = from; at < to; at += ms(1500)) world.after(at, [this] {
             std::uint64_t base = shown_revision;
             for (int side = 0; side < 2; ++side) {
@@ -393,7 +410,7 @@
         });
     }
     // --- troubles ---
-    static bool of_daemon(int kind) { return kind == kill_daemon || kind == cut_daemon || (kind >= kill_all && kind <= slow_disk); }
+    static bool of_daemon(int kind) { return kind == kill_daemon || kind == cut_daemon || (kind >= kill_all && kind <= part_daemon); }
     size_t hurt() const {
         size_t count = 0;
         for (const auto& daemon : daemons) count += !daemon->removed && !daemon->whole();
@@ -465,6 +482,9 @@
             case deafen_daemon:
                 daemon.deaf = true;
                 return world.after(fault.length, [&daemon] { daemon.deaf = false; });
+            case part_daemon:
+                daemon.parted = true;
+                return world.after(fault.length, [&daemon] { daemon.parted = false; });
             case freeze_daemon: return daemon.freeze(fault.length);
             case slow_disk:
                 daemon.slow_disk_until = world.now + fault.length;
@@ -517,6 +537,8 @@
         for (const auto& daemon : daemons) world.check(daemon->removed || daemon->whole(), fmt::format("machine {} is no member of the core at the end", daemon->place));
         if (Daemon* daemon = owner()) {
             world.check(daemon->live->scheduler.config().revision >= taken_revision, "CONFIG an older version in the end");
+            if (racing)
+                for (const Front& front : fronts) world.check(front.text == daemon->live->scheduler.config().text, fmt::format("CONFIG a front has {} in the end, {} is in force", front.revision, daemon->live->scheduler.config().revision));
             if (racing) check_in_force(daemon->live->scheduler.config().text, daemon->live->scheduler.config().revision, "in the end");
         }
     }
