--- a/tests/cluster/worker.hpp
+++ b/tests/cluster/worker.hpp
@@ -103,6 +103,7 @@
         }
         check_start(order, *name, spec, step, late);
         ++oracle.starts;
+        oracle.begun.insert(name->job);
         oracle.running[order.task]++;
         cpu_used += step.cpu;
         Micros takes = world.dice.between(least, most) * (grey == Grey::slow ? 6 : 1);
--- a/tests/cluster/world.hpp
+++ b/tests/cluster/world.hpp
@@ -56,6 +56,8 @@
     std::set<std::pair<std::string, std::uint32_t>> ended_gangs;                    // a member of this run ended other than done
     std::map<std::string, std::set<std::string>> saved;  // task -> checkpoints that its runs wrote
     std::map<std::string, Micros> cancelled_at;     // job -> when its cancelling was acknowledged
+    std::map<std::string, size_t> tries, turned_away;  // of handing a job in
+    std::set<std::string> begun;                    // jobs of which a task started
     size_t alone = 0, starts = 0;
     std::map<std::string, Job> sent;                // jobs as clients sent them, by ID
     std::uint32_t attempts_most = 3;
