overload: three times what can be started, the owner lost in the middle, on a slow processor

Change: tests/overload.cpp; daemons do one thing after the other, work is counted by basic blocks of the code under test. Steps of 200 tasks come back.

--- a/tests/overload.cpp
+++ b/tests/overload.cpp
@@ -13,7 +13,7 @@
 
 struct Shape {
     size_t workers = 16, width = 20;
-    double speed = 120;                  // basic blocks in a microsecond
+    double speed = 16;                   // basic blocks in a microsecond: about a twelfth of a core
     Micros message_cost = 150;
     double normal = 100, burst = 750;    // tasks offered in a second
     Micros burst_at = seconds(12), burst_length = seconds(10), recovery = seconds(15);
@@ -83,7 +83,7 @@
     world.after(shape.burst_at, [&] { epochs_before = epochs(); });
     if (shape.kind >= 0)
         world.after(shape.burst_at + shape.lost_after, [&] {
-            if (Daemon* owner = run.owner()) ++outcome.faults, run.strike_daemon(*owner, {shape.kind, 0, 0, seconds(600)});
+            if (Daemon* owner = run.owner()) ++outcome.faults, run.strike_daemon(*owner, {shape.kind, 0, 0, shape.kind == kill_all ? seconds(4) : seconds(600)});
         });
     std::uint64_t work_at = 0;
     auto work = [&run] { std::uint64_t most = 0; for (auto& daemon : run.daemons) most = std::max(most, daemon->work_done); return most; };
@@ -127,5 +127,11 @@
     check(3, shape, "the owner killed in the burst");
     shape.kind = cut_daemon;
     check(4, shape, "the owner cut off in the burst");
+    shape.kind = kill_all;
+    check(5, shape, "all power lost in the burst");
+    shape.width = 200;
+    check(6, shape, "all power lost in the burst, wide steps");
+    shape.kind = kill_daemon;
+    check(7, shape, "the owner killed in the burst, wide steps");
     return result();
 }
