--- a/tests/cluster/run.hpp
+++ b/tests/cluster/run.hpp
@@ -427,7 +427,6 @@
                 if (world.now + ms(500) < faults_until) world.after(ms(500), [this, fault] { strike(fault); });
                 return;
             }
-            troubled_until = std::max(troubled_until, world.now + fault.length + seconds(4));
             return strike_daemon(*daemon, fault);
         }
         troubled_until = std::max(troubled_until, world.now + fault.length + seconds(4));
@@ -456,6 +455,7 @@
     void strike_daemon(Daemon& daemon, const Fault& fault) {
         auto back = [&daemon] { if (!daemon.up && !daemon.removed) daemon.begin(); };
         daemon.troubled_until = world.now + fault.length + seconds(2);
+        troubled_until = std::max(troubled_until, world.now + fault.length + seconds(4));
         switch (fault.kind) {
             case kill_daemon:
                 daemon.kill();
