Fronts are told only of configurations that a majority has

Cause: found by tests/membership.cpp: a daemon answered news from its own replica's 'config', also before a majority had it. An owner parted from its peers in the moment of a PUT showed the change to fronts; the next owner took another change on the same version, and the first, which had lost its race, stayed in force at those fronts (CONFIG). Change: the scheduler proposes a second register 'published' once 'config' is committed, and at takeover once it is confirmed; news are answered from that. Cost: one more small write for each configuration, fronts hear of it one commit later.

--- a/source/control.hpp
+++ b/source/control.hpp
@@ -689,7 +689,7 @@
     void answer_news(Micros now) {
         std::uint64_t revision = 0;
         const std::string* config = nullptr;
-        auto found = replica_.registers.find("config");
+        auto found = replica_.registers.find("published");
         if (found != replica_.registers.end() && !found->second.moving.empty()) {
             if (found->second.version != config_version_ || found->second.epoch != config_epoch_) {
                 config_version_ = found->second.version;
--- a/source/control/jobs/calls/calls.hpp
+++ b/source/control/jobs/calls/calls.hpp
@@ -52,11 +52,15 @@
         std::string text = config.text;
         state_.config = std::move(config);
         counters().add("configs_taken");
-        ledger_.propose("config", std::nullopt, text, [done](bool committed) {
+        ledger_.propose("config", std::nullopt, text, [this, text, done](bool committed) {
+            if (committed) publish(text);
             done(committed ? CallFate::settled : CallFate::doubtful, Response::plain(committed ? 200 : 504));
         });
         state_.config_changed(wall);
     }
+    // What fronts are told of: only a configuration that a majority has, so none that may yet lose its race.
+    // Example: calls.publish(config.text);  // once it is committed
+    void publish(const std::string& text) { ledger_.propose("published", std::nullopt, text, nullptr); }
     void get_config(CallDone done) {
         if (state_.config.revision == 0) return confirmed("config", Response::later(404, 1), std::move(done));
         confirmed("config", Response::json(200, state_.config.text), std::move(done));
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -43,6 +43,11 @@
         for (const std::string& id : recorded_) take_up(state_.jobs.at(id), now);
         recorded_.clear();
         state_.plan_wanted = true;
+        auto published = registers.find("published");
+        if (state_.config.revision == 0 || (published != registers.end() && published->second.moving == state_.config.text)) return;
+        ledger_.confirm("config", [this, text = state_.config.text](bool sure) {
+            if (sure) calls_.publish(text);
+        });
     }
     void end_ownership() {
         state_.clear();
--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -437,7 +437,7 @@
     }
     // The configuration that a front is told of, as control.hpp answers for news.
     std::pair<std::uint64_t, std::string> news() const {
-        auto found = live->replica.registers.find("config");
+        auto found = live->replica.registers.find("published");
         if (found == live->replica.registers.end() || found->second.moving.empty()) return {};
         Findings findings;
         return {parse_config(found->second.moving, findings).revision, found->second.moving};
