--- a/source/control/jobs/planning/planning.hpp
+++ b/source/control/jobs/planning/planning.hpp
@@ -214,6 +214,15 @@
         for (auto& [name, run] : worker->second.runs)
             if (run.serial == each.run) return stop(worker->second, run);
     }
+    // A step's tasks may be several items, which don't know of each other within one plan.
+    static bool crowds(const JobEntry& entry, const Time& time, std::uint32_t step, const std::string& life) {
+        const Step& wanted = entry.job.fixed.spec.steps[step];
+        if (!wanted.anti_affinity || wanted.gang) return false;
+        std::uint32_t there = 0;
+        for (const Task& task : time.steps[step].tasks)
+            for (const Placement& placement : task.placements) there += entry.job.moving.workers[placement.worker].life == life;
+        return there >= wanted.anti_affinity;
+    }
     template <class Start>
     void carry_out_starts(const Plan& plan, Micros now, Start& start) {
         for (const calicostall::Start& each : plan.starts) {
@@ -224,6 +233,12 @@
             Time* time = entry.job.find_time(place.step.time);
             auto worker = state_.workers.find(lives_[each.worker]);
             if (!time || worker == state_.workers.end() || each.task >= place.tasks.size()) continue;
+            if (crowds(entry, *time, place.step.step, worker->first)) {
+                // Another item of the same step has taken the place within this plan.
+                state_.steps_touched.insert(place.step);
+                state_.plan_wanted = true;
+                continue;
+            }
             start(entry, *time, place.step.step, place.tasks[each.task], worker->second, each.task == 0, now).backfill = each.backfill;
         }
     }
