--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -434,6 +434,7 @@
     ask.node = "side-0", ask.incarnation = 1, ask.number = 1, ask.epoch = Epoch{7};
     ask.worker = WorkerAccount{"i-0-0", "svc", "", "", 16000, 64000, 0, {"a", "r0"}, false, -1};
     bench.scheduler.take_side(ask, bench.now, bench.now);
+    bench.now += milliseconds(10);
     bench.turn();
     EXPECT(bench.scheduler.workers().at("i-0-0").runs.empty());
 }
