--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -8,6 +8,7 @@
 #include "control.hpp"
 #include "forecast/demand.hpp"
 #include "front.hpp"
+#include "preview/command.hpp"
 #include "side.hpp"
 
 using namespace calicostall;
@@ -138,16 +139,61 @@
     return 0;
 }
 
+// Where a snapshot is asked for when no daemon was named.
+std::vector<std::string> replicas_of(const std::string& path, Findings& findings) {
+    Settings settings = load_settings(path, findings);
+    std::vector<std::string> replicas;
+    for (const std::string& seed : settings.seeds) replicas.push_back(fmt::format("{}:{}", address_host(seed), settings.first_port));
+    if (replicas.empty() && findings.empty()) findings.add("--control", "is missing, and the settings name no seeds");
+    return replicas;
+}
+int preview(const cxxopts::ParseResult& given) {
+    Findings findings;
+    PreviewOptions options;
+    options.snapshot = given["snapshot"].as<std::string>(), options.save = given["save"].as<std::string>();
+    options.configuration = given["configuration"].as<std::string>(), options.change = given["change"].as<std::string>();
+    options.check = given["check"].as<std::string>(), options.check_logged = given.count("check-logged") > 0;
+    options.json = given.count("json") > 0, options.changed = given.count("changed") > 0;
+    if (given.count("file")) options.logs = given["file"].as<std::vector<std::string>>();
+    std::int64_t horizon = given["horizon-s"].as<std::int64_t>(), within = given["within-ms"].as<std::int64_t>();
+    if (horizon < 1 || horizon > 86400) findings.add("--horizon-s", "must lie between 1 and 86400");
+    if (within < 1 || within > 3600000) findings.add("--within-ms", "must lie between 1 and 3600000");
+    options.forward.horizon = seconds(horizon), options.checking.within = milliseconds(within);
+    bool checks = !options.check.empty() || options.check_logged;
+    if (!checks && !options.logs.empty()) findings.add(options.logs.front(), "logs are for --check and --check-logged");
+    if (!checks && options.snapshot.empty()) {
+        if (given.count("control"))
+            for (const std::string& address : given["control"].as<std::vector<std::string>>()) options.control.push_back(checked_address(address, "--control", findings));
+        else options.control = replicas_of(settings_path(given), findings);
+    }
+    if (!findings.empty()) return report(usage_error, findings);
+    PreviewOutcome outcome = run_preview(options);
+    fmt::print("{}", outcome.out);
+    return report(int(outcome.status), outcome.findings);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
-    cxxopts::Options options("calicostall", "A cluster scheduler for jobs.\n\nCommands: front, control, side, check-settings FILE, check-config FILE, forecast LOG...\n");
+    cxxopts::Options options("calicostall", "A cluster scheduler for jobs.\n\nCommands: front, control, side, check-settings FILE, check-config FILE, forecast LOG..., preview [LOG...]\n");
     options.add_options()("h,help", "show this text")("settings", "the settings file (else $CALICOSTALL_BOOT)", cxxopts::value<std::string>())(
         "heartbeat-ms", "control: how often the trusted daemon says that it is alive", cxxopts::value<std::int64_t>()->default_value("200"))(
         "timeout-ms", "control: how long to wait for it at first", cxxopts::value<std::int64_t>()->default_value("1000"))(
         "increment-ms", "control: how much longer after a false suspicion", cxxopts::value<std::int64_t>()->default_value("100"))(
         "hold-ms", "control: how long a worker keeps what runs there without news", cxxopts::value<std::int64_t>()->default_value("3000"))(
         "history-s", "control: write the queues' history to the log, a line a queue each so many seconds (0: no)", cxxopts::value<std::int64_t>()->default_value("0"))(
+        "preview-reads", "control: let `preview` read snapshots of the record on the replicas' port")(
+        "run-lines", "control: write what is accepted, starts and ends to the log, for `preview --check`")(
+        "snapshot-lines-s", "control: write a snapshot to the log each so many seconds, for trials of `preview --check-logged` (0: no)", cxxopts::value<std::int64_t>()->default_value("0"))(
+        "control", "preview: the replica to ask, HOST:PORT; may be given several times (else those of the settings' seeds)", cxxopts::value<std::vector<std::string>>())(
+        "snapshot", "preview: read this snapshot and ask nobody", cxxopts::value<std::string>()->default_value(""))(
+        "save", "preview: keep the snapshot in this file", cxxopts::value<std::string>()->default_value(""))(
+        "configuration", "preview: a proposed configuration", cxxopts::value<std::string>()->default_value(""))(
+        "change", "preview: proposed weights, ratios and workers", cxxopts::value<std::string>()->default_value(""))(
+        "horizon-s", "preview: how far to look ahead", cxxopts::value<std::int64_t>()->default_value("60"))("json", "preview: JSON instead of a table")(
+        "check", "preview: compare this preview (made with --json) with what then ran", cxxopts::value<std::string>()->default_value(""))(
+        "check-logged", "preview: the same for each snapshot in the logs")("changed", "preview --check: the change went live at once")(
+        "within-ms", "preview --check: how far off is still on time", cxxopts::value<std::int64_t>()->default_value("500"))(
         "ahead", "forecast: how many spans ahead", cxxopts::value<std::int64_t>()->default_value("6"))(
         "season", "forecast: how many spans make a season, as 24 for days of hours (0: none)", cxxopts::value<std::int64_t>()->default_value("0"))(
         "pressure", "forecast: the share of the fleet from which urgent work is expected to wait", cxxopts::value<double>()->default_value("0.85"))(
@@ -184,6 +230,7 @@
             settings.warm_up = std::max<size_t>(6, 2 * settings.season);
             return forecast(given["file"].as<std::vector<std::string>>(), settings);
         }
+        if (command == "preview") return preview(given);
         if (command != "front" && command != "control" && command != "side") {
             findings.add("command", command.empty() ? "is missing; see --help" : fmt::format("'{}' is unknown; see --help", command));
             return report(usage_error, findings);
@@ -216,6 +263,8 @@
             control.detector.timeout = whole("timeout-ms", 50, 60000);
             control.detector.increment = whole("increment-ms", 0, 60000);
             control.detector.timeout_most = std::max(control.detector.timeout * 3, seconds(3));
+            control.preview_reads = given.count("preview-reads") > 0;
+            control.snapshot_lines = whole("snapshot-lines-s", 0, 86400) * 1000;
             control.scheduler.history_span = whole("history-s", 0, 86400) * 1000;
             control.scheduler.hold = std::min(whole("hold-ms", 500, 600000), settings.hold_most);
             if (control.detector.timeout < 2 * control.detector.heartbeat) findings.add("--timeout-ms", "must be at least twice --heartbeat-ms");
--- a/source/control.hpp
+++ b/source/control.hpp
@@ -1,11 +1,14 @@
 // The role `control`: detector, record, configuration, worker list, placement.
 #pragma once
+#include <boost/algorithm/hex.hpp>
+
 #include "common.hpp"
 #include "control/detector/detector.hpp"
 #include "control/jobs/scheduler.hpp"
 #include "control/store/disk.hpp"
 #include "control/store/owner.hpp"
 #include "control/store/replica.hpp"
+#include "preview/serve.hpp"
 #include "shared/http/listener.hpp"
 #include "shared/http/loop.hpp"
 #include "shared/http/slab.hpp"
@@ -26,6 +29,9 @@
     Micros count_every = seconds(5);
     Micros gone_after = seconds(2);
     Micros alone_after = milliseconds(1000);  // without a majority a daemon suspects itself
+    bool preview_reads = false;               // whether a preview may read a snapshot of the record
+    SnapshotLimits snapshot;
+    Micros snapshot_lines = 0;                // how often the owner writes one to its log, for trials; 0: never
 };
 
 class Control {
@@ -37,7 +43,8 @@
           detector_(settings_.detector, 0, 1, steady_now()),
           owner_(settings_.owner, Identity{}),
           ledger_{this},
-          scheduler_(settings_.scheduler, ledger_) {}
+          scheduler_(settings_.scheduler, ledger_),
+          preview_reads_(settings_.preview_reads, settings_.snapshot) {}
 
     // Opens disk and listeners; returns what went wrong.
     Findings open() {
@@ -276,6 +283,7 @@
             Micros wall = judge_.wall(wall_now(), now);
             scheduler_.tick(now, wall, owner_.confirmed_at());
             Micros age = now - owner_.confirmed_at();
+            log_snapshot(now);
             if (age > (scheduler_.anything_held() ? settings_.probe_busy : settings_.probe_idle) && now - probed_at_ > milliseconds(150)) {
                 probed_at_ = now;
                 owner_.probe();
@@ -481,10 +489,31 @@
             std::lock_guard guard(lock_);
             serve_side(std::move(*ask), std::move(request.reply));
             turn();
+        } else if (request.path == preview_path) {
+            request.reply.send(answer_preview(request.method));
         } else {
             request.reply.send(Response::plain(404));
         }
     }
+    // Reads only: no turn follows, nothing is proposed, no worker is looked at.
+    SnapshotMoment snapshot_moment() {
+        Micros now = steady_now();
+        return {owner_.epoch().value, now, judge_.wall(wall_now(), now), owner_.confirmed_at()};
+    }
+    Response answer_preview(const std::string& method) {
+        PreviewReads::Taken taken;
+        {
+            std::lock_guard guard(lock_);
+            std::string owner = owner_address();
+            taken = preview_reads_.take(method, {acting(), owner == own_address_ ? std::string() : owner}, RecordView(scheduler_), snapshot_moment());
+        }
+        return preview_reads_.answer(std::move(taken));
+    }
+    void log_snapshot(Micros now) {
+        if (settings_.snapshot_lines == 0 || now < next_snapshot_line_) return;
+        next_snapshot_line_ = now + settings_.snapshot_lines;
+        if (auto snapshot = snapshot_of(RecordView(std::as_const(scheduler_)), snapshot_moment(), settings_.snapshot)) log_line("snapshot", "{}", boost::algorithm::hex(pack_snapshot(*snapshot)));
+    }
     // Calls of operators, by the table: PUT /config, GET /config.
     void take_control(Request request) {
         if (request.path != "/config" || (request.method != "PUT" && request.method != "GET")) {
@@ -611,6 +640,8 @@
     Owner owner_;
     LedgerAdapter ledger_;
     Scheduler<LedgerAdapter> scheduler_;
+    PreviewReads preview_reads_;
+    Micros next_snapshot_line_ = 0;
     ClockJudge judge_;
     std::unique_ptr<Listener> inner_, control_;
     std::string own_address_;
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -177,6 +177,15 @@
         if (!slow.empty()) text += " slow=" + slow;
         return text;
     }
+    // --- reads of a preview: const, nothing can be changed through them ---
+
+    const SchedulerSettings& settings() const { return settings_; }
+    template <class Visit>
+    void each_open_job(Visit visit) const {
+        for (const auto& [id, entry] : jobs_)
+            if (entry.committed && !entry.job.ended()) visit(entry.job, [&](std::uint32_t step) { return expect(entry, step); });
+    }
+
     bool anything_held() const {
         for (const auto& [life, worker] : workers_)
             if (!worker.runs.empty()) return true;
@@ -796,10 +805,11 @@
 
     std::string queue_key(const Job& job) const { return job.fixed.host + "|" + job.fixed.prefix; }
     // How long a task of this step takes on a sound worker near its data.
-    Micros expect(JobEntry& entry, std::uint32_t step) {
+    Micros expect(const JobEntry& entry, std::uint32_t step) const {
         auto took = entry.took.find(step);
         if (took != entry.took.end() && took->second.second >= 2) return took->second.first / took->second.second;
-        return senses_[queue_key(entry.job)].expect(entry.job.fixed.spec.steps[step].estimate);
+        auto sense = senses_.find(queue_key(entry.job));
+        return (sense == senses_.end() ? QueueSense{} : sense->second).expect(entry.job.fixed.spec.steps[step].estimate);
     }
     void note_duration(WorkerEntry& worker, const RunName& name, Micros now) {
         auto run = worker.runs.find(name);
