--- a/source/preview/change.hpp
+++ b/source/preview/change.hpp
@@ -30,7 +30,7 @@
     Findings ignored;
     if (snapshot && !snapshot->config.empty()) {
         std::uint64_t current = parse_config(snapshot->config, ignored).revision;
-        if (config.revision <= current) findings.add(name + ":revision", fmt::format("must be above {}", current));
+        if (config.revision <= current) return findings.add(name + ":revision", fmt::format("must be above {}", current));
     }
     change.config = std::move(config);
 }
--- a/source/preview/check.hpp
+++ b/source/preview/check.hpp
@@ -176,18 +176,19 @@
                 case RunLine::Event::accepted: break;
             }
         }
-        // Runs whose end was off: they give their room back sooner or later than said.
-        auto off = [&](const std::string& task, const std::string& worker, Micros said_end) {
-            if (said_end < 0) return;
+        // Runs that took longer or shorter than said: they give their room back at another time.
+        auto note_off = [&](const std::string& task, const std::string& worker, Micros began, Micros length) {
             auto found = ends_.find(task);
-            bool early = found != ends_.end() && found->second.how == "done" && std::abs(found->second.at - said_end) > settings_.within;
-            bool late = found == ends_.end() && said_end + settings_.within < covered_;
-            Micros at = found != ends_.end() ? std::min(found->second.at, said_end) : said_end;
-            if (early || late) off_[worker].push_back(at), off_jobs_[task.substr(0, task.rfind('.', task.rfind('.') - 1))].push_back(at);
+            bool over = found != ends_.end() && found->second.how == "done";
+            Micros took = (found != ends_.end() ? found->second.at : covered_) - began;
+            if (over ? std::abs(took - length) <= settings_.within : found != ends_.end() || took <= length + settings_.within) return;
+            Micros at = began + std::min(took, length);
+            off_[worker].push_back(at), off_jobs_[task.substr(0, task.rfind('.', task.rfind('.') - 1))].emplace_back(at, task);
         };
-        for (const auto& [task, run] : said_.running) off(task, run.worker, run.ends);
+        for (const auto& [task, run] : said_.running)
+            if (run.ends >= 0) note_off(task, run.worker, 0, run.ends);
         for (const auto& [task, each] : said_.tasks)
-            if (each.landing == Landing::lands) off(task, each.worker, each.ends);
+            if (auto began = starts_.find(task); each.ends >= 0 && began != starts_.end()) note_off(task, began->second.worker, began->second.at, each.ends - each.at);
     }
     void miss(const std::string& task, const std::string& queue, std::string what, std::string cause) {
         ++result_.queues[queue].causes[cause];
@@ -256,7 +257,7 @@
         for (const std::string& worker : workers)
             if (any_until(strangers_, worker, until)) return "new arrival";
         if (any_until(failed_jobs_, job, until)) return "a run failed";
-        if (any_until(off_jobs_, time, until)) return "estimate off";
+        if (auto found = off_jobs_.find(time); found != off_jobs_.end() && std::any_of(found->second.begin(), found->second.end(), [&](const auto& each) { return each.first <= until && each.second != task; })) return "estimate off";
         for (const std::string& worker : workers) {
             if (any_until(failed_, worker, until)) return "a run failed";
             if (any_until(off_, worker, until)) return "estimate off";
@@ -280,7 +281,8 @@
     std::multimap<std::string, Micros> stops_;
     std::map<std::string, Micros> over_;
     std::map<std::string, std::pair<std::string, Micros>> jobs_ended_;
-    std::map<std::string, std::vector<Micros>> strangers_, failed_, failed_jobs_, off_, off_jobs_, strays_;
+    std::map<std::string, std::vector<Micros>> strangers_, failed_, failed_jobs_, off_, strays_;
+    std::map<std::string, std::vector<std::pair<Micros, std::string>>> off_jobs_;  // "JOB.TIME" -> when, and which task
     std::optional<Micros> owner_changed_;
     CheckResult result_;
 };
--- a/source/preview/forward.hpp
+++ b/source/preview/forward.hpp
@@ -250,7 +250,7 @@
             run.copy = said.doubled;
             standing = standing_of(*state, said.time, said.step);
         }
-        if (run.stopping) run.ends = start_ + std::min(planner_settings_.stop_grace, milliseconds(100));
+        if (run.stopping) run.ends = start_ + Micros(planner_settings_.stop_share * double(planner_settings_.stop_grace));
         std::uint64_t id = next_run_++;
         bool in_doubt = workers_[place].said.placeholder || workers_[place].said.silent;
         if (!run.room_only) {
@@ -382,7 +382,7 @@
         if (task(run.key).live == 0) list(run.key, run.pushed ? "pushed aside" : "in doubt");
         refresh(run.key.job, run.key.time, run.key.step);
     }
-    Micros stop_takes() const { return std::min(planner_settings_.stop_grace, milliseconds(100)); }
+    Micros stop_takes() const { return Micros(planner_settings_.stop_share * double(planner_settings_.stop_grace)); }
     void push_aside(std::uint64_t id, const std::string& by) {
         RunState& run = runs_.at(id);
         if (run.stopping || run.room_only) return;
--- a/source/preview/planner_fields.hpp
+++ b/source/preview/planner_fields.hpp
@@ -23,8 +23,8 @@
     see("weight_room", settings.weight_room), see("points_double", settings.points_double), see("weight_load", settings.weight_load);
     see("weight_demand", settings.weight_demand), see("weight_finish", settings.weight_finish), see("weight_slow", settings.weight_slow);
     see("weight_trust", settings.weight_trust), see("slow_pace", settings.slow_pace), see("trust_least", settings.trust_least);
-    see("ratio_priority", settings.ratio_priority), see("ratio_remaining", settings.ratio_remaining), see("ratio_run", settings.ratio_run);
-    see("waste_most", settings.waste_most), see("urgent_memory_s", settings.urgent_memory), see("urgent_length_s", settings.urgent_length);
+    see("ratio_priority", settings.ratio_priority), see("ratio_remaining", settings.ratio_remaining), see("ratio_run", settings.ratio_run), see("stop_share", settings.stop_share);
+    see("push_early_s", settings.push_early), see("waste_most", settings.waste_most), see("urgent_memory_s", settings.urgent_memory), see("urgent_length_s", settings.urgent_length);
     see("urgent_most", settings.urgent_most), see("looks_most", settings.looks_most), see("evaluations_most", settings.evaluations_most);
     see("reservations_most", settings.reservations_most), see("stops_most", settings.stops_most);
 }
