--- a/source/preview/record_view.hpp
+++ b/source/preview/record_view.hpp
@@ -15,14 +15,11 @@
     const auto& settings() const { return record_.settings(); }
     double trust(const std::string& node, Micros now) const { return record_.conducts().trust(node, now); }
     bool paused(const std::string& node, Micros now) const { return record_.conducts().paused(node, now); }
-    PlannerSettings planner() const {
-        if constexpr (requires(const Record& record) { record.settings().planner; }) return record_.settings().planner;
-        else return {};
-    }
+    const PlannerSettings& planner() const { return record_.settings().planner; }
     // What urgent queues used lately: see(service, level, cpu, memory).
     template <class See>
     void each_demand(See see) const {
-        if constexpr (requires(const Record& record) { record.each_demand(see); }) record_.each_demand(see);
+        record_.each_demand(std::move(see));
     }
     // Calls visit(job, expected, failed) for each open job; expected(step) is how long a task of it takes as learnt.
     template <class Visit>
@@ -115,7 +112,7 @@
         each.leaves_in = worker.leaves_at < 0 ? -1 : std::max<Micros>(0, worker.leaves_at - moment.now);
         each.lapses_in = std::max<Micros>(0, worker.lapses_at - moment.now);
         each.avoided_for = std::max<Micros>(0, worker.avoided_until - moment.now);
-        if constexpr (requires { worker.place; }) each.place = worker.place;
+        each.place = worker.place;
         each.paused = record.paused(worker.node, moment.now);
         each.trust_thousandths = std::uint64_t(std::clamp(record.trust(worker.node, moment.now), 0.0, 1.0) * 1000);
         each.pace_thousandths = std::uint64_t(std::clamp(worker.pace.value() * 1000, 1.0, 1e6));
@@ -127,7 +124,7 @@
             one.elapsed = run.ordered_at > 0 ? std::max<Micros>(0, moment.now - run.ordered_at) : -1;
             one.percent = std::clamp<std::int64_t>(run.percent, 0, 100);
             one.shown = std::max<Micros>(0, run.shown_at - run.ordered_at);
-            if constexpr (requires { run.backfill; }) one.backfill = run.backfill;
+            one.backfill = run.backfill;
             one.saved = !run.saved.empty(), one.doubled = run.doubled;
             each.runs.push_back(std::move(one));
         }
