--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -277,6 +277,7 @@
             control.detector.increment = whole("increment-ms", 0, 60000);
             control.detector.timeout_most = std::max(control.detector.timeout * 3, seconds(3));
             control.preview_reads = given.count("preview-reads") > 0;
+            control.run_lines = given.count("run-lines") > 0;
             control.snapshot_lines = whole("snapshot-lines-s", 0, 86400) * 1000;
             control.scheduler.history_span = whole("history-s", 0, 86400) * 1000;
             control.scheduler.hold = std::min(whole("hold-ms", 500, 600000), settings.hold_most);
--- a/source/control.hpp
+++ b/source/control.hpp
@@ -31,6 +31,7 @@
     Micros alone_after = milliseconds(1000);  // without a majority a daemon suspects itself
     bool preview_reads = false;               // whether a preview may read a snapshot of the record
     SnapshotLimits snapshot;
+    bool run_lines = false;                   // whether what is accepted, starts and ends goes to the log
     Micros snapshot_lines = 0;                // how often the owner writes one to its log, for trials; 0: never
 };
 
@@ -79,6 +80,11 @@
         } catch (const std::exception& error) {
             findings.add("bind_addrs.control", fmt::format("{}: {}", settings_.machine.control, error.what()));
         }
+        if (settings_.run_lines)
+            scheduler_.tell_runs([this](RunLine line) {
+                line.wall = judge_.wall(wall_now(), steady_now());
+                log_line("run", "{}", line.line());
+            });
         loop_.after(0, [this] { turn_by_timer(); });
         return findings;
     }
--- a/source/control/jobs/job.hpp
+++ b/source/control/jobs/job.hpp
@@ -129,6 +129,11 @@
     return found == table.end() ? std::nullopt : std::optional(found->second);
 }
 
+constexpr const char* end_text(End how) {
+    constexpr std::array<const char*, 7> texts{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost"};
+    return texts[size_t(how)];
+}
+
 // A job in memory; every change of state goes through `apply`-like functions below.
 class Job {
 public:
--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -128,6 +128,7 @@
         state_.mark(entry);
         if (!entry.job.ended()) return;
         state_.close(entry);
+        if (state_.tell) state_.tell({RunLine::Event::job_ended, 0, entry.job.fixed.id, {}, entry.queue(), entry.job.phase()});
         state_.expiries.emplace(entry.job.moving.ended_wall + state_.settings.status_kept + seconds(30), entry.job.fixed.id);
         stop_job(entry);
     }
@@ -228,6 +229,7 @@
         if (!task) return;
         run->second.state = RunState::ordered;
         run->second.ordered_at = now;
+        if (state_.tell) state_.tell({RunLine::Event::start, 0, name.task(), life, job->second.queue(), {}, name.run});
         state_.looks_due.emplace(judge_.next_look(run->second, now), std::pair(life, name));
         give_order(found->second, {0, OrderKind::start, {}, name.task(), name.run, job->second.job.fixed.spec.text, task->saved});
     }
@@ -260,6 +262,7 @@
         JobEntry& entry = found->second;
         bool had_ended = entry.job.ended();
         if (!entry.job.end(name, worker.account.life, how, saved, state_.attempts_most(entry.job), wall)) return nullptr;
+        if (state_.tell) state_.tell({RunLine::Event::end, 0, name.task(), worker.account.life, entry.queue(), end_text(how), name.run});
         counters().add(how == End::done ? "runs_done" : how == End::failed ? "runs_failed" : how == End::stopped ? "runs_stopped" : how == End::lapsed ? "runs_lapsed" : how == End::broken ? "runs_broken" : how == End::alone ? "runs_alone" : "runs_lost");
         state_.mark(entry);
         const Step& step = entry.job.fixed.spec.steps[name.step];
@@ -389,6 +392,7 @@
         auto found = state_.workers.find(life);
         if (found == state_.workers.end()) return;
         if (!found->second.runs.empty() && !found->second.account.draining) state_.conducts.note_lapse(found->second.node, now);
+        if (state_.tell) state_.tell({RunLine::Event::worker_over, 0, {}, life, {}, "ended"});
         clear_runs(found->second, End::lost, wall, now);
         if (auto known = state_.nodes.find(found->second.node); known != state_.nodes.end() && known->second == life) state_.nodes.erase(known);
         forget(found);
@@ -402,6 +406,7 @@
         worker.look = true;
         ++worker.era;
         state_.conducts.note_lapse(worker.node, now);
+        if (state_.tell) state_.tell({RunLine::Event::worker_over, 0, {}, worker.account.life, {}, "lapsed"});
         clear_runs(worker, End::lapsed, wall, now);
     }
 
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -23,6 +23,7 @@
     void begin(Epoch epoch, const std::map<std::string, Register>& registers, Micros now) {
         end_ownership();
         state_.epoch = epoch;
+        if (state_.tell) state_.tell({RunLine::Event::owner, 0, {}, {}, {}, std::to_string(epoch.value)});
         admission_.begin(now);
         for (const auto& [key, value] : registers) {
             if (key == "config" && !value.moving.empty()) {
@@ -51,6 +52,8 @@
         due_.clear();
         promised_ = 0;
     }
+    // From now on `tell` hears of what is accepted, starts and ends; the time is its own matter.
+    void tell_runs(std::function<void(RunLine)> tell) { state_.tell = std::move(tell); }
     const Config& config() const { return state_.config; }
     const State& state() const { return state_; }
     const std::map<std::string, WorkerEntry>& workers() const { return state_.workers; }
@@ -234,6 +237,7 @@
         if (found == state_.jobs.end()) return;
         JobEntry& entry = found->second;
         entry.committed = true;
+        if (state_.tell) state_.tell({RunLine::Event::accepted, 0, id, {}, entry.queue(), {}});
         if (!entry.job.timed()) note_arrival(entry);
         take_in(entry, wall);
         state_.plan_wanted = true;
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -8,6 +8,7 @@
 #include "control/jobs/state/backlog.hpp"
 #include "control/jobs/state/load.hpp"
 #include "shared/record/log.hpp"
+#include "shared/record/run_line.hpp"
 #include "shared/settings/config.hpp"
 
 namespace calicostall {
@@ -42,6 +43,7 @@
     Durations durations;
     HistoryRecorder history;
     Conducts conducts;
+    std::function<void(RunLine)> tell;  // what is accepted, starts and ends, when somebody wants to know
     bool plan_wanted = false;
     std::uint64_t last_serial = 0;
     size_t held = 0;               // runs that take room anywhere
--- a/tests/preview.cpp
+++ b/tests/preview.cpp
@@ -363,6 +363,8 @@
     Touches ledger;
     Scheduler<Touches> scheduler(SchedulerSettings{}, ledger);
     Micros now = seconds(100), wall = taken_at;
+    std::vector<RunLine> told_of;
+    scheduler.tell_runs([&](RunLine line) { told_of.push_back(line); });
     std::map<std::string, Register> registers;
     Register config;
     config.moving = config_text(5);
@@ -388,6 +390,11 @@
     SideAnswer before = scheduler.answer_side("side-1", now, now);
     worker_calls = before.orders.size();
     EXPECT(worker_calls > 0);
+    // What the log tells: the owner, each job, each start; and nothing of what a task is told to do.
+    size_t starts = 0, accepted = 0;
+    for (const RunLine& line : told_of) starts += line.event == RunLine::Event::start, accepted += line.event == RunLine::Event::accepted;
+    EXPECT(told_of[0].event == RunLine::Event::owner && told_of[0].how == "3" && accepted == 6 && starts == worker_calls);
+    EXPECT(std::all_of(told_of.begin(), told_of.end(), [&](const RunLine& line) { return line.line().find(secret) == std::string::npos; }));
     // One of them reports a checkpoint.
     SideAsk ask;
     ask.node = "side-1", ask.incarnation = 1, ask.number = 3, ask.epoch = Epoch{3};
