--- a/source/control.hpp
+++ b/source/control.hpp
@@ -1,7 +1,5 @@
 // The role `control`: detector, record, configuration, worker list, placement.
 #pragma once
-#include <boost/algorithm/hex.hpp>
-
 #include "common.hpp"
 #include "control/detector/detector.hpp"
 #include "control/jobs/scheduler.hpp"
@@ -518,7 +516,9 @@
     void log_snapshot(Micros now) {
         if (settings_.snapshot_lines == 0 || now < next_snapshot_line_) return;
         next_snapshot_line_ = now + settings_.snapshot_lines;
-        if (auto snapshot = snapshot_of(RecordView(std::as_const(scheduler_)), snapshot_moment(), settings_.snapshot)) log_line("snapshot", "{}", boost::algorithm::hex(pack_snapshot(*snapshot)));
+        auto snapshot = snapshot_of(RecordView(std::as_const(scheduler_)), snapshot_moment(), settings_.snapshot);
+        if (!snapshot) return;
+        for (const std::string& line : snapshot_lines(pack_snapshot(*snapshot), snapshot->wall)) log_line("snapshot", "{}", line);
     }
     // Calls of operators, by the table: PUT /config, GET /config.
     void take_control(Request request) {
--- a/source/preview/command.hpp
+++ b/source/preview/command.hpp
@@ -1,7 +1,5 @@
 // `calicostall preview`: reads a snapshot, looks ahead, says what it saw.
 #pragma once
-#include <boost/algorithm/hex.hpp>
-
 #include "preview/check.hpp"
 #include "preview/fetch.hpp"
 
@@ -65,6 +63,28 @@
     Findings findings;
 };
 
+// The snapshots that control wrote to a log, with the place of each. One whose last lines are missing is left out.
+inline std::vector<std::pair<std::string, std::string>> read_snapshot_lines(std::string_view text, const std::string& log, Findings& findings) {
+    std::vector<std::pair<std::string, std::string>> all;
+    std::string open, bytes, place;
+    size_t next = 0;
+    each_log_line(text, "snapshot", [&](std::string_view rest, size_t number) {
+        std::istringstream words{std::string(rest)};
+        std::string which, hex;
+        size_t part = 0, parts = 0;
+        if (!(words >> which >> part >> parts >> hex)) return;
+        if (part == 0) open = which, bytes.clear(), next = 0, place = fmt::format("{}:{}", log, number);
+        if (which != open || part != next) return findings.add(fmt::format("{}:{}", log, number), "is out of order");
+        try {
+            boost::algorithm::unhex(hex.begin(), hex.end(), std::back_inserter(bytes));
+        } catch (const boost::algorithm::hex_decode_error&) {
+            return findings.add(fmt::format("{}:{}", log, number), "holds no hexadecimal digits");
+        }
+        if (++next == parts) all.emplace_back(place, bytes);
+    });
+    return all;
+}
+
 inline PreviewOutcome check_preview(const PreviewOptions& options) {
     PreviewOutcome outcome;
     std::vector<RunLine> lines;
@@ -75,16 +95,10 @@
         if (!text) continue;
         read_run_lines(*text, log, lines, outcome.findings);
         if (!options.check_logged) continue;
-        each_log_line(*text, "snapshot", [&](std::string_view rest, size_t number) {
-            std::string bytes;
-            try {
-                boost::algorithm::unhex(rest.begin(), rest.end(), std::back_inserter(bytes));
-            } catch (const boost::algorithm::hex_decode_error&) {
-                return outcome.findings.add(fmt::format("{}:{}", log, number), "is no snapshot in hexadecimal digits");
-            }
-            auto snapshot = unpack_snapshot(bytes, fmt::format("{}:{}", log, number), outcome.findings);
+        for (const auto& [place, bytes] : read_snapshot_lines(*text, log, outcome.findings)) {
+            auto snapshot = unpack_snapshot(bytes, place, outcome.findings);
             if (snapshot) logged.push_back(boost::json::serialize(preview_json(make_preview(std::move(*snapshot), ProposedChange{}, options.forward))));
-        });
+        }
     }
     if (lines.empty() && outcome.findings.empty()) outcome.findings.add("logs", "no line of what ran; was control run with --run-lines?");
     CheckResult result;
--- a/source/preview/fetch.hpp
+++ b/source/preview/fetch.hpp
@@ -10,7 +10,7 @@
 
 // Asks one daemon after another until one hands over the record's snapshot; a daemon that is not the owner names it.
 // Example: Findings findings; auto bytes = fetch_snapshot({"10.0.0.4:7720"}, findings); if (!bytes) exit with 1
-inline std::optional<std::string> fetch_snapshot(const std::vector<std::string>& daemons, Findings& findings, size_t bytes_most = 64 << 20, Micros patience = seconds(10)) {
+inline std::optional<std::string> fetch_snapshot(const std::vector<std::string>& daemons, Findings& findings, size_t bytes_most = 64 << 20, Micros patience = seconds(10), Micros wait_when_often = milliseconds(1100)) {
     struct Body { std::string text; size_t most; };
     auto take = +[](char* data, size_t size, size_t count, void* into) -> size_t {
         Body& body = *static_cast<Body*>(into);
@@ -20,7 +20,11 @@
     };
     struct Free { void operator()(CURL* easy) const { curl_easy_cleanup(easy); } };
     std::unique_ptr<CURL, Free> easy(curl_easy_init());
-    for (const std::string& daemon : daemons) {
+    // A daemon that has just handed one out is asked once more.
+    std::vector<std::string> queue = daemons;
+    std::set<std::string> again;
+    for (size_t place = 0; place < queue.size(); ++place) {
+        const std::string daemon = queue[place];
         Body body{{}, bytes_most};
         std::string url = "http://" + daemon + preview_path;
         curl_easy_reset(easy.get());
@@ -39,6 +43,12 @@
         long code = 0;
         curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &code);
         if (result == CURLE_OK && code == 200) return std::move(body.text);
+        if (result == CURLE_OK && code == 429 && again.insert(daemon).second) {
+            std::this_thread::sleep_for(std::chrono::microseconds(wait_when_often));
+            queue.insert(queue.begin() + std::ptrdiff_t(place) + 1, daemon);
+            continue;
+        }
+        while (!body.text.empty() && body.text.back() == '\n') body.text.pop_back();
         if (result != CURLE_OK) findings.add(daemon, curl_easy_strerror(result));
         else findings.add(daemon, fmt::format("answers {}{}{}", code, body.text.empty() ? "" : ": ", body.text.substr(0, 300)));
     }
--- a/source/preview/snapshot.hpp
+++ b/source/preview/snapshot.hpp
@@ -1,5 +1,7 @@
 // What the owner knows at one moment, as far as a preview needs it: no job_spec, no checkpoint. Plain data.
 #pragma once
+#include <boost/algorithm/hex.hpp>
+
 #include "common.hpp"
 #include "control/jobs/spec.hpp"
 #include "preview/planner_fields.hpp"
@@ -145,6 +147,15 @@
     return std::move(writer.bytes);
 }
 
+// A snapshot as lines of a log, each short enough for whatever collects logs: "NUMBER PART PARTS HEXADECIMAL".
+// Example: for (const std::string& line : snapshot_lines(bytes, wall)) log_line("snapshot", "{}", line);
+inline std::vector<std::string> snapshot_lines(const std::string& bytes, Micros number, size_t bytes_each = 1500) {
+    std::vector<std::string> lines;
+    size_t parts = (bytes.size() + bytes_each - 1) / bytes_each;
+    for (size_t part = 0; part < parts; ++part) lines.push_back(fmt::format("{} {} {} {}", number, part, parts, boost::algorithm::hex(bytes.substr(part * bytes_each, bytes_each))));
+    return lines;
+}
+
 // Looks at every field of a snapshot; each thing that is wrong becomes a finding with its place.
 // Example: "jobs[3].steps[1].depends_on: must name earlier steps only"
 inline void check_snapshot(const Snapshot& snapshot, Findings& findings) {
--- a/tests/preview.cpp
+++ b/tests/preview.cpp
@@ -2,6 +2,7 @@
 #include "preview/command.hpp"
 
 #include "control/jobs/scheduler.hpp"
+#include "shared/http/listener.hpp"
 
 #include "check.hpp"
 
@@ -557,6 +558,21 @@
     EXPECT(format.text() == "p.preview: is 2, this program reads 1");
 }
 
+// Snapshots in a log, with the lines of what ran, there and back; and the check of each.
+void logged_snapshots() {
+    Shop shop;
+    for (int place = 0; place < 9; ++place) shop.worker(fmt::format("w{}", place));
+    for (int place = 0; place < 40; ++place) shop.job("/m/", 2, 4000, seconds(1));
+    std::string bytes = pack_snapshot(shop.snapshot), text;
+    for (const std::string& line : snapshot_lines(bytes, taken_at, 700)) text += "12.0 snapshot " + line + "\n13.0 counters calls=1\n";
+    Findings findings;
+    auto read = read_snapshot_lines(text + "14.0 snapshot 5 0 2 AB\n", "log", findings);
+    EXPECT_SAID(findings.empty() && read.size() == 1 && read[0].first == "log:1" && read[0].second == bytes, findings.text());
+    Findings wrong;
+    read_snapshot_lines("1.0 snapshot 5 0 2 XY\n1.0 snapshot 5 1 2 AB\n", "log", wrong);
+    EXPECT_SAID(wrong.list().size() == 2 && wrong.list()[0].place == "log:1" && wrong.list()[1].place == "log:2", wrong.text());
+}
+
 // Exit statuses as the operators' page states them.
 void statuses() {
     auto file = [](const std::string& name, const std::string& text) {
@@ -596,6 +612,41 @@
     for (const std::string& path : {good, bad, config, change, alarm, saved}) std::remove(path.c_str());
 }
 
+// The one read over real sockets: a daemon that isn't the owner sends the reader on, an owner that was just asked is asked again.
+void over_http() {
+    std::unique_ptr<Listener> owner, other;
+    std::string owner_address, other_address;
+    std::atomic<int> asked{0}, posted{0};
+    const std::string bytes = pack_snapshot(Shop().snapshot);
+    auto open = [](std::unique_ptr<Listener>& listener, std::string& address, Listener::Take take) {
+        for (int attempt = 0; attempt < 50 && !listener; ++attempt) {
+            address = fmt::format("127.0.0.1:{}", 20000 + (getpid() * 7 + attempt * 131 + (address.empty() ? 0 : 1)) % 12000);
+            try {
+                listener = std::make_unique<Listener>(address, Listener::Limits{}, take);
+                listener->open();
+            } catch (const std::exception&) {
+                listener.reset();
+            }
+        }
+    };
+    open(owner, owner_address, [&](Request request) {
+        posted += request.method != "GET" || !request.body.empty();
+        request.reply.send(++asked == 1 ? Response::text(429, "one snapshot in 1000 ms, try again\n") : Response::cbor(bytes));
+    });
+    open(other, other_address, [&](Request request) {
+        posted += request.method != "GET";
+        request.reply.send(Response::moved("http://" + owner_address + preview_path));
+    });
+    EXPECT(owner && other);
+    if (!owner || !other) return;
+    Findings findings;
+    auto read = fetch_snapshot({"127.0.0.1:1", other_address}, findings, 64 << 20, seconds(5), milliseconds(1));
+    EXPECT_SAID(read == bytes && asked == 2 && posted == 0, findings.text());
+    EXPECT(findings.list().size() == 1 && findings.list()[0].place == "127.0.0.1:1");
+    Findings large;
+    EXPECT(!fetch_snapshot({owner_address}, large, 10) && large.list().size() == 1);
+}
+
 // --- the look ahead against a run of the same planner that keeps nothing between plans ---
 
 // All state is plain; the planner's view is made anew for each plan.
@@ -752,7 +803,9 @@
     touches_nothing();
     checking();
     saved_previews();
+    logged_snapshots();
     statuses();
+    over_http();
     agrees();
     return result();
 }
