preview: a new owner's unknown workers are not taken for missing ones

Change: nothing lands nowhere while a worker is known from the record only; one that is heard of and has not reported is expected to within half a second. Tests: rows for each.

--- a/source/preview/forward.hpp
+++ b/source/preview/forward.hpp
@@ -59,6 +59,7 @@
 
 private:
     static constexpr double trial_trust = 0.4;  // below it a worker gets one run at a time, as the daemons do
+    static constexpr Micros report_soon = milliseconds(500);
     static constexpr Micros endless = std::numeric_limits<Micros>::max() / 4;
 
     struct TaskState {
@@ -197,8 +198,10 @@
         state.said = said;
         state.there = true;
         state.draining = said.draining;
-        state.usable = said.reconciled && !said.silent && !said.placeholder && !said.paused && (snapshot_.fresh == 0 || said.heard_ago <= snapshot_.fresh);
-        state.avoided_until = now_ + said.avoided_for;
+        state.usable = !said.silent && !said.placeholder && !said.paused && (snapshot_.fresh == 0 || said.heard_ago <= snapshot_.fresh);
+        // A worker that is heard of and has not reported under this owner's fence is about to.
+        Micros opens_in = std::max(said.avoided_for, said.reconciled ? 0 : report_soon);
+        state.avoided_until = now_ + opens_in;
         PlanWorker worker;
         worker.service = names_.of(said.service);
         for (const std::string& label : said.labels) worker.labels.push_back(names_.of(label));
@@ -212,7 +215,7 @@
         }
         workers_.push_back(std::move(state));
         judge(workers_.size() - 1);
-        if (said.avoided_for > 0) events_.insert({now_ + said.avoided_for, Kind::worker_opens, workers_.size() - 1});
+        if (opens_in > 0) events_.insert({now_ + opens_in, Kind::worker_opens, workers_.size() - 1});
         return workers_.size() - 1;
     }
     void judge(size_t place) {
@@ -548,6 +551,8 @@
     std::string lands_nowhere(const JobState& state, std::uint32_t step) const {
         const Step& wanted = state.job->steps[step].wanted;
         const std::string& service = names_.text(state.service);
+        // An owner that has just begun knows some workers from the record only, or none: they may be what is asked for.
+        if (workers_.empty() || std::any_of(workers_.begin(), workers_.end(), [](const WorkerState& worker) { return worker.said.placeholder; })) return {};
         std::vector<const SnapshotWorker*> there;
         for (size_t place = 0; place < workers_.size(); ++place)
             if (!workers_[place].said.placeholder && !leaves(place)) there.push_back(&workers_[place].said);
