--- a/source/control.hpp
+++ b/source/control.hpp
@@ -7,6 +7,7 @@
 #include "control/store/disk.hpp"
 #include "control/store/owner.hpp"
 #include "control/store/replica.hpp"
+#include "preview/serve.hpp"
 #include "shared/http/listener.hpp"
 #include "shared/http/loop.hpp"
 #include "shared/http/slab.hpp"
@@ -37,6 +38,10 @@
     Micros rest_most = milliseconds(8);   // between two turns: as long as the last one took, at most so long
     SuspicionSettings suspicion;
     Micros alone_after = milliseconds(1000);  // without a majority a daemon suspects itself
+    bool preview_reads = false;               // whether a preview may read a snapshot of the record
+    SnapshotLimits snapshot;
+    bool run_lines = false;                   // whether what is accepted, starts and ends goes to the log
+    Micros snapshot_lines = 0;                // how often the owner writes one to its log, for trials; 0: never
 };
 
 class Control {
@@ -49,7 +54,8 @@
           owner_(settings_.owner, Identity{}),
           ledger_{this},
           scheduler_(settings_.scheduler, ledger_),
-          suspicion_(settings_.suspicion) {}
+          suspicion_(settings_.suspicion),
+          preview_reads_(settings_.preview_reads, settings_.snapshot) {}
 
     // Opens disk and listeners; returns what went wrong.
     Findings open() {
@@ -84,6 +90,11 @@
         } catch (const std::exception& error) {
             findings.add("bind_addrs.control", fmt::format("{}: {}", settings_.machine.control, error.what()));
         }
+        if (settings_.run_lines)
+            scheduler_.tell_runs([this](RunLine line) {
+                line.wall = judge_.wall(wall_now(), steady_now());
+                log_line("run", "{}", line.line());
+            });
         loop_.after(0, [this] { turn_by_timer(); });
         return findings;
     }
@@ -354,6 +365,7 @@
             Micros wall = judge_.wall(wall_now(), now);
             scheduler_.tick(now, wall, owner_.confirmed_at());
             Micros age = now - owner_.confirmed_at();
+            log_snapshot(now);
             if (age > (scheduler_.anything_held() ? settings_.probe_busy : settings_.probe_idle) && now - probed_at_ > milliseconds(150)) {
                 probed_at_ = now;
                 owner_.probe();
@@ -570,10 +582,33 @@
             std::lock_guard guard(lock_);
             serve_side(std::move(*ask), std::move(request.reply));
             turn_soon();
+        } else if (request.path == preview_path) {
+            request.reply.send(answer_preview(request.method));
         } else {
             request.reply.send(Response::plain(404));
         }
     }
+    // Reads only: no turn follows, nothing is proposed, no worker is looked at.
+    SnapshotMoment snapshot_moment() {
+        Micros now = steady_now();
+        return {owner_.epoch().value, now, judge_.wall(wall_now(), now), owner_.confirmed_at()};
+    }
+    Response answer_preview(const std::string& method) {
+        PreviewReads::Taken taken;
+        {
+            std::lock_guard guard(lock_);
+            std::string owner = owner_address();
+            taken = preview_reads_.take(method, {acting(), owner == own_address_ ? std::string() : owner}, RecordView(scheduler_), snapshot_moment());
+        }
+        return preview_reads_.answer(std::move(taken));
+    }
+    void log_snapshot(Micros now) {
+        if (settings_.snapshot_lines == 0 || now < next_snapshot_line_) return;
+        next_snapshot_line_ = now + settings_.snapshot_lines;
+        auto snapshot = snapshot_of(RecordView(std::as_const(scheduler_)), snapshot_moment(), settings_.snapshot);
+        if (!snapshot) return;
+        for (const std::string& line : snapshot_lines(pack_snapshot(*snapshot), snapshot->wall)) log_line("snapshot", "{}", line);
+    }
     // Calls of operators, by the table: PUT /config, GET /config.
     void take_control(Request request) {
         if (request.path != "/config" || (request.method != "PUT" && request.method != "GET")) {
@@ -752,6 +787,8 @@
     LedgerAdapter ledger_;
     Scheduler<LedgerAdapter> scheduler_;
     SelfSuspicion suspicion_;
+    PreviewReads preview_reads_;
+    Micros next_snapshot_line_ = 0;
     ClockJudge judge_;
     std::unique_ptr<Listener> inner_, control_;
     std::string own_address_;
--- a/source/control/jobs/durations/durations.hpp
+++ b/source/control/jobs/durations/durations.hpp
@@ -9,12 +9,13 @@
 public:
     // How long a task of this step takes on a sound worker near its data.
     // Example: Micros expected = durations.expect(entry, 0);
-    Micros expect(const JobEntry& entry, std::uint32_t step) {
+    Micros expect(const JobEntry& entry, std::uint32_t step) const {
         if (measured(entry, step)) {
             const auto& [sum, count] = entry.took.at(step);
             return sum / count;
         }
-        return senses_[entry.queue()].expect(entry.job.fixed.spec.steps[step].estimate);
+        auto sense = senses_.find(entry.queue());
+        return (sense == senses_.end() ? QueueSense{} : sense->second).expect(entry.job.fixed.spec.steps[step].estimate);
     }
     // Whether siblings of the same step have told.
     static bool measured(const JobEntry& entry, std::uint32_t step) {
--- a/source/control/jobs/planning/planning.hpp
+++ b/source/control/jobs/planning/planning.hpp
@@ -33,6 +33,11 @@
     }
     const Fleet& fleet() const { return fleet_; }
     const WaitingItems& items() const { return items_; }
+    // What urgent queues used lately: see(service, level, cpu, memory).
+    template <class See>
+    void each_demand(See see) const {
+        demand_.each([&](Name service, std::int64_t level, double cpu, double memory) { see(names_.text(service), level, cpu, memory); });
+    }
 
 private:
     // What the planner knows a step's tasks by: most of them as one item, those that are particular each by itself.
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -23,6 +23,7 @@
     void begin(Epoch epoch, const std::map<std::string, Register>& registers, Micros now) {
         end_ownership();
         state_.epoch = epoch;
+        if (state_.tell) state_.tell({RunLine::Event::owner, 0, {}, {}, {}, std::to_string(epoch.value)});
         admission_.begin(now);
         for (const auto& [key, value] : registers) {
             if (key == "config" && !value.moving.empty()) {
@@ -56,6 +57,8 @@
         due_.clear();
         promised_ = 0;
     }
+    // From now on `tell` hears of what is accepted, starts and ends; the time is its own matter.
+    void tell_runs(std::function<void(RunLine)> tell) { state_.tell = std::move(tell); }
     const Config& config() const { return state_.config; }
     const State& state() const { return state_; }
     const std::map<std::string, WorkerEntry>& workers() const { return state_.workers; }
@@ -93,6 +96,19 @@
     }
     bool anything_held() const { return state_.held > 0; }
 
+    // --- what a preview reads; const, and no way to change anything ---
+
+    const SchedulerSettings& settings() const { return settings_; }
+    const Conducts& conducts() const { return state_.conducts; }
+    template <class See>
+    void each_demand(See see) const { planning_.each_demand(std::move(see)); }
+    // Calls visit(job, expected, failed) for each open job: expected(step) as learnt, failed by task: the machines where it failed.
+    template <class Visit>
+    void each_open_job(Visit visit) const {
+        for (const auto& [id, entry] : state_.jobs)
+            if (entry.committed && !entry.job.ended()) visit(std::as_const(entry.job), [&](std::uint32_t step) { return state_.durations.expect(entry, step); }, std::as_const(entry.failed_on));
+    }
+
     // --- calls of clients ---
 
     using Done = CallDone;
@@ -224,6 +240,7 @@
         if (found == state_.jobs.end()) return;
         JobEntry& entry = found->second;
         entry.committed = true;
+        if (state_.tell) state_.tell({RunLine::Event::accepted, 0, id, {}, entry.queue(), {}});
         if (!entry.job.timed()) note_arrival(entry);
         take_in(entry, wall);
         state_.plan_wanted = true;
--- /dev/null
+++ b/source/preview/planner_fields.hpp
@@ -0,0 +1,49 @@
+// The planner's weights, ratios and bounds by name, for snapshots and change files.
+#pragma once
+#include "control/plan/settings.hpp"
+
+namespace calicostall {
+
+// One value of the planner's settings, as a whole number of thousandths (of points, of a ratio, of a second).
+struct PlannerField {
+    std::string name;
+    std::int64_t thousandths = 0;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) { visit(name), visit(thousandths); }
+};
+
+// Calls see(name, value) for each setting: the operators' options and what is of the site; `value` is a double, Micros or size_t.
+// Example: each_planner_setting(settings, [](std::string_view name, auto& value) { ... });
+template <class Settings, class See>
+void each_planner_setting(Settings& settings, See see) {
+    each_planner_option(settings, [&](const char* name, const char*, auto& value) { see(std::string_view(name), value); });
+    see("remote-factor", settings.remote_factor), see("stop-grace-s", settings.stop_grace), see("restore-s", settings.restore);
+    see("checkpoint-s", settings.checkpoint_every), see("slow-pace", settings.slow_pace), see("trust-least", settings.trust_least);
+    see("stop-share", settings.stop_share), see("push-early-s", settings.push_early), see("urgent-memory-s", settings.urgent_memory);
+    see("urgent-length-s", settings.urgent_length), see("looks-most", settings.looks_most), see("evaluations-most", settings.evaluations_most);
+    see("stops-most", settings.stops_most);
+}
+inline std::vector<PlannerField> planner_fields(const PlannerSettings& settings) {
+    std::vector<PlannerField> fields;
+    each_planner_setting(settings, [&](std::string_view name, const auto& value) {
+        using Value = std::remove_cvref_t<decltype(value)>;
+        double scaled = std::is_same_v<Value, Micros> ? double(value) / 1000 : double(value) * 1000;
+        fields.push_back({std::string(name), std::int64_t(std::llround(scaled))});
+    });
+    return fields;
+}
+// Sets one of them by name; false: there is none of this name.
+// Example: set_planner_field(settings, "ratio-priority", 2.5)
+inline bool set_planner_field(PlannerSettings& settings, std::string_view wanted, double number) {
+    bool found = false;
+    each_planner_setting(settings, [&](std::string_view name, auto& value) {
+        using Value = std::remove_cvref_t<decltype(value)>;
+        if (name != wanted) return;
+        found = true;
+        value = std::is_same_v<Value, Micros> ? Value(std::llround(number * 1e6)) : Value(number);
+    });
+    return found;
+}
+
+}  // namespace calicostall
