--- a/source/preview/check.hpp
+++ b/source/preview/check.hpp
@@ -11,6 +11,7 @@
     struct Running { std::string queue, worker; Micros ends = -1; };
     struct Pushed { std::string queue, task, worker; Micros at = 0; };
     Micros wall = 0, horizon = 0;
+    std::int64_t unheard = 0;  // workers that its owner had not heard of
     std::string epoch;
     std::set<std::string> jobs;
     std::vector<std::pair<std::string, std::int64_t>> queues;
@@ -38,6 +39,7 @@
     if (!findings.empty()) return said;
     said.wall = whole_number(object, name, "wall_us");
     said.epoch = std::to_string(whole_number(object, name, "epoch"));
+    said.unheard = whole_number(object, name, "unheard", 0);
     FieldReader top(object, name, findings);
     if (const auto* jobs = top.list("jobs", true)) {
         for (const auto& job : *jobs) {
@@ -256,6 +258,7 @@
     std::string cause(const std::string& task, const std::vector<std::string>& workers, Micros until, bool early = false) const {
         std::string job = task.substr(0, task.find('.')), time = task.substr(0, task.rfind('.', task.rfind('.') - 1));
         if (auto ended = jobs_ended_.find(job); ended != jobs_ended_.end() && ended->second.first != "done" && ended->second.second <= until) return "job " + ended->second.first;
+        if (said_.unheard > 0) return "workers not heard of";
         if (owner_changed_ && *owner_changed_ <= until) return "record changed hands";
         for (const std::string& worker : workers)
             if (auto over = over_.find(worker); over != over_.end() && over->second <= until) return "worker lost";
--- a/source/preview/command.hpp
+++ b/source/preview/command.hpp
@@ -111,9 +111,11 @@
         if (text) said = read_preview(*text, options.check, options.changed, outcome.findings);
         if (outcome.findings.empty()) result = Checker(said, lines, options.checking).check();
     }
+    size_t unheard_of = 0;
     for (const std::string& preview : logged) {
         if (!outcome.findings.empty()) break;
         Said said = read_preview(preview, "preview", false, outcome.findings);
+        unheard_of += said.unheard > 0;
         CheckResult one = Checker(said, lines, options.checking).check();
         result.compared = result.compared || one.compared;
         for (const auto& [queue, each] : one.queues) result.queues[queue] += each;
@@ -123,7 +125,7 @@
         outcome.status = PreviewStatus::bad_input;
         return outcome;
     }
-    if (options.check_logged) outcome.out = fmt::format("{} snapshots\n", logged.size());
+    if (options.check_logged) outcome.out = fmt::format("{} snapshots, {} of them by an owner that had not heard of all its workers\n", logged.size(), unheard_of);
     outcome.out += options.json ? boost::json::serialize(check_json(result)) + "\n" : check_text(result, options.misses_most);
     return outcome;
 }
--- a/source/preview/report.hpp
+++ b/source/preview/report.hpp
@@ -27,6 +27,11 @@
     return preview;
 }
 
+// Workers that the owner knows from the record only: it has just begun, and a preview cannot place anything on them.
+inline size_t unheard(const Snapshot& snapshot) {
+    return size_t(std::count_if(snapshot.workers.begin(), snapshot.workers.end(), [](const SnapshotWorker& worker) { return worker.placeholder; }));
+}
+
 // What becomes of the tasks of one queue.
 struct QueueSummary {
     std::string name;
@@ -183,7 +188,7 @@
         return object{{"horizon_us", outlook.horizon}, {"cut", outlook.cut}, {"plans", outlook.plans}, {"alarms", outlook.alarms()}, {"queues", std::move(queues)}, {"tasks", std::move(tasks)},
                       {"running", std::move(running)}, {"pushed_aside", std::move(pushed)}, {"twice", std::move(twice)}};
     };
-    object whole{{"preview", preview_format}, {"epoch", snapshot.epoch}, {"wall_us", snapshot.wall}, {"confirmed_ago_us", snapshot.confirmed_ago}, {"alarms", preview.alarms()}};
+    object whole{{"preview", preview_format}, {"epoch", snapshot.epoch}, {"wall_us", snapshot.wall}, {"confirmed_ago_us", snapshot.confirmed_ago}, {"alarms", preview.alarms()}, {"workers", snapshot.workers.size()}, {"unheard", unheard(snapshot)}};
     array jobs;
     for (const SnapshotJob& job : snapshot.jobs) jobs.push_back(boost::json::string(job.id));
     whole["jobs"] = std::move(jobs);
@@ -267,6 +272,7 @@
     const Snapshot& snapshot = preview.snapshot;
     std::string text = fmt::format("snapshot of epoch {} at {:.3f} (wall clock of the owner), a majority followed it {:.3f} s before; {:.0f} s ahead\n\n", snapshot.epoch, preview_table::in_seconds(snapshot.wall),
                                    preview_table::in_seconds(snapshot.confirmed_ago), preview_table::in_seconds(preview.stands.horizon));
+    if (size_t count = unheard(snapshot)) text += fmt::format("{} of {} workers have not been heard of since this owner began: nothing is placed on them; take another snapshot in a few seconds\n\n", count, snapshot.workers.size());
     text += "AS THINGS STAND\n\n" + preview_table::outlook_text(snapshot, preview.config, preview.stands);
     if (!preview.changed) return text;
     text += "\nWITH THE CHANGE\n\n" + preview_table::outlook_text(snapshot, preview.changed_config, *preview.changed);
--- a/tests/preview.cpp
+++ b/tests/preview.cpp
@@ -164,6 +164,7 @@
         expect_told("all workers heard of", shop, {"nowhere label missing"});
         shop.worker("w2").placeholder = true;
         expect_told("one not heard of", shop, {"waits label"});
+        EXPECT(preview_text(make_preview(shop.snapshot, {}, {})).find("1 of 2 workers have not been heard of") != std::string::npos);
     }
     {
         Shop shop;
@@ -535,6 +536,13 @@
         logs.lines[2].how = "stopped", logs.lines[2].wall = taken_at + milliseconds(100);
         EXPECT(Checker(pushing, logs.lines, {}).check().queues.at("q").pushed.true_ones == 1);
     }
+    {
+        Said begun = said;
+        begun.unheard = 3;
+        Logs logs;
+        usual(logs), late(logs);
+        EXPECT(Checker(begun, logs.lines, {}).check().queues.at("q").causes.at("workers not heard of") == 1);
+    }
     // Logs that end early count against nobody.
     Logs early;
     early.add(Event::start, milliseconds(1), "a.0.0.0", "w1"), early.add(Event::accepted, milliseconds(600), "late");
