--- a/tests/preview.cpp
+++ b/tests/preview.cpp
@@ -164,6 +164,7 @@
         expect_told("all workers heard of", shop, {"nowhere label missing"});
         shop.worker("w2").placeholder = true;
         expect_told("one not heard of", shop, {"waits label"});
+        EXPECT(preview_text(make_preview(shop.snapshot, {}, {})).find("1 of 2 workers have not been heard of") != std::string::npos);
     }
     {
         Shop shop;
@@ -415,7 +416,13 @@
     auto digest = [&] {
         std::string all;
         for (int number = 0; number < 6; ++number)
-            if (const auto* job = scheduler.find_job(fmt::format("{:016x}", number + 1))) all += job->packed_fixed() + job->packed_moving();
+            if (const auto* job = scheduler.find_job(fmt::format("{:016x}", number + 1))) {
+                all += job->packed_fixed() + fmt::format("{} {} {}", job->phase(), job->moving.ended_wall, job->moving.next_time);
+                for (const LifeName& life : job->moving.workers) all += pack(life);
+                for (const Time& time : job->moving.times)
+                    for (const StepState& step : time.steps)
+                        for (const Task& task : step.tasks) all += pack(task) + fmt::format("{}", step.failed_run);
+            }
         return all + scheduler.config().text + scheduler.gauges();
     };
     std::string digest_before = digest();
@@ -535,6 +542,13 @@
         logs.lines[2].how = "stopped", logs.lines[2].wall = taken_at + milliseconds(100);
         EXPECT(Checker(pushing, logs.lines, {}).check().queues.at("q").pushed.true_ones == 1);
     }
+    {
+        Said begun = said;
+        begun.unheard = 3;
+        Logs logs;
+        usual(logs), late(logs);
+        EXPECT(Checker(begun, logs.lines, {}).check().queues.at("q").causes.at("workers not heard of") == 1);
+    }
     // Logs that end early count against nobody.
     Logs early;
     early.add(Event::start, milliseconds(1), "a.0.0.0", "w1"), early.add(Event::accepted, milliseconds(600), "late");
