calicostall hollow: hollow workers with the project's own sides, clients and an operator on loopback

Cause: the size to design for can't be played on machines of that number; slopes are needed. Change: source/hollow/* (worker, load, measure, rig, the scheduler alone under its own clock), the command, experiment files and a script that starts daemons; Loop::ask is virtual and Side takes calls without a listener, so that the real Side runs over a worker within the process.

--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -8,6 +8,7 @@
 #include "control.hpp"
 #include "forecast/demand.hpp"
 #include "front.hpp"
+#include "hollow/rig.hpp"
 #include "side.hpp"
 
 using namespace calicostall;
@@ -138,10 +139,39 @@
     return 0;
 }
 
+// An experiment on loopback: prepares daemons' settings, or plays it, or fits a line through its results.
+int hollow(const std::string& file, const cxxopts::ParseResult& given) {
+    Findings findings;
+    std::optional<std::string> text = read_file(file);
+    if (!text) findings.add(file, "cannot be read");
+    if (findings.empty() && given.count("of")) {
+        std::string over = given["over"].as<std::string>(), of = given["of"].as<std::string>();
+        Slope fit = fit_results(*text, over, of, findings);
+        if (!findings.empty()) return report(usage_error, findings);
+        fmt::print("{} over {}: {:.6g} each (+- {:.2g}), {:.6g} at zero, R2 {:.4f}, {} points\n", of, over, fit.slope, fit.slope_error, fit.at_zero, fit.explained, fit.points);
+        return 0;
+    }
+    Experiment experiment;
+    if (findings.empty()) experiment = parse_experiment(*text, findings);
+    std::int64_t only = given["step"].as<std::int64_t>();
+    if (findings.empty() && (only < 0 || only > std::int64_t(experiment.steps.size()))) findings.add("--step", fmt::format("must lie between 1 and {}", experiment.steps.size()));
+    if (!findings.empty()) return report(usage_error, findings);
+    if (only > 0) experiment.steps = {experiment.steps[size_t(only - 1)]};
+    std::string folder = given["folder"].as<std::string>();
+    if (given.count("prepare")) {
+        findings = prepare_daemons(experiment, folder);
+        return findings.empty() ? 0 : report(run_error, findings);
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    findings = HollowRig(experiment, folder, given["commit"].as<std::string>(), stdout).run();
+    std::fflush(stderr);
+    _exit(findings.empty() ? 0 : report(run_error, findings));
+}
+
 }  // namespace
 
 int main(int count, char** words) {
-    cxxopts::Options options("calicostall", "A cluster scheduler for jobs.\n\nCommands: front, control, side, check-settings FILE, check-config FILE, forecast LOG...\n");
+    cxxopts::Options options("calicostall", "A cluster scheduler for jobs.\n\nCommands: front, control, side, check-settings FILE, check-config FILE, forecast LOG..., hollow FILE\n");
     options.add_options()("h,help", "show this text")("settings", "the settings file (else $CALICOSTALL_BOOT)", cxxopts::value<std::string>())(
         "heartbeat-ms", "control: how often the trusted daemon says that it is alive", cxxopts::value<std::int64_t>()->default_value("200"))(
         "timeout-ms", "control: how long to wait for it at first", cxxopts::value<std::int64_t>()->default_value("1000"))(
@@ -151,6 +181,11 @@
         "ahead", "forecast: how many spans ahead", cxxopts::value<std::int64_t>()->default_value("6"))(
         "season", "forecast: how many spans make a season, as 24 for days of hours (0: none)", cxxopts::value<std::int64_t>()->default_value("0"))(
         "pressure", "forecast: the share of the fleet from which urgent work is expected to wait", cxxopts::value<double>()->default_value("0.85"))(
+        "folder", "hollow: where NAME.json, NAME.pid and NAME.log of the daemons lie", cxxopts::value<std::string>()->default_value("target/hollow"))(
+        "prepare", "hollow: write the daemons' settings into the folder and end")("step", "hollow: play this step only (from 1; 0: all)", cxxopts::value<std::int64_t>()->default_value("0"))(
+        "commit", "hollow: the name of the sources, for the results", cxxopts::value<std::string>()->default_value("unknown"))(
+        "of", "hollow: fit a line of this number, as owner.cpu_share, through the results in FILE", cxxopts::value<std::string>())(
+        "over", "hollow: over this number, as step.workers", cxxopts::value<std::string>()->default_value("step.workers"))(
         "command", "", cxxopts::value<std::string>())("file", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"command", "file"});
     options.positional_help("COMMAND [FILE]");
@@ -184,6 +219,13 @@
             settings.warm_up = std::max<size_t>(6, 2 * settings.season);
             return forecast(given["file"].as<std::vector<std::string>>(), settings);
         }
+        if (command == "hollow") {
+            if (file.empty()) {
+                findings.add(command, "needs an experiment file, or results");
+                return report(usage_error, findings);
+            }
+            return hollow(file, given);
+        }
         if (command != "front" && command != "control" && command != "side") {
             findings.add("command", command.empty() ? "is missing; see --help" : fmt::format("'{}' is unknown; see --help", command));
             return report(usage_error, findings);
--- /dev/null
+++ b/source/hollow/trial.sh
@@ -0,0 +1,25 @@
+#!/bin/bash
+# Plays an experiment against daemons of its own on loopback, step by step, each on empty disks; appends a line a step.
+# Usage: source/hollow/trial.sh PROGRAM EXPERIMENT RESULTS [CORES]    e.g.  ... target/calicostall workers.json out.jsonl 0-2
+set -euo pipefail
+program=$(realpath "$1"); experiment=$(realpath "$2"); results=$3; cores=${4:-0-2}
+commit=$(git rev-parse --short HEAD)
+count() { grep -o '"127\.[0-9.]*:[0-9]*"' <<<"$(tr -d '\n' <"$experiment" | grep -o "\"$1\" *: *\[[^]]*\]")" | wc -l; }
+steps=$(grep -o '"workers"' "$experiment" | wc -l)
+pids=()
+stop() { for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done; wait 2>/dev/null || true; pids=(); }
+trap stop EXIT
+for ((step = 1; step <= steps; ++step)); do
+  folder=$(mktemp -d)
+  "$program" hollow "$experiment" --prepare --folder "$folder" --step "$step"
+  begin() {
+    taskset -c "$cores" "$program" "$1" --settings "$folder/$2.json" ${3:-} 2>"$folder/$2.log" &
+    pids+=($!); echo $! >"$folder/$2.pid"
+  }
+  for ((place = 1; place <= $(count controls); ++place)); do begin control "control-$place" "${CONTROL_OPTIONS:-}"; done
+  for ((place = 1; place <= $(count fronts); ++place)); do begin front "front-$place"; done
+  sleep 1
+  timeout 300 taskset -c "$cores" "$program" hollow "$experiment" --folder "$folder" --step "$step" --commit "$commit" >>"$results" 2>"$folder/hollow.log" || echo "step $step: status $?" >&2
+  stop
+  if [[ -n ${KEEP:-} ]]; then echo "$folder"; else rm -rf "$folder"; fi
+done
--- a/source/shared/http/loop.hpp
+++ b/source/shared/http/loop.hpp
@@ -35,13 +35,15 @@
 public:
     using Then = std::function<void(Answer)>;
 
-    Loop() {
+    explicit Loop(long connections_most = 128) {
         curl_global_init(CURL_GLOBAL_DEFAULT);
         multi_ = curl_multi_init();
-        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, 128L);
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, connections_most);
     }
+    virtual ~Loop() = default;
 
-    void ask(Ask ask, Then then) {
+    // Virtual, so that a loop of hollow workers can answer within the process.
+    virtual void ask(Ask ask, Then then) {
         {
             std::lock_guard guard(lock_);
             asks_.emplace_back(std::move(ask), std::move(then));
--- a/source/side.hpp
+++ b/source/side.hpp
@@ -33,9 +33,10 @@
         std::random_device device;
         incarnation_ = (std::uint64_t(device()) << 31 | device()) | 1;
     }
+    // Without an address for the worker's calls none is opened: they come by `take`.
     Findings open() {
         Findings findings;
-        try {
+        if (!settings_.machine.control.empty()) try {
             control_ = std::make_unique<Listener>(settings_.machine.control, Listener::Limits{.body_bytes = 4 << 20}, [this](Request request) { take(std::move(request)); });
             control_->open();
         } catch (const std::exception& error) {
@@ -51,6 +52,17 @@
     }
     void take_settings(const Settings& machine) { locator_.add_seeds(Front::replicas(machine)); }
 
+    // Calls of the worker, by the table: PUT /workers/ID, DELETE /workers/ID.
+    // Example: side.take({.method = "PUT", .path = "/workers/i-7f3a", .body = beat});
+    void take(Request request) {
+        constexpr std::string_view prefix = "/workers/";
+        if (!std::string_view(request.path).starts_with(prefix)) return request.reply.send(Response::plain(404));
+        std::string life = request.path.substr(prefix.size());
+        if (request.method == "PUT") return take_beat(life, std::move(request));
+        if (request.method == "DELETE") return take_leave(life, std::move(request));
+        request.reply.send(Response::plain(405));
+    }
+
 private:
     using RunKey = std::pair<std::string, std::uint32_t>;
     struct Pending {
@@ -61,16 +73,8 @@
         Micros next_at = 0;
     };
 
-    // --- calls of the worker, by the table: PUT /workers/ID, DELETE /workers/ID ---
+    // --- calls of the worker ---
 
-    void take(Request request) {
-        constexpr std::string_view prefix = "/workers/";
-        if (!std::string_view(request.path).starts_with(prefix)) return request.reply.send(Response::plain(404));
-        std::string life = request.path.substr(prefix.size());
-        if (request.method == "PUT") return take_beat(life, std::move(request));
-        if (request.method == "DELETE") return take_leave(life, std::move(request));
-        request.reply.send(Response::plain(405));
-    }
     void take_beat(const std::string& life, Request request) {
         Findings findings;
         boost::system::error_code error;
