--- a/source/hollow/trial.sh
+++ b/source/hollow/trial.sh
@@ -5,7 +5,7 @@
 program=$(realpath "$1"); experiment=$(realpath "$2"); results=$3; cores=${4:-0-2}
 commit=$(git rev-parse --short HEAD)
 count() { grep -o '"127\.[0-9.]*:[0-9]*"' <<<"$(tr -d '\n' <"$experiment" | grep -o "\"$1\" *: *\[[^]]*\]")" | wc -l; }
-steps=$(grep -o '"workers"' "$experiment" | wc -l)
+steps=$(grep -o '"workers" *:' "$experiment" | wc -l)
 pids=()
 stop() { for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done; wait 2>/dev/null || true; pids=(); }
 trap stop EXIT
--- a/source/hollow/worker.hpp
+++ b/source/hollow/worker.hpp
@@ -148,8 +148,8 @@
             if (!mine.gang.empty() && board_.broken(mine.gang)) end(task, "broken");
             else if (begun < 0 && now - mine.since >= gang_wait_) end(task, "alone");
             else if (begun >= 0 && now - begun >= mine.spec.length) end(task, "done");
-            else if (!mine.gang.empty()) next_ = std::min(next_, now + milliseconds(20));
-            else next_ = std::min(next_, begun + mine.spec.length);
+            else if (begun < 0) next_ = std::min(next_, now + milliseconds(2));
+            else next_ = std::min(next_, mine.gang.empty() ? begun + mine.spec.length : std::min(begun + mine.spec.length, now + milliseconds(20)));
             task = next;
         }
     }
