hollow: the rig lives until the process ends

Cause: at the end of an experiment the rig was destroyed while its threads ran on (status 134 or 139 after the last line). Change: it is kept until _exit.

--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -163,7 +163,8 @@
         return findings.empty() ? 0 : report(run_error, findings);
     }
     std::signal(SIGPIPE, SIG_IGN);
-    findings = HollowRig(experiment, folder, given["commit"].as<std::string>(), stdout).run();
+    HollowRig rig(experiment, folder, given["commit"].as<std::string>(), stdout);
+    findings = rig.run();  // its threads run on until the process ends
     std::fflush(stderr);
     _exit(findings.empty() ? 0 : report(run_error, findings));
 }
