--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -8,7 +8,7 @@
 #include "control.hpp"
 #include "forecast/demand.hpp"
 #include "front.hpp"
-#include "hollow/rig.hpp"
+#include "hollow/command.hpp"
 #include "side.hpp"
 
 using namespace calicostall;
@@ -139,34 +139,14 @@
     return 0;
 }
 
-// An experiment on loopback: prepares daemons' settings, or plays it, or fits a line through its results.
-int hollow(const std::string& file, const cxxopts::ParseResult& given) {
-    Findings findings;
-    std::optional<std::string> text = read_file(file);
-    if (!text) findings.add(file, "cannot be read");
-    if (findings.empty() && given.count("of")) {
-        std::string over = given["over"].as<std::string>(), of = given["of"].as<std::string>();
-        Slope fit = fit_results(*text, over, of, findings);
-        if (!findings.empty()) return report(usage_error, findings);
-        fmt::print("{} over {}: {:.6g} each (+- {:.2g}), {:.6g} at zero, R2 {:.4f}, {} points\n", of, over, fit.slope, fit.slope_error, fit.at_zero, fit.explained, fit.points);
-        return 0;
-    }
-    Experiment experiment;
-    if (findings.empty()) experiment = parse_experiment(*text, findings);
-    std::int64_t only = given["step"].as<std::int64_t>();
-    if (findings.empty() && (only < 0 || only > std::int64_t(experiment.steps.size()))) findings.add("--step", fmt::format("must lie between 1 and {}", experiment.steps.size()));
-    if (!findings.empty()) return report(usage_error, findings);
-    if (only > 0) experiment.steps = {experiment.steps[size_t(only - 1)]};
-    std::string folder = given["folder"].as<std::string>();
-    if (given.count("prepare")) {
-        findings = prepare_daemons(experiment, folder);
-        return findings.empty() ? 0 : report(run_error, findings);
-    }
-    std::signal(SIGPIPE, SIG_IGN);
-    HollowRig rig(experiment, folder, given["commit"].as<std::string>(), stdout);
-    findings = rig.run();  // its threads run on until the process ends
-    std::fflush(stderr);
-    _exit(findings.empty() ? 0 : report(run_error, findings));
+// The planner's weights and ratios: each is an option of `control`, checked with its bounds.
+PlannerSettings planner_options(const cxxopts::ParseResult& given, Findings& findings) {
+    PlannerSettings settings;
+    each_planner_option(settings, [&](const char* name, const char*, double& value) {
+        if (given.count(name)) value = given[name].as<double>();
+    });
+    settings.check(findings);
+    return settings;
 }
 
 }  // namespace
@@ -182,12 +162,12 @@
         "ahead", "forecast: how many spans ahead", cxxopts::value<std::int64_t>()->default_value("6"))(
         "season", "forecast: how many spans make a season, as 24 for days of hours (0: none)", cxxopts::value<std::int64_t>()->default_value("0"))(
         "pressure", "forecast: the share of the fleet from which urgent work is expected to wait", cxxopts::value<double>()->default_value("0.85"))(
-        "folder", "hollow: where NAME.json, NAME.pid and NAME.log of the daemons lie", cxxopts::value<std::string>()->default_value("target/hollow"))(
-        "prepare", "hollow: write the daemons' settings into the folder and end")("step", "hollow: play this step only (from 1; 0: all)", cxxopts::value<std::int64_t>()->default_value("0"))(
-        "commit", "hollow: the name of the sources, for the results", cxxopts::value<std::string>()->default_value("unknown"))(
-        "of", "hollow: fit a line of this number, as owner.cpu_share, through the results in FILE", cxxopts::value<std::string>())(
-        "over", "hollow: over this number, as step.workers", cxxopts::value<std::string>()->default_value("step.workers"))(
         "command", "", cxxopts::value<std::string>())("file", "", cxxopts::value<std::vector<std::string>>());
+    HollowCommand::add_options(options);
+    PlannerSettings usual;
+    each_planner_option(usual, [&](const char* name, const char* what, double& value) {
+        options.add_options("placement")(name, fmt::format("control: {}", what), cxxopts::value<double>()->default_value(fmt::format("{:g}", value)));
+    });
     options.parse_positional({"command", "file"});
     options.positional_help("COMMAND [FILE]");
     Findings findings;
@@ -225,7 +205,7 @@
                 findings.add(command, "needs an experiment file, or results");
                 return report(usage_error, findings);
             }
-            return hollow(file, given);
+            return HollowCommand(file, given).run();
         }
         if (command != "front" && command != "control" && command != "side") {
             findings.add("command", command.empty() ? "is missing; see --help" : fmt::format("'{}' is unknown; see --help", command));
@@ -265,7 +245,12 @@
             if (!findings.empty()) return report(usage_error, findings);
             control.scheduler.status_kept = settings.status_kept;
             control.scheduler.stop_grace = settings.stop_grace;
-            control.scheduler.placer.remote_factor = settings.remote_factor;
+            control.scheduler.planner = planner_options(given, findings);
+            control.scheduler.planner.remote_factor = settings.remote_factor;
+            control.scheduler.planner.stop_grace = settings.stop_grace;
+            control.scheduler.planner.restore = settings.restore;
+            control.scheduler.planner.checkpoint_every = settings.checkpoint_every;
+            if (!findings.empty()) return report(usage_error, findings);
             auto role = std::make_unique<Control>(control, *loop);
             return run_role(*role, *loop, path, text);
         }
--- a/source/hollow/trial.sh
+++ b/source/hollow/trial.sh
@@ -3,7 +3,7 @@
 # Usage: source/hollow/trial.sh PROGRAM EXPERIMENT RESULTS [CORES]    e.g.  ... target/calicostall workers.json out.jsonl 0-2
 set -euo pipefail
 program=$(realpath "$1"); experiment=$(realpath "$2"); results=$3; cores=${4:-0-2}
-commit=$(git rev-parse --short HEAD)
+commit=${COMMIT:-$(git rev-parse --short HEAD)}
 count() { grep -o '"127\.[0-9.]*:[0-9]*"' <<<"$(tr -d '\n' <"$experiment" | grep -o "\"$1\" *: *\[[^]]*\]")" | wc -l; }
 steps=$(grep -o '"workers" *:' "$experiment" | wc -l)
 pids=()
