--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -121,10 +121,6 @@
         if (epoch != state_.epoch || worker.seen > seen_told || worker.look) return true;
         return !worker.orders.empty() && worker.orders.back().number > taken;
     }
-    std::uint64_t seen_of(const std::string& node) const {
-        auto known = state_.nodes.find(node);
-        return known == state_.nodes.end() ? 0 : state_.workers.at(known->second).seen;
-    }
 
     // --- time ---
 
