--- a/source/hollow/inside.hpp
+++ b/source/hollow/inside.hpp
@@ -60,8 +60,10 @@
     Result play(const HollowStep& step) {
         while (std::int64_t(machines_.size()) < step.workers) add_machine();
         for (Micros until = now_ + milliseconds(500); now_ < until;) round(nullptr);
-        for (std::int64_t left = step.running; left > 0; left -= 200) {
-            submit(step, std::max<std::int64_t>(step.gang, std::min<std::int64_t>(left, 200) / step.gang * step.gang), seconds(3600));
+        while (long_tasks_ < step.running) {
+            std::int64_t tasks = std::max(step.gang, std::min<std::int64_t>(step.running - long_tasks_, 200) / step.gang * step.gang);
+            long_tasks_ += tasks;
+            submit(step, tasks, seconds(3600));
             for (int more = 0; more < 5; ++more) round(nullptr);
         }
         for (Micros until = now_ + seconds(60); now_ < until && std::int64_t(running()) < step.running;) round(nullptr);
@@ -230,6 +232,7 @@
     std::map<std::string, std::pair<Micros, std::int64_t>> sent_;
     std::map<std::string, double> parts_;
     Result sums_;
+    std::int64_t long_tasks_ = 0;  // started by earlier steps too
     double owed_ = 0;
     Micros now_ = seconds(1000), next_arrival_ = 0;
 };
--- a/source/hollow/rig.hpp
+++ b/source/hollow/rig.hpp
@@ -368,7 +368,7 @@
         for (std::int64_t thread = 0; thread < experiment_.threads; ++thread) fleets_.push_back(std::make_unique<HollowFleet>(experiment_, board_));
         for (auto& fleet : fleets_) fleet->open();
         crowd_->open();
-        std::int64_t teams = 1, workers = 0;
+        std::int64_t teams = 1, workers = 0, long_tasks = 0;
         for (const HollowStep& step : experiment_.steps) teams = std::max(teams, step.teams);
         crowd_->set_config(teams);
         if (!wait(seconds(20), [&] { return crowd_->revision > 0; })) {
@@ -379,12 +379,13 @@
             for (; workers < step.workers; ++workers)
                 fleets_[size_t(workers) % fleets_.size()]->add(workers, [this](const std::string& task, Micros now) { crowd_->note_start(task, now); });
             wait(seconds(2), [] { return false; });
-            std::uint64_t base = running();
-            for (std::int64_t left = step.running; left > 0; left -= 200) {
-                crowd_->submit_long(step, std::max<std::int64_t>(step.gang, std::min<std::int64_t>(left, 200) / step.gang * step.gang));
+            while (long_tasks < step.running) {
+                std::int64_t tasks = std::max(step.gang, std::min<std::int64_t>(step.running - long_tasks, 200) / step.gang * step.gang);
+                long_tasks += tasks;
+                crowd_->submit_long(step, tasks);
                 wait(milliseconds(100), [] { return false; });
             }
-            bool filled = wait(seconds(60), [&] { return double(running() - base) >= 0.98 * double(step.running); });
+            bool filled = wait(seconds(60), [&] { return double(running()) >= 0.98 * double(step.running); });
             crowd_->load(step, true);
             wait(step.warm, [] { return false; });
             crowd_->clear();
--- a/tests/hollow.cpp
+++ b/tests/hollow.cpp
@@ -136,6 +136,10 @@
     EXPECT(first.proposals >= first.starts / 10 && first.order_bytes > 0 && first.report_bytes > 0 && run.tick_ms.count() == 1500);
     InsideRun::Result second = run.play(experiment.steps[1]);
     EXPECT_SAID(second.done > 0 && second.other_ends == 0 && second.starts % 4 == 0, fmt::format("{} starts, {} done, {} other ends", second.starts, second.done, second.other_ends));
+    // What an earlier step left running counts for the next one.
+    HollowStep more = experiment.steps[0];
+    more.workers = 8, more.running = 40, more.starts_per_s = 0;
+    EXPECT(run.play(more).running == 40);
     InsideRun again(experiment);
     EXPECT(again.play(experiment.steps[0]).starts == first.starts);
 }
