--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -344,7 +344,7 @@
             if (shown.contains(name)) continue;
             if (run.state == RunState::stopping && stopped.contains(fmt::format("{} {}", name.task(), name.run))) gone.push_back(name);
             else if (run.state == RunState::ordered && !worker.reconciled) order_start(worker.account.life, name, now);
-            else if (run.state == RunState::stopping && !worker.reconciled)
+            else if (run.state == RunState::stopping && (!worker.reconciled || ++run.missing % 8 == 0))  // the answer to a stop may be lost
                 give_order(worker, {0, OrderKind::stop, {}, name.task(), name.run, {}, {}});
             else if (run.state == RunState::running && ++run.missing >= 3) counters().add("runs_missing"), want_stop(worker, run);
         }
@@ -401,7 +401,8 @@
         worker.reconciled = false;
         worker.look = true;
         ++worker.era;
-        state_.conducts.note_lapse(worker.node, now);
+        // A side that is heard all the while lost its hold by the owner's doing, not by its worker's.
+        if (worker.silent || now - worker.heard_at > seconds(1)) state_.conducts.note_lapse(worker.node, now);
         clear_runs(worker, End::lapsed, wall, now);
     }
 
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -30,7 +30,7 @@
                 state_.config = parse_config(value.moving, findings);
             }
             if (!key.starts_with("job/") || value.fixed.empty()) continue;
-            auto job = Job::unpacked(value.fixed, value.moving);
+            auto job = Job::unpacked(value);
             if (!job) {
                 counters().add("jobs_unreadable");
                 continue;
@@ -43,6 +43,11 @@
         for (const std::string& id : recorded_) take_up(state_.jobs.at(id), now);
         recorded_.clear();
         state_.plan_wanted = true;
+        auto published = registers.find("published");
+        if (state_.config.revision == 0 || (published != registers.end() && published->second.moving == state_.config.text)) return;
+        ledger_.confirm("config", [this, text = state_.config.text](bool sure) {
+            if (sure) calls_.publish(text);
+        });
     }
     void end_ownership() {
         state_.clear();
@@ -73,15 +78,17 @@
             }
         }
         size_t usable = 0;
-        std::string slow, away;
+        std::string slow, away, doubted;
         for (const auto& [life, worker] : state_.workers) {
             usable += worker.reconciled && !worker.silent && !worker.account.draining;
             if (!worker.reconciled) away += fmt::format("{}{}", away.empty() ? "" : ",", worker.node.empty() ? life : worker.node + (worker.placeholder ? "(unheard)" : worker.silent ? "(silent)" : ""));
+            if (double trust = state_.conducts.trust(worker.node, worker.heard_at); trust < 0.7) doubted += fmt::format("{}{}:{:.1f}", doubted.empty() ? "" : ",", worker.node, trust);
             if (worker.pace.slow()) slow += fmt::format("{}{}:{:.1f}", slow.empty() ? "" : ",", worker.node, worker.pace.value());
         }
         text += fmt::format(" room_used=cpu:{:.2f},memory:{:.2f} workers={}/{}", cpu > 0 ? double(cpu_used) / double(cpu) : 0, memory > 0 ? double(memory_used) / double(memory) : 0, usable, state_.workers.size());
         if (!away.empty()) text += " unreconciled=" + away;
         if (!slow.empty()) text += " slow=" + slow;
+        if (!doubted.empty()) text += " doubted=" + doubted;
         return text;
     }
     bool anything_held() const { return state_.held > 0; }
@@ -186,7 +193,7 @@
         entry.job = Job::accept(std::move(fixed));
         counters().add("jobs_accepted");
         admission_.lag.proposed(now);
-        ledger_.propose(job_key(id), entry.job.packed_fixed(), entry.job.packed_moving(), [this, id, now, wall, done](bool committed) {
+        ledger_.propose(job_key(id), entry.job.packed_fixed(), entry.job.packed_changes(), [this, id, now, wall, done](bool committed) {
             admission_.lag.committed(now);
             if (committed) commit_new(id, wall);
             done(committed ? CallFate::settled : CallFate::doubtful, Response::plain(committed ? 200 : 504));
@@ -311,7 +318,7 @@
         entry.dirty = false;
         auto after = std::make_shared<std::vector<std::function<void()>>>(std::move(entry.after));
         entry.after.clear();
-        ledger_.propose(job_key(entry.job.fixed.id), std::nullopt, entry.job.packed_moving(), [after](bool committed) {
+        ledger_.propose(job_key(entry.job.fixed.id), std::nullopt, entry.job.packed_changes(), [after](bool committed) {
             if (committed)
                 for (auto& each : *after) each();
         });
--- a/source/control/jobs/settings.hpp
+++ b/source/control/jobs/settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "common.hpp"
 #include "control/plan/settings.hpp"
+#include "control/store/register.hpp"
 
 namespace calicostall {
 
@@ -26,8 +27,8 @@
 
 // What the scheduler needs of the record: proposals that come back committed or not at all.
 template <class T>
-concept Ledger = requires(T ledger, std::string key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
-    ledger.propose(key, fixed, moving, told);
+concept Ledger = requires(T ledger, std::string key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> told) {
+    ledger.propose(key, fixed, patch, told);
     ledger.confirm(key, told);
     ledger.bury(key);
 };
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -14,10 +14,11 @@
     std::deque<std::function<void(bool)>> open;
     size_t proposals = 0;
     std::map<std::string, Register> registers;
-    void propose(const std::string& key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> told) {
+    void propose(const std::string& key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> told) {
         ++proposals;
         if (fixed) registers[key].fixed = *fixed;
-        registers[key].moving = std::move(moving);
+        registers[key].moving = std::move(patch.moving);
+        registers[key].change(patch.parts, patch.all);
         if (told) open.push_back(std::move(told));
     }
     void confirm(const std::string&, std::function<void(bool)> told) { open.push_back(std::move(told)); }
@@ -183,7 +184,11 @@
         std::int64_t cpu = 0;
         for (const auto& [name, run] : worker.runs) {
             cpu += run.cpu;
-            of_known_jobs += state.jobs.contains(name.job);
+            auto job = state.jobs.find(name.job);
+            of_known_jobs += job != state.jobs.end();
+            if (job != state.jobs.end())
+                for (const Time& time : job->second.job.moving.times)
+                    if (time.number == name.time && !job->second.job.wanted(time, name.step, name.index, name.run)) same(run.stop_wanted, true, "stop of a run that nobody wants " + name.task());
             if (!worker.placeholder) used[worker.account.service][run.priority].cpu += run.cpu, used[worker.account.service][run.priority].runs++;
         }
         same(worker.cpu_used, cpu, "room used of " + life);
@@ -426,6 +431,42 @@
     for (const auto& [name, run] : bench.scheduler.workers().at(worker.life).runs) EXPECT_SAID(!run.stop_wanted, "stopped unseen " + name.task());
 }
 
+// Holds that lapse because the owner had no majority don't speak against the workers; those of silent ones do.
+void lapses_are_judged() {
+    for (bool silent : {false, true}) {
+        Bench bench(1);
+        auto& worker = bench.workers[0];
+        size_t lapses = 0;
+        bool paused = false;
+        for (std::uint64_t id = 1; id <= 3; ++id) {
+            bench.post("/a/", id, R"({"job_spec":"x","steps":[{"count":1,"cpu":1000,"estimate_ms":60000}]})");
+            for (int round = 0; round < 80; ++round) {
+                bench.now += milliseconds(100);
+                bench.turn();
+                bench.report(worker);
+                if (!worker.active.empty()) break;
+            }
+            const Micros confirmed = bench.now;
+            std::uint64_t era = bench.scheduler.workers().at(worker.life).era;
+            for (int round = 0; round < 60; ++round) {
+                bench.now += milliseconds(100);
+                SideAsk ask;
+                ask.node = worker.node, ask.incarnation = 1, ask.number = ++worker.number, ask.epoch = Epoch{7}, ask.taken = worker.taken, ask.silent = silent;
+                ask.worker = WorkerAccount{worker.life, "svc", "", "", 16000, 64000, 0, {"a", "r0"}, false, -1};
+                bench.scheduler.take_side(ask, bench.now, bench.now);
+                bench.scheduler.answer_side(worker.node, silent ? bench.now : confirmed, bench.now);
+                bench.scheduler.tick(bench.now, bench.now, silent ? bench.now : confirmed);
+                paused = paused || bench.scheduler.state().conducts.paused(worker.node, bench.now);
+            }
+            lapses += bench.scheduler.workers().at(worker.life).era - era;
+            worker.active.clear();
+            bench.ledger.commit();
+        }
+        EXPECT_SAID(lapses >= 2, fmt::format("{} lapses", lapses));
+        EXPECT_SAID(paused == silent, silent ? "a silent worker that lapses again and again is paused" : "the owner's own lapses pause nobody");
+    }
+}
+
 // A worker that was heard of but has not reported yet, the first of a new owner: nothing is started there.
 void unreported_worker() {
     Bench bench(0);
@@ -448,6 +489,7 @@
     trust_table();
     attempts_are_spread();
     unseen_runs_go_on();
+    lapses_are_judged();
     unreported_worker();
     return result();
 }
