--- a/source/hollow/inside.hpp
+++ b/source/hollow/inside.hpp
@@ -20,9 +20,10 @@
 struct InstantLedger {
     std::deque<std::function<void(bool)>> told;
     std::uint64_t proposals = 0, bytes = 0;
-    void propose(const std::string& key, std::optional<std::string> fixed, std::string moving, std::function<void(bool)> then) {
+    void propose(const std::string& key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> then) {
         ++proposals;
-        bytes += key.size() + (fixed ? fixed->size() : 0) + moving.size();
+        bytes += key.size() + (fixed ? fixed->size() : 0) + patch.moving.size();
+        for (const Part& part : patch.parts) bytes += pack(part).size();
         if (then) told.push_back(std::move(then));
     }
     void confirm(const std::string&, std::function<void(bool)> then) {
