--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -8,6 +8,7 @@
 #include "control.hpp"
 #include "forecast/demand.hpp"
 #include "front.hpp"
+#include "hollow/command.hpp"
 #include "preview/command.hpp"
 #include "side.hpp"
 
@@ -184,7 +185,7 @@
 }  // namespace
 
 int main(int count, char** words) {
-    cxxopts::Options options("calicostall", "A cluster scheduler for jobs.\n\nCommands: front, control, side, check-settings FILE, check-config FILE, forecast LOG..., preview [LOG...]\n");
+    cxxopts::Options options("calicostall", "A cluster scheduler for jobs.\n\nCommands: front, control, side, check-settings FILE, check-config FILE, forecast LOG..., preview [LOG...], hollow FILE\n");
     options.add_options()("h,help", "show this text")("settings", "the settings file (else $CALICOSTALL_BOOT)", cxxopts::value<std::string>())(
         "heartbeat-ms", "control: how often the trusted daemon says that it is alive", cxxopts::value<std::int64_t>()->default_value("200"))(
         "timeout-ms", "control: how long to wait for it at first", cxxopts::value<std::int64_t>()->default_value("1000"))(
@@ -207,6 +208,7 @@
         "season", "forecast: how many spans make a season, as 24 for days of hours (0: none)", cxxopts::value<std::int64_t>()->default_value("0"))(
         "pressure", "forecast: the share of the fleet from which urgent work is expected to wait", cxxopts::value<double>()->default_value("0.85"))(
         "command", "", cxxopts::value<std::string>())("file", "", cxxopts::value<std::vector<std::string>>());
+    HollowCommand::add_options(options);
     PlannerSettings usual;
     each_planner_option(usual, [&](const char* name, const char* what, double& value) {
         options.add_options("placement")(name, fmt::format("control: {}", what), cxxopts::value<double>()->default_value(fmt::format("{:g}", value)));
@@ -244,6 +246,13 @@
             return forecast(given["file"].as<std::vector<std::string>>(), settings);
         }
         if (command == "preview") return preview(given);
+        if (command == "hollow") {
+            if (file.empty()) {
+                findings.add(command, "needs an experiment file, or results");
+                return report(usage_error, findings);
+            }
+            return HollowCommand(file, given).run();
+        }
         if (command != "front" && command != "control" && command != "side") {
             findings.add("command", command.empty() ? "is missing; see --help" : fmt::format("'{}' is unknown; see --help", command));
             return report(usage_error, findings);
