Preview's test ledger takes proposals that nobody waits for, as the owner does

The published configuration is proposed without a callback since fronts are told only what a majority has; the double called it unchecked. Counts and expectations are unchanged.

--- a/tests/preview.cpp
+++ b/tests/preview.cpp
@@ -366,7 +366,10 @@
 // Counts what a record and its workers are asked to do.
 struct Touches {
     size_t proposals = 0, confirmations = 0, burials = 0;
-    void propose(const std::string&, std::optional<std::string>, Patch, std::function<void(bool)> told) { ++proposals, told(true); }
+    void propose(const std::string&, std::optional<std::string>, Patch, std::function<void(bool)> told) {
+        ++proposals;
+        if (told) told(true);
+    }
     void confirm(const std::string&, std::function<void(bool)> told) { ++confirmations, told(true); }
     void bury(const std::string&) { ++burials; }
 };
