--- a/source/shared/http/loop.hpp
+++ b/source/shared/http/loop.hpp
@@ -158,7 +158,7 @@
             call.headers = curl_slist_append(call.headers, "Expect:");
         }
         call.headers = curl_slist_append(call.headers, "Accept:");
-        // Pistache closes after each answer unless it is asked to stay.
+        // Some servers close after each answer unless they are asked to stay.
         call.headers = curl_slist_append(call.headers, "Connection: Keep-Alive");
         if (call.ask.method != "POST") curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.ask.method.c_str());
         for (const std::string& header : call.ask.headers) call.headers = curl_slist_append(call.headers, header.c_str());
