--- a/source/common.hpp
+++ b/source/common.hpp
@@ -42,8 +42,12 @@
 // All times in code are whole microseconds of one of two clocks.
 // Example: Micros deadline = steady_now() + milliseconds(200);
 using Micros = std::int64_t;
-constexpr Micros milliseconds(std::int64_t count) { return count * 1000; }
-constexpr Micros seconds(std::int64_t count) { return count * 1000000; }
+constexpr Micros milliseconds(std::int64_t count) {
+    return count * 1000;
+}
+constexpr Micros seconds(std::int64_t count) {
+    return count * 1000000;
+}
 
 // The ballot of an owner; it is the `fence` that workers see as well.
 using Epoch = Strong<struct EpochTag, std::uint64_t>;
--- a/source/control.hpp
+++ b/source/control.hpp
@@ -29,9 +29,9 @@
     Micros probe_busy = milliseconds(300), probe_idle = milliseconds(800);
     Micros catching_up_most = milliseconds(1200);
     Micros count_every = seconds(5);
-    // A silent member goes after `gone_after` where a joiner waits or has just come in its stead: another machine may be
-    // lost as soon as that one has caught up. Else it goes after `given_up_after`, longer than freezes and cuts last,
-    // as each change of the core costs a hand-over when the member comes back; and never from a core of three.
+    // A silent member goes after `gone_after` where a joiner waits or has just come in its stead: another machine may
+    // be lost as soon as that one has caught up. Else it goes after `given_up_after`, longer than freezes and cuts
+    // last, as each change of the core costs a hand-over when the member comes back; and never from a core of three.
     Micros gone_after = seconds(2), given_up_after = seconds(12), replacing = seconds(10);
     size_t core_most = 9;
     Micros turn_most = milliseconds(20);  // a turn's rounds end here; what is left waits for the next one
@@ -40,8 +40,8 @@
     Micros alone_after = milliseconds(1000);  // without a majority a daemon suspects itself
     bool preview_reads = false;               // whether a preview may read a snapshot of the record
     SnapshotLimits snapshot;
-    bool run_lines = false;                   // whether what is accepted, starts and ends goes to the log
-    Micros snapshot_lines = 0;                // how often the owner writes one to its log, for trials; 0: never
+    bool run_lines = false;     // whether what is accepted, starts and ends goes to the log
+    Micros snapshot_lines = 0;  // how often the owner writes one to its log, for trials; 0: never
 };
 
 class Control {
@@ -76,16 +76,19 @@
         bool fresh = first && settings_.machine.first_start;
         catching_up_until_ = fresh ? now : now + settings_.catching_up_most;
         learn_core(now);
-        log_line("control", "identity {:x}, {} registers, promised {}, {}", replica_.identity.value, replica_.registers.size(), replica_.promised.value,
+        log_line("control", "identity {:x}, {} registers, promised {}, {}", replica_.identity.value,
+                 replica_.registers.size(), replica_.promised.value,
                  place_ ? fmt::format("place {} of {}", *place_, core_.members.size()) : std::string("no member yet"));
         try {
-            inner_ = std::make_unique<Listener>(own_address_, Listener::Limits{.body_bytes = 64 << 20}, [this](Request request) { take_inner(std::move(request)); });
+            inner_ = std::make_unique<Listener>(own_address_, Listener::Limits{.body_bytes = 64 << 20},
+                                                [this](Request request) { take_inner(std::move(request)); });
             inner_->open();
         } catch (const std::exception& error) {
             findings.add("port_range", fmt::format("{}: {}", own_address_, error.what()));
         }
         try {
-            control_ = std::make_unique<Listener>(settings_.machine.control, Listener::Limits{.body_bytes = 4 << 20}, [this](Request request) { take_control(std::move(request)); });
+            control_ = std::make_unique<Listener>(settings_.machine.control, Listener::Limits{.body_bytes = 4 << 20},
+                                                  [this](Request request) { take_control(std::move(request)); });
             control_->open();
         } catch (const std::exception& error) {
             findings.add("bind_addrs.control", fmt::format("{}: {}", settings_.machine.control, error.what()));
@@ -119,7 +122,8 @@
 private:
     struct LedgerAdapter {
         Control* control;
-        void propose(const std::string& key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> told) {
+        void propose(const std::string& key, std::optional<std::string> fixed, Patch patch,
+                     std::function<void(bool)> told) {
             control->owner_.propose(key, std::move(fixed), std::move(patch), std::move(told));
             control->turn_wanted_ = true;
         }
@@ -147,7 +151,9 @@
         Micros until = 0;
     };
 
-    std::string replica_address(const std::string& control) const { return fmt::format("{}:{}", address_host(control), settings_.machine.first_port); }
+    std::string replica_address(const std::string& control) const {
+        return fmt::format("{}:{}", address_host(control), settings_.machine.first_port);
+    }
     bool acting() const { return owner_.acting() && scheduler_epoch_ == owner_.epoch(); }
 
     // --- who belongs to the core ---
@@ -164,10 +170,12 @@
         core.next_number = 1;
         core.size_wanted = seeds.size();
         std::string all;
-        for (const std::string& seed : seeds) all += seed + ";";
+        for (const std::string& seed : seeds)
+            all += seed + ";";
         std::uint64_t origin = XXH3_64bits(all.data(), all.size());
         for (const std::string& seed : seeds) {
-            Member member{core.next_number++, Identity{XXH3_64bits_withSeed(seed.data(), seed.size(), origin) | 1}, replica_address(seed), seed};
+            Member member{core.next_number++, Identity{XXH3_64bits_withSeed(seed.data(), seed.size(), origin) | 1},
+                          replica_address(seed), seed};
             if (seed == settings_.machine.control) replica_.identity = member.identity;
             core.members.push_back(member);
         }
@@ -189,7 +197,8 @@
         std::optional<Identity> trusted;
         if (place_ && detector_.trusted() < core_.members.size()) trusted = core_.members[detector_.trusted()].identity;
         bool same = core_.members.size() == core->members.size();
-        for (size_t place = 0; same && place < core->members.size(); ++place) same = core_.members[place].identity == core->members[place].identity;
+        for (size_t place = 0; same && place < core->members.size(); ++place)
+            same = core_.members[place].identity == core->members[place].identity;
         core_ = std::move(*core);
         place_ = core_.place_of(replica_.identity);
         if (same || !place_) return;
@@ -203,8 +212,9 @@
             if (std::string address = replica_address(seed); address != own_address_) addresses.push_back(address);
         return addresses;
     }
-    // One outside the core learns owner, core and configuration as fronts do, to pass calls and news on. So does a member
-    // that nobody grants an epoch for long: it may have been let go while it was away, and then it asks to join again.
+    // One outside the core learns owner, core and configuration as fronts do, to pass calls and news on. So does a
+    // member that nobody grants an epoch for long: it may have been let go while it was away, and then it asks to join
+    // again.
     void follow_core(Micros now) {
         if (place_ && locator_) {
             auto [mark, peers] = locator_->peers();
@@ -230,12 +240,14 @@
         JoinAsk ask{replica_.identity, own_address_, settings_.machine.control, false};
         std::vector<std::string> addresses = seed_replicas();
         if (locator_)
-            for (const std::string& peer : locator_->peers().second) addresses.push_back(peer);
+            for (const std::string& peer : locator_->peers().second)
+                addresses.push_back(peer);
         if (std::string owner = owner_address(); !owner.empty()) addresses.push_back(owner);
         std::sort(addresses.begin(), addresses.end());
         addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
         for (const std::string& address : addresses)
-            if (address != own_address_) loop_.ask({.url = "http://" + address + "/inner/join", .body = pack(ask)}, nullptr);
+            if (address != own_address_)
+                loop_.ask({.url = "http://" + address + "/inner/join", .body = pack(ask)}, nullptr);
     }
     void take_join(const JoinAsk& ask) {
         if (!acting()) {
@@ -254,7 +266,8 @@
         log_line("control", "{} asks to join as {:x}", ask.address, ask.identity.value);
         turn_wanted_ = true;
     }
-    // The core changes by one member at a time, and only under an acting owner: it grows to every counted daemon there is.
+    // The core changes by one member at a time, and only under an acting owner: it grows to every counted daemon there
+    // is.
     void tend_core(Micros now) {
         for (auto joiner = joiners_.begin(); joiner != joiners_.end();) {
             bool joined = owner_.core().find(joiner->first) != nullptr;
@@ -295,14 +308,17 @@
         Micros patience = replaced ? settings_.gone_after : settings_.given_up_after;
         for (const Member& member : core.members) {
             if (member.identity == replica_.identity) continue;
-            bool same_place = std::any_of(joiners_.begin(), joiners_.end(), [&](const auto& each) { return each.second.member.address == member.address; });
+            bool same_place = std::any_of(joiners_.begin(), joiners_.end(), [&](const auto& each) {
+                return each.second.member.address == member.address;
+            });
             bool gone = same_place || (owner_.is_gone(member.identity) && since > milliseconds(500));
             bool silent = since > patience && !owner_.heard_since(member.identity, now - patience);
             if (!gone && !silent) continue;
             if (core.members.size() <= 3 && joiners_.empty()) continue;
             size_t heard = 0;
             for (const Member& other : core.members)
-                heard += other.identity != member.identity && (other.identity == replica_.identity || owner_.heard_since(other.identity, now - seconds(1)));
+                heard += other.identity != member.identity &&
+                         (other.identity == replica_.identity || owner_.heard_since(other.identity, now - seconds(1)));
             if (heard >= (core.members.size() - 1) / 2 + 1) return &member;
         }
         return nullptr;
@@ -359,19 +375,22 @@
         learn_core(now);
         ask_to_join(now);
         if (place_ && !leaving_) elect(now);
-        for (Errand& errand : owner_.pump(now)) carry(std::move(errand));
+        for (Errand& errand : owner_.pump(now))
+            carry(std::move(errand));
         if (acting()) {
             tend_core(now);
             Micros wall = judge_.wall(wall_now(), now);
             scheduler_.tick(now, wall, owner_.confirmed_at());
             Micros age = now - owner_.confirmed_at();
             log_snapshot(now);
-            if (age > (scheduler_.anything_held() ? settings_.probe_busy : settings_.probe_idle) && now - probed_at_ > milliseconds(150)) {
+            if (age > (scheduler_.anything_held() ? settings_.probe_busy : settings_.probe_idle) &&
+                now - probed_at_ > milliseconds(150)) {
                 probed_at_ = now;
                 owner_.probe();
             }
         }
-        for (Errand& errand : owner_.pump(now)) carry(std::move(errand));
+        for (Errand& errand : owner_.pump(now))
+            carry(std::move(errand));
         if (now - counted_at_ > settings_.count_every) {
             counted_at_ = now;
             std::string text = counters().changed_text();
@@ -384,18 +403,24 @@
         // A majority that grants its epoch shows that nobody else is to be caught up from.
         if (owner_.state() == Owner::State::handing || owner_.acting()) catching_up_until_ = 0;
         bool catching_up = now < catching_up_until_;
-        if (!detector_.trusts_itself() || core_.members.size() < 2 || owner_.reaches_majority(now - settings_.alone_after / 2)) majority_at_ = now;
+        if (!detector_.trusts_itself() || core_.members.size() < 2 ||
+            owner_.reaches_majority(now - settings_.alone_after / 2))
+            majority_at_ = now;
         bool alone = now - majority_at_ > settings_.alone_after;
         bool too_slow = core_.members.size() > 1 && suspicion_.stands_back(now);
         detector_.set_silent(stalled || catching_up || alone || too_slow);
         size_t before = detector_.trusted();
-        for (size_t place : detector_.tick(now)) send_alive(place, false);
-        if (before != detector_.trusted()) log_line("detector", "trusts place {} after {}", detector_.trusted(), before);
-        if (detector_.trusts_itself() && !stalled && !too_slow && owner_.state() == Owner::State::idle && now >= next_takeover_) {
+        for (size_t place : detector_.tick(now))
+            send_alive(place, false);
+        if (before != detector_.trusted())
+            log_line("detector", "trusts place {} after {}", detector_.trusted(), before);
+        if (detector_.trusts_itself() && !stalled && !too_slow && owner_.state() == Owner::State::idle &&
+            now >= next_takeover_) {
             next_takeover_ = now + milliseconds(150);
             owner_.take_over(core_, std::max(replica_.promised, highest_epoch_), replica_.registers);
         }
-        if ((!detector_.trusts_itself() || stalled || too_slow || (alone && owner_.acting())) && owner_.state() != Owner::State::idle) {
+        if ((!detector_.trusts_itself() || stalled || too_slow || (alone && owner_.acting())) &&
+            owner_.state() != Owner::State::idle) {
             log_line("control", "gives way, epoch {}", owner_.epoch().value);
             owner_.give_up();
         }
@@ -410,7 +435,8 @@
             joined_at_ = 0;
             log_line("control", "owner under epoch {}, {} registers", owner_.epoch().value, owner_.registers().size());
             scheduler_.begin(owner_.epoch(), owner_.registers(), now);
-            if (!owner_.core().members.empty() && owner_.registers().count("core") == 0) owner_.set_core(owner_.core(), pack(owner_.core()), nullptr);
+            if (!owner_.core().members.empty() && owner_.registers().count("core") == 0)
+                owner_.set_core(owner_.core(), pack(owner_.core()), nullptr);
             note_owner(owner_.epoch(), own_address_);
         }
         if (!owner_.acting() && scheduler_epoch_.value != 0) {
@@ -422,7 +448,8 @@
     void schedule(Micros now) {
         Micros next = now + milliseconds(200);
         if (place_) next = std::min(next, detector_.next(now));
-        if (owner_.state() != Owner::State::idle) next = std::min(next, now + (owner_.acting() ? milliseconds(100) : settings_.owner.ask_again));
+        if (owner_.state() != Owner::State::idle)
+            next = std::min(next, now + (owner_.acting() ? milliseconds(100) : settings_.owner.ask_again));
         if (acting()) next = std::min(next, scheduler_.next_tick(now, judge_.wall(wall_now(), now)));
         if (sides_asked_) next = std::min(next, sides_due_);
         if (auto pump = owner_.next_pump()) next = std::min(next, *pump);
@@ -435,7 +462,8 @@
             if (timer_at_ != next) return;
             timer_at_ = 0;
             Micros fired_at = steady_now();
-            if (suspicion_.fired(fired_at - next, owner_.acting() ? std::optional(acting_since_) : std::nullopt, fired_at))
+            if (suspicion_.fired(fired_at - next, owner_.acting() ? std::optional(acting_since_) : std::nullopt,
+                                 fired_at))
                 log_line("control", "is too slow to be owner, timers fire {} ms late", (fired_at - next) / 1000);
             lateness_ += (std::max<Micros>(0, steady_now() - next) - lateness_) / 8;
             turn();
@@ -443,7 +471,10 @@
     }
     void send_alive(size_t place, bool leaving) {
         counters().add("alive_sent");
-        loop_.ask({.url = "http://" + core_.members[place].address + "/inner/alive", .body = pack(AliveNote{replica_.identity, leaving}), .patience = milliseconds(500)}, nullptr);
+        loop_.ask({.url = "http://" + core_.members[place].address + "/inner/alive",
+                   .body = pack(AliveNote{replica_.identity, leaving}),
+                   .patience = milliseconds(500)},
+                  nullptr);
     }
     void note_owner(Epoch epoch, const std::string& address) {
         highest_epoch_ = std::max(highest_epoch_, epoch);
@@ -467,15 +498,19 @@
                     turn();
                 });
             };
-            if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask)) serve_prepare(*prepare, take);
-            else serve_write(std::get<WriteAsk>(errand.ask), take);
+            if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask))
+                serve_prepare(*prepare, take);
+            else
+                serve_write(std::get<WriteAsk>(errand.ask), take);
             return;
         }
         bool preparing = std::holds_alternative<PrepareAsk>(errand.ask);
         std::string body = preparing ? pack(std::get<PrepareAsk>(errand.ask)) : pack(std::get<WriteAsk>(errand.ask));
         counters().add("errand_bytes", body.size());
         std::string address = errand.to.address;
-        loop_.ask({.url = "http://" + address + (preparing ? "/inner/prepare" : "/inner/write"), .body = std::move(body), .patience = settings_.write_patience},
+        loop_.ask({.url = "http://" + address + (preparing ? "/inner/prepare" : "/inner/write"),
+                   .body = std::move(body),
+                   .patience = settings_.write_patience},
                   [this, ticket, preparing, address](Answer answer) {
                       std::lock_guard guard(lock_);
                       Micros now = steady_now();
@@ -488,15 +523,18 @@
                           if (frame) judge_.note(address, frame->wall, now);
                           owner_.take(ticket, frame ? &*frame : nullptr, now);
                       }
-                      if (preparing || !owner_.acting()) turn();
-                      else turn_soon();
+                      if (preparing || !owner_.acting())
+                          turn();
+                      else
+                          turn_soon();
                   });
     }
     template <class Told>
     void serve_prepare(const PrepareAsk& ask, Told told) {
         bool trusted = place_ && !leaving_ && core_.place_of(ask.from) == std::optional(detector_.trusted());
         auto [answer, change] = replica_.prepare(ask, trusted);
-        if (answer.verdict == Verdict::granted && ask.from != replica_.identity && owner_.state() != Owner::State::idle) owner_.give_up();
+        if (answer.verdict == Verdict::granted && ask.from != replica_.identity && owner_.state() != Owner::State::idle)
+            owner_.give_up();
         answer.wall = wall_now();
         disk_.put(std::move(change), [told, answer = std::move(answer)]() mutable { told(std::move(answer)); });
     }
@@ -508,8 +546,10 @@
             learn_core(steady_now());
             const Member* from = core_.find(ask.from);
             if (from) note_owner(ask.epoch, from->address);
-            if (ask.from != replica_.identity && ask.level) catching_up_until_ = 0;
-            else if (ask.from != replica_.identity && catching_up_until_ != 0) catching_up_until_ = std::max(catching_up_until_, steady_now() + settings_.catching_up_most);
+            if (ask.from != replica_.identity && ask.level)
+                catching_up_until_ = 0;
+            else if (ask.from != replica_.identity && catching_up_until_ != 0)
+                catching_up_until_ = std::max(catching_up_until_, steady_now() + settings_.catching_up_most);
         }
         disk_.put(std::move(change), [told, answer = std::move(answer)]() mutable { told(std::move(answer)); });
     }
@@ -527,7 +567,8 @@
             if (!ask) return refuse();
             *shared = std::move(request.reply);
             std::lock_guard guard(lock_);
-            if (ask->to == replica_.identity || true) serve_write(*ask, [shared](WriteAnswer answer) { shared->send(Response::cbor(pack(answer))); });
+            if (ask->to == replica_.identity || true)
+                serve_write(*ask, [shared](WriteAnswer answer) { shared->send(Response::cbor(pack(answer))); });
             if (turn_wanted_) turn();
         } else if (request.path == "/inner/prepare") {
             auto ask = unpack<PrepareAsk>(request.body);
@@ -545,8 +586,10 @@
                 auto place = core_.place_of(note->from);
                 size_t before = detector_.trusted();
                 if (place && place_) {
-                    if (note->leaving) detector_.leaving(*place, now);
-                    else detector_.alive(*place, now);
+                    if (note->leaving)
+                        detector_.leaving(*place, now);
+                    else
+                        detector_.alive(*place, now);
                 }
                 if (before != detector_.trusted()) {
                     log_line("detector", "trusts place {} after {}", detector_.trusted(), before);
@@ -598,7 +641,8 @@
         {
             std::lock_guard guard(lock_);
             std::string owner = owner_address();
-            taken = preview_reads_.take(method, {acting(), owner == own_address_ ? std::string() : owner}, RecordView(scheduler_), snapshot_moment());
+            taken = preview_reads_.take(method, {acting(), owner == own_address_ ? std::string() : owner},
+                                        RecordView(scheduler_), snapshot_moment());
         }
         return preview_reads_.answer(std::move(taken));
     }
@@ -607,7 +651,8 @@
         next_snapshot_line_ = now + settings_.snapshot_lines;
         auto snapshot = snapshot_of(RecordView(std::as_const(scheduler_)), snapshot_moment(), settings_.snapshot);
         if (!snapshot) return;
-        for (const std::string& line : snapshot_lines(pack_snapshot(*snapshot), snapshot->wall)) log_line("snapshot", "{}", line);
+        for (const std::string& line : snapshot_lines(pack_snapshot(*snapshot), snapshot->wall))
+            log_line("snapshot", "{}", line);
     }
     // Calls of operators, by the table: PUT /config, GET /config.
     void take_control(Request request) {
@@ -635,12 +680,16 @@
     }
     template <class Told>
     void serve_call(const CallAsk& ask, Told told) {
-        auto done = [told](CallFate fate, Response response) { told(CallAnswer{fate, response.code, std::move(response.body), response.retry_after_s}); };
+        auto done = [told](CallFate fate, Response response) {
+            told(CallAnswer{fate, response.code, std::move(response.body), response.retry_after_s});
+        };
         if (acting()) {
             Micros now = steady_now();
             if (ask.path == "/config" && ask.host.empty()) {
-                if (ask.method == "PUT") scheduler_.put_config(ask, done);
-                else scheduler_.get_config(done);
+                if (ask.method == "PUT")
+                    scheduler_.put_config(ask, done);
+                else
+                    scheduler_.get_config(done);
             } else {
                 scheduler_.call(ask, now, judge_.wall(wall_now(), now), done);
             }
@@ -654,22 +703,32 @@
         CallAsk onward = ask;
         onward.relayed = true;
         counters().add("calls_relayed");
-        loop_.ask({.url = "http://" + owner + "/inner/call", .body = pack(onward), .patience = milliseconds(900)}, [told](Answer answer) {
-            auto frame = answer.good() ? unpack<CallAnswer>(answer.body) : std::nullopt;
-            if (frame) told(std::move(*frame));
-            else told(CallAnswer{answer.fate == Answer::Fate::refused ? CallFate::elsewhere : CallFate::doubtful, 503, {}, 1});
-        });
+        loop_.ask(
+            {.url = "http://" + owner + "/inner/call", .body = pack(onward), .patience = milliseconds(900)},
+            [told](Answer answer) {
+                auto frame = answer.good() ? unpack<CallAnswer>(answer.body) : std::nullopt;
+                if (frame)
+                    told(std::move(*frame));
+                else
+                    told(CallAnswer{
+                        answer.fate == Answer::Fate::refused ? CallFate::elsewhere : CallFate::doubtful, 503, {}, 1});
+            });
     }
     void serve_side(SideAsk ask, Reply reply) {
         Micros now = steady_now();
         if (!acting()) {
             std::string owner = owner_address();
-            if (ask.relayed || owner.empty() || owner == own_address_) return reply.send(Response::cbor(pack(SideAnswer{})));
+            if (ask.relayed || owner.empty() || owner == own_address_)
+                return reply.send(Response::cbor(pack(SideAnswer{})));
             ask.relayed = true;
             auto shared = std::make_shared<Reply>(std::move(reply));
-            loop_.ask({.url = "http://" + owner + "/inner/side", .body = pack(ask), .patience = settings_.side_wait + milliseconds(600)}, [shared](Answer answer) {
-                shared->send(answer.good() ? Response::cbor(std::move(answer.body)) : Response::cbor(pack(SideAnswer{})));
-            });
+            loop_.ask({.url = "http://" + owner + "/inner/side",
+                       .body = pack(ask),
+                       .patience = settings_.side_wait + milliseconds(600)},
+                      [shared](Answer answer) {
+                          shared->send(answer.good() ? Response::cbor(std::move(answer.body))
+                                                     : Response::cbor(pack(SideAnswer{})));
+                      });
             return;
         }
         if (!complete_account(ask)) {
@@ -684,7 +743,8 @@
         for (SideWait& wait : sides_)
             if (wait.node == ask.node) wait.until = 0, wait.superseded = true;
         std::uint64_t told = ask.epoch == owner_.epoch() ? ask.seen : 0;
-        sides_.push_back({std::move(reply), ask.node, ask.epoch, ask.epoch == owner_.epoch() ? ask.taken : 0, told, now + settings_.side_wait});
+        sides_.push_back({std::move(reply), ask.node, ask.epoch, ask.epoch == owner_.epoch() ? ask.taken : 0, told,
+                          now + settings_.side_wait});
     }
     // Fills in the account that the ask's mark means; false when it is not known here.
     bool complete_account(SideAsk& ask) {
@@ -695,19 +755,23 @@
             return true;
         }
         auto known = accounts_.find(ask.node);
-        if (known == accounts_.end() || known->second.incarnation != ask.incarnation || known->second.mark != ask.account_mark) return false;
+        if (known == accounts_.end() || known->second.incarnation != ask.incarnation ||
+            known->second.mark != ask.account_mark)
+            return false;
         ask.worker = known->second.account;
         ask.worker->leaves_in = ask.leaves_in;
         return true;
     }
-    // Sides are answered at once by an owner in time; where they keep a pause, what comes within an eighth of it goes together.
+    // Sides are answered at once by an owner in time; where they keep a pause, what comes within an eighth of it goes
+    // together.
     void answer_sides(Micros now) {
         sides_asked_ = now < sides_due_ && acting();
         if (sides_asked_) return;
         Micros pause = ask_pause(settings_.pace, lateness_);
         sides_due_ = now + std::min(pause / 8, milliseconds(10));
         for (auto wait = sides_.begin(); wait != sides_.end();) {
-            if (acting() && now < wait->until && !scheduler_.has_news(wait->node, wait->epoch, wait->taken, wait->seen_told)) {
+            if (acting() && now < wait->until &&
+                !scheduler_.has_news(wait->node, wait->epoch, wait->taken, wait->seen_told)) {
                 ++wait;
                 continue;
             }
@@ -755,7 +819,8 @@
         news_told_ = told;
         news_due_ = std::numeric_limits<Micros>::max();
         for (auto wait = news_.begin(); wait != news_.end();) {
-            bool newer = known_epoch_ > wait->ask.epoch || revision > wait->ask.config_revision || core_mark_ > wait->ask.core_mark;
+            bool newer = known_epoch_ > wait->ask.epoch || revision > wait->ask.config_revision ||
+                         core_mark_ > wait->ask.core_mark;
             if (!newer && now < wait->until) {
                 news_due_ = std::min(news_due_, wait->until);
                 ++wait;
@@ -763,16 +828,21 @@
             }
             NewsAnswer answer{revision, {}, known_epoch_, known_owner_, core_mark_, {}};
             if (config && revision > wait->ask.config_revision) answer.config = *config;
-            if (place_) for (const Member& member : core_.members) answer.peers.push_back(member.address);
-            else answer.peers = followed_core_;
+            if (place_)
+                for (const Member& member : core_.members)
+                    answer.peers.push_back(member.address);
+            else
+                answer.peers = followed_core_;
             wait->reply.send(Response::cbor(pack(answer)));
             wait = news_.erase(wait);
         }
     }
     void answer_all_waiting() {
-        for (SideWait& wait : sides_) wait.reply.send(Response::cbor(pack(SideAnswer{})));
+        for (SideWait& wait : sides_)
+            wait.reply.send(Response::cbor(pack(SideAnswer{})));
         sides_.clear();
-        for (NewsWait& wait : news_) wait.until = 0;
+        for (NewsWait& wait : news_)
+            wait.until = 0;
         news_due_ = 0;
         answer_news(steady_now());
     }
@@ -808,7 +878,8 @@
     Micros turn_ended_at_ = 0, turn_took_ = 0;
     bool core_changing_ = false;
     bool leaving_ = false, turning_ = false, turn_wanted_ = false;
-    Micros catching_up_until_ = 0, majority_at_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0, counted_at_ = 0, timer_at_ = 0;
+    Micros catching_up_until_ = 0, majority_at_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0,
+           counted_at_ = 0, timer_at_ = 0;
     Epoch scheduler_epoch_, highest_epoch_, known_epoch_;
     std::string known_owner_;
     Version config_version_;
@@ -819,7 +890,7 @@
     std::unordered_map<std::string, SideAccount> accounts_;  // by node
     Micros sides_due_ = 0;
     bool sides_asked_ = false;  // sides are to be answered when that time comes
-    Micros lateness_ = 0;  // of the turns by timer, smoothed
+    Micros lateness_ = 0;       // of the turns by timer, smoothed
     Micros news_due_ = 0;
     std::tuple<Epoch, std::uint64_t, std::uint64_t> news_told_;
 };
--- a/source/control/detector/detector.hpp
+++ b/source/control/detector/detector.hpp
@@ -17,7 +17,9 @@
 // Example: Detector detector(settings, 2, 3, now); for (size_t place : detector.tick(now)) send_alive(place);
 class Detector {
 public:
-    Detector(DetectorSettings settings, size_t self, size_t count, Micros now) : settings_(settings) { reorder(self, count, 0, now); }
+    Detector(DetectorSettings settings, size_t self, size_t count, Micros now) : settings_(settings) {
+        reorder(self, count, 0, now);
+    }
 
     size_t self() const { return self_; }
     size_t count() const { return count_; }
@@ -47,14 +49,17 @@
         while (trusted_ < self_ && now - waiting_since_ >= timeouts_[trusted_]) {
             waiting_since_ += timeouts_[trusted_];
             if (now - waiting_since_ > timeouts_[trusted_]) waiting_since_ = now;
-            if (received_) received_ = false;
-            else trust(trusted_ + 1, now);
+            if (received_)
+                received_ = false;
+            else
+                trust(trusted_ + 1, now);
         }
         shrink(now);
         std::vector<size_t> places;
         if (trusted_ != self_ || silent_ || now < next_beat_) return places;
         next_beat_ = now + settings_.heartbeat;
-        for (size_t place = self_ + 1; place < count_; ++place) places.push_back(place);
+        for (size_t place = self_ + 1; place < count_; ++place)
+            places.push_back(place);
         return places;
     }
 
@@ -91,7 +96,8 @@
     void shrink(Micros now) {
         if (now - calm_since_ < settings_.calm) return;
         calm_since_ = now;
-        for (Micros& timeout : timeouts_) timeout = std::max(settings_.timeout, timeout - settings_.increment);
+        for (Micros& timeout : timeouts_)
+            timeout = std::max(settings_.timeout, timeout - settings_.increment);
     }
 
     DetectorSettings settings_;
--- a/source/control/detector/suspicion.hpp
+++ b/source/control/detector/suspicion.hpp
@@ -1,25 +1,28 @@
-// Whether an owner is too slow to be one: its own timers fire far too late for a while. Pure: the caller passes the time in.
+// Whether an owner is too slow to be one: its own timers fire far too late for a while. Pure: the caller passes the
+// time in.
 #pragma once
 #include "common.hpp"
 
 namespace calicostall {
 
 struct SuspicionSettings {
-    Micros late = milliseconds(250), early = milliseconds(60);  // a timer counts as late from here, as in time again up to here
-    size_t times = 5;                                           // so many late ones in a row,
-    Micros lasting = milliseconds(1500);                        // over at least so long
-    Micros young = seconds(4);                                  // a takeover's one-time work is no sign
-    Micros pause = seconds(3), pause_most = seconds(48);        // how long it stands back; doubled each time
-    Micros calm = seconds(30);                                  // after so long in time the pause begins anew
+    Micros late = milliseconds(250),
+           early = milliseconds(60);      // a timer counts as late from here, as in time again up to here
+    size_t times = 5;                     // so many late ones in a row,
+    Micros lasting = milliseconds(1500);  // over at least so long
+    Micros young = seconds(4);            // a takeover's one-time work is no sign
+    Micros pause = seconds(3), pause_most = seconds(48);  // how long it stands back; doubled each time
+    Micros calm = seconds(30);                            // after so long in time the pause begins anew
 };
 
-// Example: SelfSuspicion suspicion(settings); suspicion.fired(late_by, owner_since, now); detector.set_silent(suspicion.stands_back(now));
+// Example: SelfSuspicion suspicion(settings); suspicion.fired(late_by, owner_since, now);
+// detector.set_silent(suspicion.stands_back(now));
 class SelfSuspicion {
 public:
     explicit SelfSuspicion(SuspicionSettings settings) : settings_(settings), pause_(settings.pause) {}
 
-    // A timer fired `late` after its time; `acting_since` is when this daemon began to act as owner, none when it does not.
-    // Returns whether it begins to stand back now.
+    // A timer fired `late` after its time; `acting_since` is when this daemon began to act as owner, none when it does
+    // not. Returns whether it begins to stand back now.
     bool fired(Micros late, std::optional<Micros> acting_since, Micros now) {
         if (!acting_since || now - *acting_since < settings_.young || stands_back(now)) {
             late_times_ = 0;
--- a/source/control/jobs/admission/admission.hpp
+++ b/source/control/jobs/admission/admission.hpp
@@ -29,8 +29,10 @@
         if (auto found = open_.find(at); found != open_.end()) open_.erase(found);
     }
     void plan_finished(bool finished, Micros now) {
-        if (finished) behind_since_ = 0;
-        else if (behind_since_ == 0) behind_since_ = now;
+        if (finished)
+            behind_since_ = 0;
+        else if (behind_since_ == 0)
+            behind_since_ = now;
     }
     Micros value(Micros now) const {
         Micros lag = late_;
@@ -66,7 +68,8 @@
     void learn(const std::map<std::string, Load>& loads, const Backlog& backlog) {
         for (const auto& [service, load] : loads) {
             bool waiting = false;
-            for (const auto& [queue, each] : backlog) waiting = waiting || (each.service == service && each.ready > 0);
+            for (const auto& [queue, each] : backlog)
+                waiting = waiting || (each.service == service && each.ready > 0);
             Share used = load.share_used();
             rates_[service].note(std::max(used.cpu, used.memory), waiting);
         }
@@ -86,13 +89,15 @@
     Admitted admit(const NewJob& job, size_t jobs, const Load& load, const Backlog& backlog, Micros now) const {
         if (jobs >= settings_.jobs_most) return Admitted::full;
         std::int64_t waiting = 0;
-        for (const auto& [queue, each] : backlog) waiting += each.ready;
+        for (const auto& [queue, each] : backlog)
+            waiting += each.ready;
         if (waiting >= settings_.tasks_most) return Admitted::full;
         if (now - begun_at_ < settings_.settle) return Admitted::yes;
         if (lag.value(now) > settings_.lag_most) return Admitted::behind;
         if (job.lasting) return Admitted::yes;
         auto own = backlog.find(job.queue);
-        if (own == backlog.end() || own->second.tasks == 0) return Admitted::yes;  // nothing of its own waits: it is not shut out
+        if (own == backlog.end() || own->second.tasks == 0)
+            return Admitted::yes;  // nothing of its own waits: it is not shut out
         // Nothing is earned beyond three times the aim; what is let in so late would only keep others back.
         Micros most = std::max<Micros>(2 * job.aim - job.chain, job.aim / 2);
         return wait(job.service, job.priority, load, backlog) <= most ? Admitted::yes : Admitted::no_room;
--- a/source/control/jobs/calls/calls.hpp
+++ b/source/control/jobs/calls/calls.hpp
@@ -7,9 +7,15 @@
 
 using CallDone = std::function<void(CallFate, Response)>;
 
-inline Response problem(int code, const std::string& text) { return Response::json(code, boost::json::serialize(boost::json::object{{"error", text}})); }
-inline std::string job_key(const std::string& id) { return "job/" + id; }
-inline bool same_queue(const Job& job, const Queue& queue) { return job.fixed.host == queue.host && job.fixed.prefix == queue.prefix; }
+inline Response problem(int code, const std::string& text) {
+    return Response::json(code, boost::json::serialize(boost::json::object{{"error", text}}));
+}
+inline std::string job_key(const std::string& id) {
+    return "job/" + id;
+}
+inline bool same_queue(const Job& job, const Queue& queue) {
+    return job.fixed.host == queue.host && job.fixed.prefix == queue.prefix;
+}
 inline bool same_json(const std::string& left, const std::string& right) {
     if (left == right) return true;
     boost::system::error_code first, second;
@@ -21,13 +27,16 @@
 class Calls {
 public:
     using Flush = std::function<void(JobEntry&)>;
-    Calls(State& state, Runs& runs, L& ledger, Flush flush) : state_(state), runs_(runs), ledger_(ledger), flush_(std::move(flush)) {}
+    Calls(State& state, Runs& runs, L& ledger, Flush flush)
+        : state_(state), runs_(runs), ledger_(ledger), flush_(std::move(flush)) {}
 
     // Answers once the present value of the key is surely what a majority has.
     void confirmed(const std::string& key, Response response, CallDone done) {
         ledger_.confirm(key, [response = std::move(response), done = std::move(done)](bool sure) {
-            if (sure) done(CallFate::settled, response);
-            else done(CallFate::elsewhere, Response::later(503, 1));
+            if (sure)
+                done(CallFate::settled, response);
+            else
+                done(CallFate::elsewhere, Response::later(503, 1));
         });
     }
     // The operator's new configuration.
@@ -42,13 +51,19 @@
         if (!ask.if_match.empty()) {
             std::string digits = ask.if_match;
             std::erase(digits, '"');
-            if (digits.empty() || !std::all_of(digits.begin(), digits.end(), [](char letter) { return letter >= '0' && letter <= '9'; }) || digits.size() > 18)
+            if (digits.empty() ||
+                !std::all_of(digits.begin(), digits.end(),
+                             [](char letter) { return letter >= '0' && letter <= '9'; }) ||
+                digits.size() > 18)
                 return done(CallFate::settled, problem(400, "If-Match: must be a whole number"));
             base = std::stoull(digits);
         }
-        if (!base || *base != present.revision) return confirmed("config", problem(412, fmt::format("If-Match: version {} is current", present.revision)), std::move(done));
+        if (!base || *base != present.revision)
+            return confirmed("config", problem(412, fmt::format("If-Match: version {} is current", present.revision)),
+                             std::move(done));
         if (config.revision <= present.revision)
-            return confirmed("config", problem(400, fmt::format("revision: must be above {}", present.revision)), std::move(done));
+            return confirmed("config", problem(400, fmt::format("revision: must be above {}", present.revision)),
+                             std::move(done));
         std::string text = config.text;
         state_.config = std::move(config);
         counters().add("configs_taken");
@@ -67,13 +82,16 @@
     }
     void show(const Queue& queue, const std::string& id, CallDone done) {
         auto found = state_.jobs.find(id);
-        if (found == state_.jobs.end() || !same_queue(found->second.job, queue)) return confirmed(job_key(id), Response::plain(410), std::move(done));
+        if (found == state_.jobs.end() || !same_queue(found->second.job, queue))
+            return confirmed(job_key(id), Response::plain(410), std::move(done));
         flush_(found->second);
-        confirmed(job_key(id), Response::json(200, fmt::format("{{\"phase\":\"{}\"}}", found->second.job.phase())), std::move(done));
+        confirmed(job_key(id), Response::json(200, fmt::format("{{\"phase\":\"{}\"}}", found->second.job.phase())),
+                  std::move(done));
     }
     void cancel(const Queue& queue, const std::string& id, Micros wall, CallDone done) {
         auto found = state_.jobs.find(id);
-        if (found == state_.jobs.end() || !same_queue(found->second.job, queue)) return confirmed(job_key(id), Response::plain(410), std::move(done));
+        if (found == state_.jobs.end() || !same_queue(found->second.job, queue))
+            return confirmed(job_key(id), Response::plain(410), std::move(done));
         JobEntry& entry = found->second;
         if (!entry.job.ended()) {
             entry.job.cancel(wall);
@@ -81,11 +99,16 @@
             flush_(entry);
             counters().add("jobs_cancelled");
         }
-        ledger_.confirm(job_key(id), [done](bool sure) { done(sure ? CallFate::settled : CallFate::doubtful, Response::plain(sure ? 200 : 504)); });
+        ledger_.confirm(job_key(id), [done](bool sure) {
+            done(sure ? CallFate::settled : CallFate::doubtful, Response::plain(sure ? 200 : 504));
+        });
     }
     void count_pending(const Queue& queue, CallDone done) {
         auto found = state_.backlog.find(queue.host + "|" + queue.prefix);
-        confirmed("config", Response::json(200, fmt::format("{{\"pending\":{}}}", found == state_.backlog.end() ? 0 : found->second.pending)), std::move(done));
+        confirmed("config",
+                  Response::json(200, fmt::format("{{\"pending\":{}}}",
+                                                  found == state_.backlog.end() ? 0 : found->second.pending)),
+                  std::move(done));
     }
 
 private:
--- a/source/control/jobs/durations/durations.hpp
+++ b/source/control/jobs/durations/durations.hpp
@@ -15,7 +15,8 @@
             return sum / count;
         }
         auto sense = senses_.find(entry.queue());
-        return (sense == senses_.end() ? QueueSense{} : sense->second).expect(entry.job.fixed.spec.steps[step].estimate);
+        return (sense == senses_.end() ? QueueSense{} : sense->second)
+            .expect(entry.job.fixed.spec.steps[step].estimate);
     }
     // Whether siblings of the same step have told.
     static bool measured(const JobEntry& entry, std::uint32_t step) {
--- a/source/control/jobs/history/recorder.hpp
+++ b/source/control/jobs/history/recorder.hpp
@@ -11,7 +11,9 @@
 public:
     explicit HistoryRecorder(Micros span) : length_(span) {}
     bool on() const { return length_ != 0; }
-    static double accelerators(const Step& step) { return double(step.gpu) + double(step.cpu) / 1000 / cores_per_accelerator; }
+    static double accelerators(const Step& step) {
+        return double(step.gpu) + double(step.cpu) / 1000 / cores_per_accelerator;
+    }
     void note_arrival(const JobEntry& entry, std::uint32_t step, Micros expected) {
         QueueSpan& span = spans_[entry.queue()];
         span.priority = entry.job.fixed.priority;
@@ -20,7 +22,8 @@
     }
     void note_use(const JobEntry& entry, const RunEntry& run, Micros now) {
         if (!on() || run.ordered_at == 0) return;
-        spans_[entry.queue()].used += accelerators(entry.job.fixed.spec.steps[run.name.step]) * double(now - run.ordered_at) / 1e6;
+        spans_[entry.queue()].used +=
+            accelerators(entry.job.fixed.spec.steps[run.name.step]) * double(now - run.ordered_at) / 1e6;
     }
     void note_waiting(const std::string& queue, std::int64_t priority, std::int64_t tasks, Micros passed) {
         QueueSpan& span = spans_[queue];
@@ -45,7 +48,8 @@
         whole_ = now_ != 0;
         now_ = span;
         spans_.clear();
-        for (const Queue& queue : config.queues) spans_[queue.host + "|" + queue.prefix].priority = queue.priority;
+        for (const Queue& queue : config.queues)
+            spans_[queue.host + "|" + queue.prefix].priority = queue.priority;
     }
     void clear() {
         spans_.clear();
--- a/source/control/jobs/job.hpp
+++ b/source/control/jobs/job.hpp
@@ -20,8 +20,8 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(id), visit(host), visit(prefix), visit(service), visit(priority), visit(attempts_most), visit(extension_thousandths),
-            visit(target), visit(accepted_wall), visit(spec);
+        visit(id), visit(host), visit(prefix), visit(service), visit(priority), visit(attempts_most),
+            visit(extension_thousandths), visit(target), visit(accepted_wall), visit(spec);
     }
 };
 
@@ -31,7 +31,9 @@
     std::uint32_t worker = 0;  // place in the job's list of worker lives
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(run), visit(worker); }
+    void describe(Visitor& visit) {
+        visit(run), visit(worker);
+    }
 };
 
 struct Task {
@@ -41,7 +43,9 @@
     std::vector<Placement> placements;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(done), visit(last_run), visit(failures), visit(saved), visit(placements); }
+    void describe(Visitor& visit) {
+        visit(done), visit(last_run), visit(failures), visit(saved), visit(placements);
+    }
     bool waiting() const { return !done && placements.empty(); }
 };
 
@@ -69,7 +73,9 @@
     std::string life, node;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(life), visit(node); }
+    void describe(Visitor& visit) {
+        visit(life), visit(node);
+    }
 };
 
 struct JobMoving {
@@ -87,7 +93,9 @@
     std::vector<std::uint32_t> failed_runs;  // of each step
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(number), visit(failed_runs); }
+    void describe(Visitor& visit) {
+        visit(number), visit(failed_runs);
+    }
 };
 struct JobHead {
     Ending ending = Ending::none;
@@ -97,7 +105,9 @@
     std::vector<TimeHead> times;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(ending), visit(ended_wall), visit(begun), visit(next_time), visit(times); }
+    void describe(Visitor& visit) {
+        visit(ending), visit(ended_wall), visit(begun), visit(next_time), visit(times);
+    }
 };
 
 // Names one run of one task anywhere.
@@ -134,8 +144,9 @@
 enum class End { done, failed, stopped, lapsed, broken, alone, lost };
 
 inline std::optional<End> parse_end(std::string_view how) {
-    static const std::map<std::string_view, End> table = {{"done", End::done},     {"failed", End::failed}, {"stopped", End::stopped},
-                                                          {"lapsed", End::lapsed}, {"broken", End::broken}, {"alone", End::alone}};
+    static const std::map<std::string_view, End> table = {{"done", End::done},       {"failed", End::failed},
+                                                          {"stopped", End::stopped}, {"lapsed", End::lapsed},
+                                                          {"broken", End::broken},   {"alone", End::alone}};
     auto found = table.find(how);
     return found == table.end() ? std::nullopt : std::optional(found->second);
 }
@@ -169,14 +180,16 @@
         }
         for (const Time& time : moving.times) {
             TimeHead& each = head.times.emplace_back(TimeHead{time.number, {}});
-            for (const StepState& step : time.steps) each.failed_runs.push_back(step.failed_run);
+            for (const StepState& step : time.steps)
+                each.failed_runs.push_back(step.failed_run);
         }
         std::vector<Part> parts;
         for (std::uint64_t number : touched_) {
             const Task* task = task_of(number);
             parts.push_back({number, task ? pack(*task) : std::string()});
         }
-        for (; workers_packed_ < moving.workers.size(); ++workers_packed_) parts.push_back({worker_bit | workers_packed_, pack(moving.workers[workers_packed_])});
+        for (; workers_packed_ < moving.workers.size(); ++workers_packed_)
+            parts.push_back({worker_bit | workers_packed_, pack(moving.workers[workers_packed_])});
         touched_.clear();
         return Patch(pack(head), std::move(parts));
     }
@@ -195,7 +208,8 @@
         for (const TimeHead& each : head->times) {
             Time& time = job.moving.times.emplace_back(job.empty_time(each.number));
             if (each.failed_runs.size() != time.steps.size()) return std::nullopt;
-            for (size_t step = 0; step < time.steps.size(); ++step) time.steps[step].failed_run = each.failed_runs[step];
+            for (size_t step = 0; step < time.steps.size(); ++step)
+                time.steps[step].failed_run = each.failed_runs[step];
         }
         for (const auto& [number, bytes] : value.parts) {
             if (number & worker_bit) {
@@ -223,10 +237,14 @@
     bool has_placements() const { return placed_ != 0; }
     const char* phase() const {
         switch (moving.ending) {
-            case Ending::done: return "done";
-            case Ending::failed: return "failed";
-            case Ending::cancelled: return "cancelled";
-            case Ending::none: break;
+            case Ending::done:
+                return "done";
+            case Ending::failed:
+                return "failed";
+            case Ending::cancelled:
+                return "cancelled";
+            case Ending::none:
+                break;
         }
         return moving.begun ? "running" : "queued";
     }
@@ -260,7 +278,8 @@
     }
     Task* find_task(const RunName& name) {
         Time* time = find_time(name.time);
-        if (!time || name.step >= time->steps.size() || name.index >= time->steps[name.step].tasks.size()) return nullptr;
+        if (!time || name.step >= time->steps.size() || name.index >= time->steps[name.step].tasks.size())
+            return nullptr;
         return &time->steps[name.step].tasks[name.index];
     }
     Placement* find_placement(const RunName& name, const std::string& life) {
@@ -282,36 +301,46 @@
     std::uint32_t next_run(const Time& time, size_t step, size_t index) const {
         if (!fixed.spec.steps[step].gang) return time.steps[step].tasks[index].last_run + 1;
         std::uint32_t last = 0;
-        for (const Task& task : time.steps[step].tasks) last = std::max(last, task.last_run);
+        for (const Task& task : time.steps[step].tasks)
+            last = std::max(last, task.last_run);
         return last + 1;
     }
 
     // The one function for the end of a run. Returns false when the run is not one of this job's.
-    bool end(const RunName& name, const std::string& life, End how, const std::string& saved, std::uint32_t attempts_most, Micros wall) {
+    bool end(const RunName& name, const std::string& life, End how, const std::string& saved,
+             std::uint32_t attempts_most, Micros wall) {
         Placement* placement = find_placement(name, life);
         if (!placement) return false;
         Time& time = *find_time(name.time);
         StepState& state = time.steps[name.step];
         Task& task = state.tasks[name.index];
         const Step& step = fixed.spec.steps[name.step];
-        placed_ -= std::erase_if(task.placements, [&](const Placement& each) { return each.run == name.run && moving.workers[each.worker].life == life; });
-        if (!step.gang) touch(name.time, name.step, name.index);
-        else for (size_t index = 0; index < state.tasks.size(); ++index) touch(name.time, name.step, index);
+        placed_ -= std::erase_if(task.placements, [&](const Placement& each) {
+            return each.run == name.run && moving.workers[each.worker].life == life;
+        });
+        if (!step.gang)
+            touch(name.time, name.step, name.index);
+        else
+            for (size_t index = 0; index < state.tasks.size(); ++index)
+                touch(name.time, name.step, index);
         if (!saved.empty()) {
             task.saved = saved;
             if (step.gang)
-                for (Task& member : state.tasks) member.saved = saved;
+                for (Task& member : state.tasks)
+                    member.saved = saved;
         }
         if (ended()) return true;
         if (how == End::done && !step.long_running) {
             if (step.gang)
-                for (Task& member : state.tasks) member.done = true;
+                for (Task& member : state.tasks)
+                    member.done = true;
             task.done = true;
         } else if (how == End::failed && !step.long_running && !task.done) {
             if (step.gang) {
                 if (state.failed_run < name.run) {
                     state.failed_run = name.run;
-                    for (Task& member : state.tasks) member.failures++;
+                    for (Task& member : state.tasks)
+                        member.failures++;
                 }
             } else {
                 task.failures++;
@@ -325,7 +354,8 @@
             // A finished time is dropped once nothing of it may still run.
             bool empty = true;
             for (const StepState& each : time.steps)
-                for (const Task& member : each.tasks) empty = empty && member.placements.empty();
+                for (const Task& member : each.tasks)
+                    empty = empty && member.placements.empty();
             if (empty) drop_time(name.time);
         }
         return true;
@@ -337,7 +367,8 @@
         if (!fixed.spec.steps[step].gang) return true;
         if (state.failed_run >= run) return false;
         return std::all_of(state.tasks.begin(), state.tasks.end(), [&](const Task& member) {
-            return std::any_of(member.placements.begin(), member.placements.end(), [&](const Placement& each) { return each.run == run; });
+            return std::any_of(member.placements.begin(), member.placements.end(),
+                               [&](const Placement& each) { return each.run == run; });
         });
     }
     void cancel(Micros wall) {
@@ -347,7 +378,9 @@
 private:
     // Part numbers: a life of a worker by its place, a task by time (24 bits), step (15) and index (24).
     static constexpr std::uint64_t worker_bit = std::uint64_t(1) << 63;
-    static std::uint64_t part_of(std::uint64_t time, size_t step, size_t index) { return time << 39 | std::uint64_t(step) << 24 | std::uint64_t(index); }
+    static std::uint64_t part_of(std::uint64_t time, size_t step, size_t index) {
+        return time << 39 | std::uint64_t(step) << 24 | std::uint64_t(index);
+    }
     void touch(std::uint64_t time, size_t step, size_t index) { touched_.insert(part_of(time, step, index)); }
     Task* task_of(std::uint64_t number) {
         return find_task({{}, number >> 39, std::uint32_t(number >> 24 & 0x7fff), std::uint32_t(number & 0xffffff), 0});
@@ -355,12 +388,14 @@
     Time empty_time(std::uint64_t number) const {
         Time time;
         time.number = number;
-        for (const Step& step : fixed.spec.steps) time.steps.emplace_back().tasks.resize(step.count);
+        for (const Step& step : fixed.spec.steps)
+            time.steps.emplace_back().tasks.resize(step.count);
         return time;
     }
     void drop_time(std::uint64_t number) {
         for (size_t step = 0; step < fixed.spec.steps.size(); ++step)
-            for (size_t index = 0; index < fixed.spec.steps[step].count; ++index) touch(number, step, index);
+            for (size_t index = 0; index < fixed.spec.steps[step].count; ++index)
+                touch(number, step, index);
         std::erase_if(moving.times, [&](const Time& each) { return each.number == number; });
     }
     void finish(Ending ending, Micros wall) {
--- a/source/control/jobs/planning/planning.hpp
+++ b/source/control/jobs/planning/planning.hpp
@@ -18,10 +18,12 @@
         if (items_.empty()) return resume_.reset(), true;
         items_.advance(now);
         demand_.advance(now);
-        Plan plan = make_plan({state_.settings.planner, items_, fleet_, demand_, state_.least_priority(), now, resume_});
+        Plan plan =
+            make_plan({state_.settings.planner, items_, fleet_, demand_, state_.least_priority(), now, resume_});
         state_.operations += plan.looked_at + plan.evaluations;
         resume_ = plan.resume;
-        for (const calicostall::Stop& each : plan.stops) carry_out(each, stop);
+        for (const calicostall::Stop& each : plan.stops)
+            carry_out(each, stop);
         carry_out_starts(plan, now, start);
         return !plan.unfinished;
     }
@@ -36,7 +38,9 @@
     // What urgent queues used lately: see(service, level, cpu, memory).
     template <class See>
     void each_demand(See see) const {
-        demand_.each([&](Name service, std::int64_t level, double cpu, double memory) { see(names_.text(service), level, cpu, memory); });
+        demand_.each([&](Name service, std::int64_t level, double cpu, double memory) {
+            see(names_.text(service), level, cpu, memory);
+        });
     }
 
 private:
@@ -56,13 +60,16 @@
             offset_ = wall - now;
             state_.steps_touched.insert(state_.ready.begin(), state_.ready.end());
         }
-        for (const std::string& life : std::exchange(state_.workers_touched, {})) update_worker(life, now);
+        for (const std::string& life : std::exchange(state_.workers_touched, {}))
+            update_worker(life, now);
         for (auto& [life, worker] : state_.workers) {
             if (!worker.counted || !places_.contains(life)) continue;
             double trust = state_.conducts.trust(worker.node, now);
-            fleet_.judge(worker.place, state_.usable(worker, now), worker.pace.value(), std::max(trust, state_.settings.planner.trust_least), trust < 0.4 ? 1 : 0);
+            fleet_.judge(worker.place, state_.usable(worker, now), worker.pace.value(),
+                         std::max(trust, state_.settings.planner.trust_least), trust < 0.4 ? 1 : 0);
         }
-        for (const StepKey& key : std::exchange(state_.steps_touched, {})) update_step(key, now);
+        for (const StepKey& key : std::exchange(state_.steps_touched, {}))
+            update_step(key, now);
     }
     Micros steady(Micros wall) const { return wall - offset_; }
     Standing steady(Standing standing) const {
@@ -77,7 +84,8 @@
         auto known = places_.find(life);
         if (found == state_.workers.end() || !found->second.counted) {
             if (known == places_.end()) return;
-            for (const PlanRun& run : fleet_.at(known->second).runs) demand_.remove(fleet_.at(known->second).service, run.standing.level, run.room);
+            for (const PlanRun& run : fleet_.at(known->second).runs)
+                demand_.remove(fleet_.at(known->second).service, run.standing.level, run.room);
             fleet_.remove(known->second);
             places_.erase(known);
             return;
@@ -85,7 +93,8 @@
         WorkerEntry& worker = found->second;
         Name service = names_.of(worker.account.service);
         std::vector<Name> labels;
-        for (const std::string& label : worker.account.labels) labels.push_back(names_.of(label));
+        for (const std::string& label : worker.account.labels)
+            labels.push_back(names_.of(label));
         Name rack = labels.size() > 1 ? labels[1] : 0;
         Resources capacity{worker.account.cpu, worker.account.memory, worker.account.gpu};
         if (known == places_.end()) {
@@ -95,16 +104,21 @@
             places_[life] = worker.place;
             if (lives_.size() <= worker.place) lives_.resize(worker.place + 1);
             lives_[worker.place] = life;
-        } else if (const PlanWorker& old = fleet_.at(worker.place); old.service != service || old.labels != labels || old.capacity != capacity) {
-            for (const PlanRun& run : old.runs) demand_.remove(old.service, run.standing.level, run.room);
+        } else if (const PlanWorker& old = fleet_.at(worker.place);
+                   old.service != service || old.labels != labels || old.capacity != capacity) {
+            for (const PlanRun& run : old.runs)
+                demand_.remove(old.service, run.standing.level, run.room);
             fleet_.renew_runs(worker.place, {});
             fleet_.describe(worker.place, service, labels, rack, capacity);
         }
-        for (const PlanRun& run : fleet_.at(worker.place).runs) demand_.remove(service, run.standing.level, run.room);
+        for (const PlanRun& run : fleet_.at(worker.place).runs)
+            demand_.remove(service, run.standing.level, run.room);
         std::vector<PlanRun> runs;
         runs.reserve(worker.runs.size());
-        for (const auto& [name, entry] : worker.runs) runs.push_back(run_of(entry, now));
-        for (const PlanRun& run : runs) demand_.add(service, run.standing.level, run.room);
+        for (const auto& [name, entry] : worker.runs)
+            runs.push_back(run_of(entry, now));
+        for (const PlanRun& run : runs)
+            demand_.add(service, run.standing.level, run.room);
         fleet_.renew_runs(worker.place, std::move(runs));
     }
     PlanRun run_of(const RunEntry& entry, Micros now) {
@@ -124,8 +138,13 @@
             run.standing = steady(job->second.standing);
             run.standing.level = entry.priority;
             run.checkpoints = step.checkpoints;
-            run.preemptable = entry.state == RunState::running && !entry.stop_wanted && !step.long_running && !entry.doubled && !job->second.job.ended();
-            if (step.gang) run.gang = 1 + std::hash<std::string>{}(fmt::format("{} {}", RunName{entry.name.job, entry.name.time, entry.name.step, 0, 0}.task(), entry.name.run)) / 2;
+            run.preemptable = entry.state == RunState::running && !entry.stop_wanted && !step.long_running &&
+                              !entry.doubled && !job->second.job.ended();
+            if (step.gang)
+                run.gang = 1 + std::hash<std::string>{}(fmt::format(
+                                   "{} {}", RunName{entry.name.job, entry.name.time, entry.name.step, 0, 0}.task(),
+                                   entry.name.run)) /
+                                   2;
             if (step.long_running) length = never;
         }
         Micros shown = entry.shown_at - entry.ordered_at;
@@ -141,12 +160,15 @@
         JobEntry* entry = found == state_.jobs.end() || !found->second.open ? nullptr : &found->second;
         const StepProgress* progress = nullptr;
         if (entry)
-            if (auto steps = entry->progress.find(key.time); steps != entry->progress.end() && steps->second[key.step].listed) progress = &steps->second[key.step];
+            if (auto steps = entry->progress.find(key.time);
+                steps != entry->progress.end() && steps->second[key.step].listed)
+                progress = &steps->second[key.step];
         auto known = steps_.find(key);
         if (!progress) {
             if (known == steps_.end()) return;
             drop(known->second.group);
-            for (const auto& [index, id] : known->second.single) drop(id);
+            for (const auto& [index, id] : known->second.single)
+                drop(id);
             steps_.erase(known);
             return;
         }
@@ -155,20 +177,29 @@
         std::vector<std::uint32_t> group;
         std::map<std::uint32_t, std::uint64_t> single;
         if (step.gang) {
-            if (progress->placed == 0 && progress->waiting.size() == progress->bits.size()) group.assign(progress->waiting.begin(), progress->waiting.end());
+            if (progress->placed == 0 && progress->waiting.size() == progress->bits.size())
+                group.assign(progress->waiting.begin(), progress->waiting.end());
         } else {
             for (std::uint32_t index : progress->waiting) {
-                if (entry->failed_on.empty() || !entry->failed_on.contains({key.time, key.step, index})) group.push_back(index);
-                else single[index] = 0;
+                if (entry->failed_on.empty() || !entry->failed_on.contains({key.time, key.step, index}))
+                    group.push_back(index);
+                else
+                    single[index] = 0;
             }
-            for (std::uint32_t index : progress->copies) single[index] = 0;
+            for (std::uint32_t index : progress->copies)
+                single[index] = 0;
         }
-        if (group.empty()) drop(std::exchange(items.group, 0));
-        else put(items.group, key, *entry, std::move(group), now);
+        if (group.empty())
+            drop(std::exchange(items.group, 0));
+        else
+            put(items.group, key, *entry, std::move(group), now);
         for (const auto& [index, id] : items.single)
-            if (single.contains(index)) single[index] = id;
-            else drop(id);
-        for (auto& [index, id] : single) put(id, key, *entry, {index}, now);
+            if (single.contains(index))
+                single[index] = id;
+            else
+                drop(id);
+        for (auto& [index, id] : single)
+            put(id, key, *entry, {index}, now);
         items.single = std::move(single);
     }
     void drop(std::uint64_t id) {
@@ -195,14 +226,18 @@
         if (step.anti_affinity && time)
             for (const Task& task : time->steps[key.step].tasks)
                 for (const Placement& placement : task.placements)
-                    if (auto place = places_.find(entry.job.moving.workers[placement.worker].life); place != places_.end()) item.on_worker.emplace_back(place->second, 1);
+                    if (auto place = places_.find(entry.job.moving.workers[placement.worker].life);
+                        place != places_.end())
+                        item.on_worker.emplace_back(place->second, 1);
         if (tasks.size() == 1 && time && !step.gang) {
             for (const Placement& placement : time->steps[key.step].tasks[tasks[0]].placements)
-                if (auto place = places_.find(entry.job.moving.workers[placement.worker].life); place != places_.end()) item.away.push_back(place->second);
+                if (auto place = places_.find(entry.job.moving.workers[placement.worker].life); place != places_.end())
+                    item.away.push_back(place->second);
             if (auto failed = entry.failed_on.find({key.time, key.step, tasks[0]}); failed != entry.failed_on.end())
                 for (const std::string& node : failed->second)
                     if (auto life = state_.nodes.find(node); life != state_.nodes.end())
-                        if (auto place = places_.find(life->second); place != places_.end()) item.disliked.push_back(place->second);
+                        if (auto place = places_.find(life->second); place != places_.end())
+                            item.disliked.push_back(place->second);
         }
         auto service = fleet_.service(item.service);
         double mean = service.count ? double(service.capacity.cpu) / double(service.count) : 0;
@@ -225,7 +260,8 @@
         if (!wanted.anti_affinity || wanted.gang) return false;
         std::uint32_t there = 0;
         for (const Task& task : time.steps[step].tasks)
-            for (const Placement& placement : task.placements) there += entry.job.moving.workers[placement.worker].life == life;
+            for (const Placement& placement : task.placements)
+                there += entry.job.moving.workers[placement.worker].life == life;
         return there >= wanted.anti_affinity;
     }
     template <class Start>
@@ -244,7 +280,8 @@
                 state_.plan_wanted = true;
                 continue;
             }
-            start(entry, *time, place.step.step, place.tasks[each.task], worker->second, each.task == 0, now).backfill = each.backfill;
+            start(entry, *time, place.step.step, place.tasks[each.task], worker->second, each.task == 0, now).backfill =
+                each.backfill;
         }
     }
 
--- a/source/control/jobs/runs/judge.hpp
+++ b/source/control/jobs/runs/judge.hpp
@@ -17,7 +17,8 @@
         if (took <= 0 || step.long_running || !worker.measurable) return;
         if (run.remote) took = Micros(double(took) / state_.settings.planner.remote_factor);
         // Only siblings of the same step are a measure; an estimate is too rough to speak against a worker.
-        if (Durations::measured(entry, run.name.step)) worker.pace.note(relative(double(took) / double(state_.durations.expect(entry, run.name.step))), 0.2);
+        if (Durations::measured(entry, run.name.step))
+            worker.pace.note(relative(double(took) / double(state_.durations.expect(entry, run.name.step))), 0.2);
         if (worker.pace.slow()) return;  // a slow worker tells nothing of the job
         state_.durations.note(entry, run.name.step, took);
     }
@@ -40,7 +41,8 @@
     // Runs that stand still, crawl, or cannot end before their worker leaves are moved or doubled.
     Advice judge(WorkerEntry& worker, RunEntry& run, Micros now) {
         ++state_.operations;
-        if (run.state != RunState::running || run.stop_wanted || !worker.reconciled || worker.silent) return Advice::none;
+        if (run.state != RunState::running || run.stop_wanted || !worker.reconciled || worker.silent)
+            return Advice::none;
         auto found = state_.jobs.find(run.name.job);
         if (found == state_.jobs.end() || found->second.job.ended()) return Advice::none;
         JobEntry& entry = found->second;
@@ -56,8 +58,10 @@
         if (step.long_running || step.gang || run.ordered_at == 0 || run.moved_at == 0) return Advice::none;
         // Only reports show whether it moved: without newer ones nothing is known against it.
         Micros unmoved = run.shown_at - run.moved_at;
-        bool still = run.shown >= 2 && now - run.shown_at < seconds(1) && unmoved > std::max(state_.settings.still_least, usual) && elapsed > 2 * usual;
-        bool crawls = worker.pace.slow() && run.percent > 0 && Durations::measured(entry, run.name.step) && elapsed > 2 * usual && left > 2 * (usual + state_.settings.stop_grace);
+        bool still = run.shown >= 2 && now - run.shown_at < seconds(1) &&
+                     unmoved > std::max(state_.settings.still_least, usual) && elapsed > 2 * usual;
+        bool crawls = worker.pace.slow() && run.percent > 0 && Durations::measured(entry, run.name.step) &&
+                      elapsed > 2 * usual && left > 2 * (usual + state_.settings.stop_grace);
         if (!still && !crawls) return Advice::none;
         if (step.duplicate_ok) return run.doubled ? Advice::none : Advice::copy;
         if (now - entry.moved_at < seconds(2)) return Advice::none;
@@ -76,7 +80,9 @@
     // A run that takes far longer than its siblings speaks against its worker before it ends.
     void judge_progress(WorkerEntry& worker, RunEntry& run, Micros now) {
         auto job = state_.jobs.find(run.name.job);
-        if (job == state_.jobs.end() || run.state != RunState::running || run.judged || job->second.job.fixed.spec.steps[run.name.step].long_running) return;
+        if (job == state_.jobs.end() || run.state != RunState::running || run.judged ||
+            job->second.job.fixed.spec.steps[run.name.step].long_running)
+            return;
         if (run.ordered_at == 0 || !worker.measurable) return;
         Micros usual = expected(run, job->second), elapsed = now - run.ordered_at;
         if (elapsed < usual + milliseconds(200)) return;
--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -13,7 +13,8 @@
     // What a side says; the answer is made by `answer` when there is something to tell.
     void take(const SideAsk& ask, Micros now, Micros wall) {
         if (!newest(ask)) return;
-        for (const std::string& life : ask.over) end_life(life, now, wall), ended_.insert(life);
+        for (const std::string& life : ask.over)
+            end_life(life, now, wall), ended_.insert(life);
         if (!ask.worker) {
             state_.nodes.erase(ask.node);
             return;
@@ -45,16 +46,22 @@
         worker.silent = ask.silent;
         worker.leaves_at = ask.worker->leaves_in < 0 ? -1 : now + ask.worker->leaves_in;
         if (worker.account.draining && !was_leaving)
-            for (auto& [name, run] : worker.runs) state_.looks_due.emplace(now, std::pair(life, name));
+            for (auto& [name, run] : worker.runs)
+                state_.looks_due.emplace(now, std::pair(life, name));
         // Without news a worker is slowly trusted again.
         if (now - worker.paced_at >= milliseconds(250)) {
-            if (worker.paced_at != 0) worker.pace.forget(1 - std::pow(0.98, double(std::min(now - worker.paced_at, seconds(60))) / double(milliseconds(250))));
+            if (worker.paced_at != 0)
+                worker.pace.forget(1 - std::pow(0.98, double(std::min(now - worker.paced_at, seconds(60))) /
+                                                          double(milliseconds(250))));
             worker.paced_at = now;
         }
         if (ask.epoch == state_.epoch)
-            while (!worker.orders.empty() && worker.orders.front().number <= ask.taken) worker.orders.pop_front();
-        for (const OrderResult& result : ask.results) take_result(worker, result, now);
-        if (ask.report && ask.report->life == life && ask.report->fence == state_.epoch) take_report(worker, *ask.report, now, wall);
+            while (!worker.orders.empty() && worker.orders.front().number <= ask.taken)
+                worker.orders.pop_front();
+        for (const OrderResult& result : ask.results)
+            take_result(worker, result, now);
+        if (ask.report && ask.report->life == life && ask.report->fence == state_.epoch)
+            take_report(worker, *ask.report, now, wall);
         if (ask.report || !ask.results.empty()) state_.touch(worker);
         if (!was_usable && state_.usable(worker, now)) state_.plan_wanted = true;
     }
@@ -70,7 +77,8 @@
         answer.era = worker.era;
         // A worker that answers nobody gets no longer hold: what runs there must lapse.
         answer.allowance = worker.silent ? 0 : std::max<Micros>(0, confirmed_at + state_.settings.hold - now);
-        if (answer.allowance > 0) worker.lapses_at = std::max(worker.lapses_at, state_.settings.lapse_after(confirmed_at));
+        if (answer.allowance > 0)
+            worker.lapses_at = std::max(worker.lapses_at, state_.settings.lapse_after(confirmed_at));
         answer.seen = worker.seen;
         answer.look = worker.look;
         answer.orders.assign(worker.orders.begin(), worker.orders.end());
@@ -95,7 +103,8 @@
     void recorded_run(WorkerEntry& worker, JobEntry& entry, const Time& time, const RunName& name, Micros now) {
         RunEntry& run = state_.add_run(worker, entry, name, RunState::ordered, now);
         state_.looks_due.emplace(now + milliseconds(250), std::pair(worker.account.life, name));
-        if (!entry.job.wanted(time, name.step, name.index, name.run)) run.stop_wanted = true, run.state = RunState::stopping;
+        if (!entry.job.wanted(time, name.step, name.index, name.run))
+            run.stop_wanted = true, run.state = RunState::stopping;
     }
     void clear() {
         incarnations_.clear(), ended_.clear(), lives_.clear(), deadlines_.clear(), strangers_.clear();
@@ -105,7 +114,8 @@
     // --- starts and stops ---
 
     // The run is intended from now on; its order leaves once the record has it.
-    RunEntry& intend(JobEntry& entry, const Time& time, std::uint32_t step, std::uint32_t index, std::uint32_t run, WorkerEntry& worker, Micros now, Micros wall) {
+    RunEntry& intend(JobEntry& entry, const Time& time, std::uint32_t step, std::uint32_t index, std::uint32_t run,
+                     WorkerEntry& worker, Micros now, Micros wall) {
         RunName name{entry.job.fixed.id, time.number, step, index, run};
         RunEntry& run_entry = state_.add_run(worker, entry, name, RunState::intended, now);
         state_.task_changed(entry, time.number, step, index, wall);
@@ -128,8 +138,10 @@
         state_.mark(entry);
         if (!entry.job.ended()) return;
         state_.close(entry);
-        if (state_.tell) state_.tell({RunLine::Event::job_ended, 0, entry.job.fixed.id, {}, entry.queue(), entry.job.phase()});
-        state_.expiries.emplace(entry.job.moving.ended_wall + state_.settings.status_kept + seconds(30), entry.job.fixed.id);
+        if (state_.tell)
+            state_.tell({RunLine::Event::job_ended, 0, entry.job.fixed.id, {}, entry.queue(), entry.job.phase()});
+        state_.expiries.emplace(entry.job.moving.ended_wall + state_.settings.status_kept + seconds(30),
+                                entry.job.fixed.id);
         stop_job(entry);
     }
 
@@ -143,10 +155,13 @@
             auto found = state_.workers.find(life);
             if (found == state_.workers.end() || found->second.watched_at != at) continue;
             WorkerEntry& worker = found->second;
-            if (!worker.runs.empty() && now > worker.lapses_at) lapse(worker, now, wall);
-            else if (worker.reconciled && now - worker.heard_at > state_.settings.lapse_after(0)) worker.reconciled = false, worker.look = true;
+            if (!worker.runs.empty() && now > worker.lapses_at)
+                lapse(worker, now, wall);
+            else if (worker.reconciled && now - worker.heard_at > state_.settings.lapse_after(0))
+                worker.reconciled = false, worker.look = true;
             auto known = state_.nodes.find(worker.node);
-            if (worker.runs.empty() && now - worker.heard_at > seconds(30) && !worker.node.empty() && (known == state_.nodes.end() || known->second != life)) {
+            if (worker.runs.empty() && now - worker.heard_at > seconds(30) && !worker.node.empty() &&
+                (known == state_.nodes.end() || known->second != life)) {
                 forget(found);
                 continue;
             }
@@ -164,14 +179,20 @@
             if (place == worker.runs.end() || place->second.stop_wanted) continue;
             RunEntry& run = place->second;
             switch (judge_.judge(worker, run, now)) {
-                case Advice::none: break;
+                case Advice::none:
+                    break;
                 case Advice::copy:
                     counters().add("runs_doubled");
                     run.doubled = true;
-                    if (auto job = state_.jobs.find(name.job); job != state_.jobs.end()) state_.task_changed(job->second, name.time, name.step, name.index, 0);
+                    if (auto job = state_.jobs.find(name.job); job != state_.jobs.end())
+                        state_.task_changed(job->second, name.time, name.step, name.index, 0);
+                    break;
+                case Advice::leave:
+                    counters().add("runs_moved_off_leaving");
+                    [[fallthrough]];
+                case Advice::move:
+                    want_stop(worker, run);
                     break;
-                case Advice::leave: counters().add("runs_moved_off_leaving"); [[fallthrough]];
-                case Advice::move: want_stop(worker, run); break;
             }
             if (!run.stop_wanted) state_.looks_due.emplace(judge_.next_look(run, now), std::pair(life, name));
         }
@@ -186,7 +207,8 @@
     bool newest(const SideAsk& ask) {
         Incarnation& incarnation = incarnations_[ask.node];
         if (ask.incarnation != incarnation.present) {
-            if (std::find(incarnation.past.begin(), incarnation.past.end(), ask.incarnation) != incarnation.past.end()) return false;
+            if (std::find(incarnation.past.begin(), incarnation.past.end(), ask.incarnation) != incarnation.past.end())
+                return false;
             incarnation.past.push_back(incarnation.present);
             if (incarnation.past.size() > 32) incarnation.past.pop_front();
             incarnation.present = ask.incarnation;
@@ -199,7 +221,8 @@
     // When the worker is to be looked at again for a lapse; it may move on meanwhile.
     Micros deadline(const WorkerEntry& worker) const {
         Micros unheard = worker.heard_at + (worker.reconciled ? state_.settings.lapse_after(0) : seconds(30));
-        return worker.runs.empty() ? std::min(unheard, worker.heard_at + seconds(30)) : std::min(unheard, worker.lapses_at);
+        return worker.runs.empty() ? std::min(unheard, worker.heard_at + seconds(30))
+                                   : std::min(unheard, worker.lapses_at);
     }
     void watch(WorkerEntry& worker, const std::string& life, Micros at) {
         worker.watched_at = at;
@@ -231,7 +254,8 @@
         run->second.ordered_at = now;
         if (state_.tell) state_.tell({RunLine::Event::start, 0, name.task(), life, job->second.queue(), {}, name.run});
         state_.looks_due.emplace(judge_.next_look(run->second, now), std::pair(life, name));
-        give_order(found->second, {0, OrderKind::start, {}, name.task(), name.run, job->second.job.fixed.spec.text, task->saved});
+        give_order(found->second,
+                   {0, OrderKind::start, {}, name.task(), name.run, job->second.job.fixed.spec.text, task->saved});
     }
     void want_stop(WorkerEntry& worker, RunEntry& run) {
         if (run.stop_wanted) return;
@@ -250,7 +274,8 @@
         entry.failed_on[{name.time, name.step, name.index}].insert(worker.node);
     }
     // The one place where a run leaves a worker; returns the job it changed.
-    JobEntry* end_run(WorkerEntry& worker, const RunName& name, End how, const std::string& saved, Micros wall, Micros now) {
+    JobEntry* end_run(WorkerEntry& worker, const RunName& name, End how, const std::string& saved, Micros wall,
+                      Micros now) {
         auto found = state_.jobs.find(name.job);
         if (auto run = worker.runs.find(name); run != worker.runs.end() && found != state_.jobs.end()) {
             if (how == End::done) judge_.note_done(worker, run->second, found->second, now);
@@ -261,9 +286,18 @@
         if (found == state_.jobs.end()) return nullptr;
         JobEntry& entry = found->second;
         bool had_ended = entry.job.ended();
-        if (!entry.job.end(name, worker.account.life, how, saved, state_.attempts_most(entry.job), wall)) return nullptr;
-        if (state_.tell) state_.tell({RunLine::Event::end, 0, name.task(), worker.account.life, entry.queue(), end_text(how), name.run});
-        counters().add(how == End::done ? "runs_done" : how == End::failed ? "runs_failed" : how == End::stopped ? "runs_stopped" : how == End::lapsed ? "runs_lapsed" : how == End::broken ? "runs_broken" : how == End::alone ? "runs_alone" : "runs_lost");
+        if (!entry.job.end(name, worker.account.life, how, saved, state_.attempts_most(entry.job), wall))
+            return nullptr;
+        if (state_.tell)
+            state_.tell(
+                {RunLine::Event::end, 0, name.task(), worker.account.life, entry.queue(), end_text(how), name.run});
+        counters().add(how == End::done      ? "runs_done"
+                       : how == End::failed  ? "runs_failed"
+                       : how == End::stopped ? "runs_stopped"
+                       : how == End::lapsed  ? "runs_lapsed"
+                       : how == End::broken  ? "runs_broken"
+                       : how == End::alone   ? "runs_alone"
+                                             : "runs_lost");
         state_.mark(entry);
         const Step& step = entry.job.fixed.spec.steps[name.step];
         if (entry.job.ended()) {
@@ -288,7 +322,8 @@
             bool member = step.gang && other.run <= name.run;
             const Task* task = entry.job.find_task(other);
             if (!member && !(other.index == name.index && task && task->done)) continue;
-            if (auto run = place->second->runs.find(other); run != place->second->runs.end()) want_stop(*place->second, run->second);
+            if (auto run = place->second->runs.find(other); run != place->second->runs.end())
+                want_stop(*place->second, run->second);
         }
     }
     void take_result(WorkerEntry& worker, const OrderResult& result, Micros now) {
@@ -307,7 +342,8 @@
             counters().add(result.reason == "room" ? "starts_without_room" : "starts_turned_away");
             if (result.reason != "old" && result.reason != "draining") worker.avoided_until = now + milliseconds(500);
             // A sick worker turns starts away though it has room.
-            if (result.reason != "old" && result.reason != "draining" && result.reason != "room") state_.conducts.note(worker.node, true, 0.1, now);
+            if (result.reason != "old" && result.reason != "draining" && result.reason != "room")
+                state_.conducts.note(worker.node, true, 0.1, now);
             // What was turned away may have had an earlier try: only a stop and a look make it sure.
             want_stop(worker, run);
         }
@@ -327,7 +363,8 @@
             }
             RunEntry& run = found->second;
             if (run.state == RunState::ordered) run.state = RunState::running, run.since = now;
-            if (run.state == RunState::running || run.state == RunState::stopping) judge_.note_shown(worker, run, active, now);
+            if (run.state == RunState::running || run.state == RunState::stopping)
+                judge_.note_shown(worker, run, active, now);
             run.missing = 0;
         }
         for (const FinishedRun& finished : report.finished) {
@@ -338,21 +375,29 @@
             auto how = parse_end(finished.how);
             JobEntry* entry = name && how ? end_run(worker, *name, *how, finished.saved, wall, now) : nullptr;
             if (name) shown.insert(*name);
-            if (entry) entry->after.push_back([this, life = worker.account.life, number = finished.number] { commit_end(life, number); });
-            else commit_end(worker.account.life, finished.number);
+            if (entry)
+                entry->after.push_back(
+                    [this, life = worker.account.life, number = finished.number] { commit_end(life, number); });
+            else
+                commit_end(worker.account.life, finished.number);
         }
         std::set<std::string> stopped(report.stops.begin(), report.stops.end());
         std::vector<RunName> gone;
         for (auto& [name, run] : worker.runs) {
             if (shown.contains(name)) continue;
-            if (run.state == RunState::stopping && stopped.contains(fmt::format("{} {}", name.task(), name.run))) gone.push_back(name);
-            else if (run.state == RunState::ordered && !worker.reconciled) order_start(worker.account.life, name, now);
-            else if (run.state == RunState::stopping && (!worker.reconciled || ++run.missing % 8 == 0))  // the answer to a stop may be lost
+            if (run.state == RunState::stopping && stopped.contains(fmt::format("{} {}", name.task(), name.run)))
+                gone.push_back(name);
+            else if (run.state == RunState::ordered && !worker.reconciled)
+                order_start(worker.account.life, name, now);
+            else if (run.state == RunState::stopping &&
+                     (!worker.reconciled || ++run.missing % 8 == 0))  // the answer to a stop may be lost
                 give_order(worker, {0, OrderKind::stop, {}, name.task(), name.run, {}, {}});
-            else if (run.state == RunState::running && ++run.missing >= 3) counters().add("runs_missing"), want_stop(worker, run);
+            else if (run.state == RunState::running && ++run.missing >= 3)
+                counters().add("runs_missing"), want_stop(worker, run);
         }
         // A stop that was answered and a later look without it: it never began, or its end was noted.
-        for (const RunName& name : gone) end_run(worker, name, End::stopped, {}, wall, now);
+        for (const RunName& name : gone)
+            end_run(worker, name, End::stopped, {}, wall, now);
         if (!worker.reconciled) watch(worker, worker.account.life, now);
         worker.reconciled = true;
     }
@@ -378,7 +423,8 @@
     // Everything that ran on this life is over.
     void clear_runs(WorkerEntry& worker, End how, Micros wall, Micros now) {
         std::vector<RunName> names;
-        for (const auto& [name, run] : worker.runs) names.push_back(name);
+        for (const auto& [name, run] : worker.runs)
+            names.push_back(name);
         for (const RunName& name : names) {
             auto found = worker.runs.find(name);
             if (found == worker.runs.end()) continue;
@@ -391,17 +437,20 @@
     void end_life(std::string life, Micros now, Micros wall) {
         auto found = state_.workers.find(life);
         if (found == state_.workers.end()) return;
-        if (!found->second.runs.empty() && !found->second.account.draining) state_.conducts.note_lapse(found->second.node, now);
+        if (!found->second.runs.empty() && !found->second.account.draining)
+            state_.conducts.note_lapse(found->second.node, now);
         if (state_.tell) state_.tell({RunLine::Event::worker_over, 0, {}, life, {}, "ended"});
         clear_runs(found->second, End::lost, wall, now);
-        if (auto known = state_.nodes.find(found->second.node); known != state_.nodes.end() && known->second == life) state_.nodes.erase(known);
+        if (auto known = state_.nodes.find(found->second.node); known != state_.nodes.end() && known->second == life)
+            state_.nodes.erase(known);
         forget(found);
         if (ended_.size() > 4000) ended_.clear();
         ended_.insert(life);
         counters().add("lives_ended");
     }
     void lapse(WorkerEntry& worker, Micros now, Micros wall) {
-        log_line("scheduler", "the hold of {} on {} has lapsed with {} runs", worker.account.life, worker.node, worker.runs.size());
+        log_line("scheduler", "the hold of {} on {} has lapsed with {} runs", worker.account.life, worker.node,
+                 worker.runs.size());
         worker.reconciled = false;
         worker.look = true;
         ++worker.era;
@@ -414,9 +463,9 @@
     State& state_;
     RunJudge judge_;
     std::map<std::string, Incarnation> incarnations_;
-    std::set<std::string> ended_;                            // lives known to be over
-    std::map<std::string, std::set<std::string>> lives_;     // side machine -> lives known there
-    std::multimap<Micros, std::string> deadlines_;           // when a worker is looked at for a lapse
+    std::set<std::string> ended_;                         // lives known to be over
+    std::map<std::string, std::set<std::string>> lives_;  // side machine -> lives known there
+    std::multimap<Micros, std::string> deadlines_;        // when a worker is looked at for a lapse
     std::map<std::pair<std::string, RunName>, Micros> strangers_;
     std::uint64_t last_order_ = 0;
 };
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -14,7 +14,13 @@
 class Scheduler {
 public:
     Scheduler(SchedulerSettings settings, L& ledger)
-        : settings_(settings), ledger_(ledger), state_(settings), runs_(state_), planning_(state_), admission_(settings), calls_(state_, runs_, ledger, [this](JobEntry& entry) { flush_one(entry); }) {}
+        : settings_(settings),
+          ledger_(ledger),
+          state_(settings),
+          runs_(state_),
+          planning_(state_),
+          admission_(settings),
+          calls_(state_, runs_, ledger, [this](JobEntry& entry) { flush_one(entry); }) {}
     Scheduler(const Scheduler&) = delete;
 
     // --- ownership ---
@@ -41,11 +47,14 @@
             entry.committed = true;
             recorded_.push_back(entry.job.fixed.id);
         }
-        for (const std::string& id : recorded_) take_up(state_.jobs.at(id), now);
+        for (const std::string& id : recorded_)
+            take_up(state_.jobs.at(id), now);
         recorded_.clear();
         state_.plan_wanted = true;
         auto published = registers.find("published");
-        if (state_.config.revision == 0 || (published != registers.end() && published->second.moving == state_.config.text)) return;
+        if (state_.config.revision == 0 ||
+            (published != registers.end() && published->second.moving == state_.config.text))
+            return;
         ledger_.confirm("config", [this, text = state_.config.text](bool sure) {
             if (sure) calls_.publish(text);
         });
@@ -70,7 +79,8 @@
     // Example: "jobs_open=31 tasks_waiting=p0:12,p2:40 room_used=cpu:0.71,memory:0.55 workers=11"
     std::string gauges() const {
         std::string text = fmt::format("jobs_open={} tasks_waiting=", state_.open_jobs);
-        for (const auto& [queue, each] : state_.backlog) text += fmt::format("p{}:{},", each.priority, each.ready);
+        for (const auto& [queue, each] : state_.backlog)
+            text += fmt::format("p{}:{},", each.priority, each.ready);
         text += " tasks_placed=";
         std::int64_t cpu = 0, memory = 0, cpu_used = 0, memory_used = 0;
         for (const auto& [service, load] : state_.loads) {
@@ -84,11 +94,20 @@
         std::string slow, away, doubted;
         for (const auto& [life, worker] : state_.workers) {
             usable += worker.reconciled && !worker.silent && !worker.account.draining;
-            if (!worker.reconciled) away += fmt::format("{}{}", away.empty() ? "" : ",", worker.node.empty() ? life : worker.node + (worker.placeholder ? "(unheard)" : worker.silent ? "(silent)" : ""));
-            if (double trust = state_.conducts.trust(worker.node, worker.heard_at); trust < 0.7) doubted += fmt::format("{}{}:{:.1f}", doubted.empty() ? "" : ",", worker.node, trust);
-            if (worker.pace.slow()) slow += fmt::format("{}{}:{:.1f}", slow.empty() ? "" : ",", worker.node, worker.pace.value());
+            if (!worker.reconciled)
+                away += fmt::format("{}{}", away.empty() ? "" : ",",
+                                    worker.node.empty() ? life
+                                                        : worker.node + (worker.placeholder ? "(unheard)"
+                                                                         : worker.silent    ? "(silent)"
+                                                                                            : ""));
+            if (double trust = state_.conducts.trust(worker.node, worker.heard_at); trust < 0.7)
+                doubted += fmt::format("{}{}:{:.1f}", doubted.empty() ? "" : ",", worker.node, trust);
+            if (worker.pace.slow())
+                slow += fmt::format("{}{}:{:.1f}", slow.empty() ? "" : ",", worker.node, worker.pace.value());
         }
-        text += fmt::format(" room_used=cpu:{:.2f},memory:{:.2f} workers={}/{}", cpu > 0 ? double(cpu_used) / double(cpu) : 0, memory > 0 ? double(memory_used) / double(memory) : 0, usable, state_.workers.size());
+        text += fmt::format(" room_used=cpu:{:.2f},memory:{:.2f} workers={}/{}",
+                            cpu > 0 ? double(cpu_used) / double(cpu) : 0,
+                            memory > 0 ? double(memory_used) / double(memory) : 0, usable, state_.workers.size());
         if (!away.empty()) text += " unreconciled=" + away;
         if (!slow.empty()) text += " slow=" + slow;
         if (!doubted.empty()) text += " doubted=" + doubted;
@@ -101,12 +120,18 @@
     const SchedulerSettings& settings() const { return settings_; }
     const Conducts& conducts() const { return state_.conducts; }
     template <class See>
-    void each_demand(See see) const { planning_.each_demand(std::move(see)); }
-    // Calls visit(job, expected, failed) for each open job: expected(step) as learnt, failed by task: the machines where it failed.
+    void each_demand(See see) const {
+        planning_.each_demand(std::move(see));
+    }
+    // Calls visit(job, expected, failed) for each open job: expected(step) as learnt, failed by task: the machines
+    // where it failed.
     template <class Visit>
     void each_open_job(Visit visit) const {
         for (const auto& [id, entry] : state_.jobs)
-            if (entry.committed && !entry.job.ended()) visit(std::as_const(entry.job), [&](std::uint32_t step) { return state_.durations.expect(entry, step); }, std::as_const(entry.failed_on));
+            if (entry.committed && !entry.job.ended())
+                visit(
+                    std::as_const(entry.job), [&](std::uint32_t step) { return state_.durations.expect(entry, step); },
+                    std::as_const(entry.failed_on));
     }
 
     // --- calls of clients ---
@@ -135,7 +160,9 @@
     // --- sides ---
 
     void take_side(const SideAsk& ask, Micros now, Micros wall) { runs_.take(ask, now, wall); }
-    SideAnswer answer_side(const std::string& node, Micros confirmed_at, Micros now) { return runs_.answer(node, confirmed_at, now); }
+    SideAnswer answer_side(const std::string& node, Micros confirmed_at, Micros now) {
+        return runs_.answer(node, confirmed_at, now);
+    }
     // Whether a waiting ask should be answered now.
     bool has_news(const std::string& node, Epoch epoch, std::uint64_t taken, std::uint64_t seen_told) const {
         auto known = state_.nodes.find(node);
@@ -175,9 +202,11 @@
 private:
     // --- new jobs ---
 
-    void accept(const Queue& queue, const std::string& id, const std::string& body, Micros now, Micros wall, Done done) {
+    void accept(const Queue& queue, const std::string& id, const std::string& body, Micros now, Micros wall,
+                Done done) {
         if (auto found = state_.jobs.find(id); found != state_.jobs.end()) {
-            if (!same_queue(found->second.job, queue)) return calls_.confirmed(job_key(id), problem(409, "id: is taken by another queue"), std::move(done));
+            if (!same_queue(found->second.job, queue))
+                return calls_.confirmed(job_key(id), problem(409, "id: is taken by another queue"), std::move(done));
             ledger_.confirm(job_key(id), [done](bool sure) {
                 done(sure ? CallFate::settled : CallFate::doubtful, Response::plain(sure ? 200 : 504));
             });
@@ -203,17 +232,20 @@
         fixed.accepted_wall = wall;
         fixed.spec = std::move(spec);
         // Without its majority the owner knows nothing of its own pace: the proposal waits, or is given up.
-        if (Admitted admitted = admit(queue, fixed, now); admitted == Admitted::full || (admitted != Admitted::yes && now - confirmed_at_ < seconds(1)))
+        if (Admitted admitted = admit(queue, fixed, now);
+            admitted == Admitted::full || (admitted != Admitted::yes && now - confirmed_at_ < seconds(1)))
             return refuse(admitted, std::move(done));
         JobEntry& entry = state_.jobs[id];
         entry.job = Job::accept(std::move(fixed));
         counters().add("jobs_accepted");
         admission_.lag.proposed(now);
-        ledger_.propose(job_key(id), entry.job.packed_fixed(), entry.job.packed_changes(), [this, id, now, wall, done](bool committed) {
-            admission_.lag.committed(now);
-            if (committed) commit_new(id, wall);
-            done(committed ? CallFate::settled : CallFate::doubtful, Response::plain(committed ? 200 : 504));
-        });
+        ledger_.propose(job_key(id), entry.job.packed_fixed(), entry.job.packed_changes(),
+                        [this, id, now, wall, done](bool committed) {
+                            admission_.lag.committed(now);
+                            if (committed) commit_new(id, wall);
+                            done(committed ? CallFate::settled : CallFate::doubtful,
+                                 Response::plain(committed ? 200 : 504));
+                        });
     }
     Admitted admit(const Queue& queue, const JobFixed& fixed, Micros now) {
         NewJob job{queue.host + "|" + queue.prefix, queue.service, queue.priority, 0, 0, fixed.spec.repeats > 0};
@@ -221,7 +253,8 @@
         trial.job.fixed = fixed;
         std::vector<Micros> chains(fixed.spec.steps.size());
         for (std::uint32_t step = 0; step < chains.size(); ++step) {
-            for (std::uint32_t earlier : fixed.spec.steps[step].depends) chains[step] = std::max(chains[step], chains[earlier]);
+            for (std::uint32_t earlier : fixed.spec.steps[step].depends)
+                chains[step] = std::max(chains[step], chains[earlier]);
             chains[step] += state_.durations.expect(trial, step);
             job.chain = std::max(job.chain, chains[step]);
             job.lasting = job.lasting || fixed.spec.steps[step].long_running;
@@ -232,7 +265,9 @@
     // Surely nothing of this job was ever proposed here.
     void refuse(Admitted why, Done done) {
         counters().add("jobs_refused");
-        counters().add(why == Admitted::full ? "jobs_refused_full" : why == Admitted::behind ? "jobs_refused_behind" : "jobs_refused_no_room");
+        counters().add(why == Admitted::full     ? "jobs_refused_full"
+                       : why == Admitted::behind ? "jobs_refused_behind"
+                                                 : "jobs_refused_no_room");
         done(CallFate::settled, Response::later(429, 1));
     }
     void commit_new(const std::string& id, Micros wall) {
@@ -256,9 +291,11 @@
             for (std::uint32_t step = 0; step < time.steps.size(); ++step)
                 for (std::uint32_t place = 0; place < time.steps[step].tasks.size(); ++place)
                     for (const Placement& placement : time.steps[step].tasks[place].placements)
-                        runs_.recorded_run(runs_.recorded_worker(job.moving.workers[placement.worker], now), entry, time, {job.fixed.id, time.number, step, place, placement.run}, now);
+                        runs_.recorded_run(runs_.recorded_worker(job.moving.workers[placement.worker], now), entry,
+                                           time, {job.fixed.id, time.number, step, place, placement.run}, now);
         take_in(entry, wall_);
-        if (job.ended()) state_.expiries.emplace(job.moving.ended_wall + settings_.status_kept + seconds(30), job.fixed.id);
+        if (job.ended())
+            state_.expiries.emplace(job.moving.ended_wall + settings_.status_kept + seconds(30), job.fixed.id);
     }
 
     // --- time ---
@@ -291,7 +328,8 @@
         state_.history.tell(wall, state_.config, [this] {
             double fleet = 0;
             for (const auto& [life, worker] : state_.workers)
-                if (!worker.placeholder) fleet += double(worker.account.gpu) + double(worker.account.cpu) / 1000 / cores_per_accelerator;
+                if (!worker.placeholder)
+                    fleet += double(worker.account.gpu) + double(worker.account.cpu) / 1000 / cores_per_accelerator;
             return fleet;
         });
         runs_.looks_due(now);
@@ -313,17 +351,20 @@
     }
     void note_arrival(JobEntry& entry) {
         if (!state_.history.on()) return;
-        for (std::uint32_t step = 0; step < entry.job.fixed.spec.steps.size(); ++step) state_.history.note_arrival(entry, step, state_.durations.expect(entry, step));
+        for (std::uint32_t step = 0; step < entry.job.fixed.spec.steps.size(); ++step)
+            state_.history.note_arrival(entry, step, state_.durations.expect(entry, step));
     }
     void plan(Micros now, Micros wall, Micros confirmed_at) {
         if (confirmed_at < 0 || now - confirmed_at > settings_.hold / 2) return;
-        auto start = [this, wall](JobEntry& entry, Time& time, std::uint32_t step, std::uint32_t index, WorkerEntry& worker, bool first, Micros at) -> RunEntry& {
+        auto start = [this, wall](JobEntry& entry, Time& time, std::uint32_t step, std::uint32_t index,
+                                  WorkerEntry& worker, bool first, Micros at) -> RunEntry& {
             bool gang = entry.job.fixed.spec.steps[step].gang;
             if (!gang || first) run_ = entry.job.next_run(time, step, index);
             entry.job.place(time, step, index, run_, {worker.account.life, worker.node});
             return runs_.intend(entry, time, step, index, run_, worker, at, wall);
         };
-        bool finished = planning_.plan(now, wall, start, [this](WorkerEntry& worker, RunEntry& run) { runs_.push_out(worker, run); });
+        bool finished = planning_.plan(now, wall, start,
+                                       [this](WorkerEntry& worker, RunEntry& run) { runs_.push_out(worker, run); });
         admission_.lag.plan_finished(finished, now);
         if (!finished) state_.plan_wanted = true;
     }
@@ -337,7 +378,8 @@
         entry.after.clear();
         ledger_.propose(job_key(entry.job.fixed.id), std::nullopt, entry.job.packed_changes(), [after](bool committed) {
             if (committed)
-                for (auto& each : *after) each();
+                for (auto& each : *after)
+                    each();
         });
     }
     void flush() {
--- a/source/control/jobs/settings.hpp
+++ b/source/control/jobs/settings.hpp
@@ -7,7 +7,7 @@
 namespace calicostall {
 
 struct SchedulerSettings {
-    Micros hold = seconds(3);           // how long a worker keeps what runs there without news
+    Micros hold = seconds(3);  // how long a worker keeps what runs there without news
     Micros hold_margin = milliseconds(250);
     Micros fresh = milliseconds(2500);  // a worker heard later than this gets no start
     Micros status_kept = seconds(120);
@@ -16,9 +16,9 @@
     size_t jobs_most = 20000;
     Micros stop_grace = milliseconds(900);
     Micros still_least = milliseconds(1500);  // a run without progress for so long stands still
-    Micros history_span = 0;              // how long a span of the history is; 0: none is kept
-    Micros settle = seconds(6);           // a new owner learns its workers, and clients try again what an earlier one had
-    std::int64_t tasks_most = 5000;       // tasks that wait for a start; beyond it no job is taken
+    Micros history_span = 0;                  // how long a span of the history is; 0: none is kept
+    Micros settle = seconds(6);      // a new owner learns its workers, and clients try again what an earlier one had
+    std::int64_t tasks_most = 5000;  // tasks that wait for a start; beyond it no job is taken
     Micros lag_most = milliseconds(600);  // an owner later than this takes no new job
     PlannerSettings planner;
     // When a hold that was last allowed at `allowed` has surely lapsed (a worker's clock may run 2% slow).
@@ -27,7 +27,8 @@
 
 // What the scheduler needs of the record: proposals that come back committed or not at all.
 template <class T>
-concept Ledger = requires(T ledger, std::string key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> told) {
+concept Ledger = requires(T ledger, std::string key, std::optional<std::string> fixed, Patch patch,
+                          std::function<void(bool)> told) {
     ledger.propose(key, fixed, patch, told);
     ledger.confirm(key, told);
     ledger.bury(key);
--- a/source/control/jobs/spec.hpp
+++ b/source/control/jobs/spec.hpp
@@ -18,8 +18,9 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(count), visit(cpu), visit(memory), visit(gpu), visit(estimate), visit(depends), visit(checkpoints), visit(gang),
-            visit(same_rack), visit(duplicate_ok), visit(long_running), visit(needs), visit(affinity), visit(anti_affinity);
+        visit(count), visit(cpu), visit(memory), visit(gpu), visit(estimate), visit(depends), visit(checkpoints),
+            visit(gang), visit(same_rack), visit(duplicate_ok), visit(long_running), visit(needs), visit(affinity),
+            visit(anti_affinity);
     }
 };
 
@@ -30,7 +31,9 @@
     Micros first_at = 0, interval = 0;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(text), visit(steps), visit(repeats), visit(first_at), visit(interval); }
+    void describe(Visitor& visit) {
+        visit(text), visit(steps), visit(repeats), visit(first_at), visit(interval);
+    }
 };
 
 struct SpecLimits {
@@ -48,7 +51,8 @@
         findings.add("job", error ? "cannot be read as JSON: " + error.message() : "must be a table");
         return spec;
     }
-    auto number = [&](const boost::json::object& object, const std::string& place, std::string_view name) -> std::int64_t {
+    auto number = [&](const boost::json::object& object, const std::string& place,
+                      std::string_view name) -> std::int64_t {
         const auto* value = object.if_contains(name);
         std::string where = place.empty() ? std::string(name) : place + "." + std::string(name);
         if (!value || value->is_null()) return 0;
@@ -71,10 +75,13 @@
     };
     const boost::json::object& object = whole.as_object();
     if (const auto* value = object.if_contains("job_spec")) {
-        if (!value->is_string()) findings.add("job_spec", "must be a text");
-        else spec.text = std::string(value->as_string());
+        if (!value->is_string())
+            findings.add("job_spec", "must be a text");
+        else
+            spec.text = std::string(value->as_string());
     }
-    if (spec.text.size() > limits.text_bytes) findings.add("job_spec", fmt::format("is longer than {} bytes", limits.text_bytes));
+    if (spec.text.size() > limits.text_bytes)
+        findings.add("job_spec", fmt::format("is longer than {} bytes", limits.text_bytes));
     spec.repeats = std::uint64_t(number(object, "", "repeats"));
     spec.first_at = number(object, "", "first_at_ms") * 1000;
     spec.interval = number(object, "", "interval_ms") * 1000;
@@ -112,14 +119,16 @@
         step.affinity = text(each, where, "affinity");
         step.anti_affinity = std::uint32_t(std::min<std::int64_t>(number(each, where, "anti_affinity"), 1 << 20));
         if (const auto* depends = each.if_contains("depends_on"); depends && !depends->is_null()) {
-            if (!depends->is_array()) findings.add(where + ".depends_on", "must be a list");
+            if (!depends->is_array())
+                findings.add(where + ".depends_on", "must be a list");
             else
                 for (const auto& earlier : depends->as_array()) {
                     bool sound = earlier.is_number();
                     double index = sound ? earlier.to_number<double>() : -1;
                     if (!(index >= 0) || index >= double(place) || index != double(std::uint32_t(index)))
                         findings.add(where + ".depends_on", "must name earlier steps only");
-                    else step.depends.push_back(std::uint32_t(index));
+                    else
+                        step.depends.push_back(std::uint32_t(index));
                 }
         }
         spec.steps.push_back(std::move(step));
@@ -131,7 +140,8 @@
 // Example: valid_job_id("5c0e7a21d94b36f8")
 inline bool valid_job_id(std::string_view id) {
     return id.size() == 16 && std::all_of(id.begin(), id.end(), [](char letter) {
-               return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'f') || (letter >= 'A' && letter <= 'F');
+               return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'f') ||
+                      (letter >= 'A' && letter <= 'F');
            });
 }
 
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -36,8 +36,8 @@
     std::set<StepKey> ready;                   // steps with waiting tasks whose turn has come
     std::set<StepKey> steps_touched;           // what the planner is to look at again
     std::set<std::string> workers_touched;
-    std::multimap<Micros, std::string> turns_due;           // when the hope of a job changes next (wall)
-    std::multimap<Micros, std::string> expiries;            // when an ended job may be forgotten (wall)
+    std::multimap<Micros, std::string> turns_due;                      // when the hope of a job changes next (wall)
+    std::multimap<Micros, std::string> expiries;                       // when an ended job may be forgotten (wall)
     std::multimap<Micros, std::pair<std::string, RunName>> looks_due;  // when a run is judged next
     std::vector<std::string> dirty;
     Durations durations;
@@ -46,7 +46,7 @@
     std::function<void(RunLine)> tell;  // what is accepted, starts and ends, when somebody wants to know
     bool plan_wanted = false;
     std::uint64_t last_serial = 0;
-    size_t held = 0;               // runs that take room anywhere
+    size_t held = 0;  // runs that take room anywhere
     size_t open_jobs = 0;
     std::uint64_t operations = 0;  // what the work of an event is measured by
 
@@ -73,7 +73,8 @@
     }
     std::int64_t least_priority() const {
         std::int64_t least = std::numeric_limits<std::int64_t>::max();
-        for (const Queue& queue : config.queues) least = std::min(least, queue.priority);
+        for (const Queue& queue : config.queues)
+            least = std::min(least, queue.priority);
         return least;
     }
     // A new configuration moves queues to other services and priorities.
@@ -82,7 +83,8 @@
             if (entry.open) count_turn(entry, wall);
         for (auto& [queue, each] : backlog)
             for (const Queue& known : config.queues)
-                if (known.host + "|" + known.prefix == queue) each.service = known.service, each.priority = known.priority;
+                if (known.host + "|" + known.prefix == queue)
+                    each.service = known.service, each.priority = known.priority;
         plan_wanted = true;
     }
 
@@ -97,7 +99,8 @@
         queue.service = service_of(entry.job);
         queue.priority = turn_of(entry, wall).standing.level;
         ++queue.pending;
-        for (const Time& time : entry.job.moving.times) add_progress(entry, time);
+        for (const Time& time : entry.job.moving.times)
+            add_progress(entry, time);
         count_turn(entry, wall);
     }
     // An ended job takes part in nothing any more.
@@ -138,8 +141,10 @@
         std::uint32_t before = progress.unfinished;
         const Step& wanted = entry.job.fixed.spec.steps[step];
         if (wanted.gang)
-            for (std::uint32_t member = 0; member < progress.bits.size(); ++member) count_task(entry, *time, step, member, progress);
-        else count_task(entry, *time, step, index, progress);
+            for (std::uint32_t member = 0; member < progress.bits.size(); ++member)
+                count_task(entry, *time, step, member, progress);
+        else
+            count_task(entry, *time, step, index, progress);
         list(entry, *time, step);
         if (before != 0 && progress.unfinished == 0) {
             for (std::uint32_t later = step + 1; later < found->second.size(); ++later)
@@ -156,7 +161,8 @@
         entry.hope = turn.hope, entry.priority = turn.standing.level, entry.standing = turn.standing;
         for (const Time& time : entry.job.moving.times)
             if (entry.progress.contains(time.number))
-                for (std::uint32_t step = 0; step < time.steps.size(); ++step) list(entry, time, step);
+                for (std::uint32_t step = 0; step < time.steps.size(); ++step)
+                    list(entry, time, step);
     }
     void turns_changed(Micros wall) {
         while (!turns_due.empty() && turns_due.begin()->first <= wall) {
@@ -173,8 +179,9 @@
 
     // The worker's account has changed: what it offers counts for its service.
     void account_changed(WorkerEntry& worker, const WorkerAccount& account) {
-        if (worker.counted && worker.account.life == account.life && worker.account.service == account.service && worker.account.cpu == account.cpu &&
-            worker.account.memory == account.memory && worker.account.gpu == account.gpu && worker.account.labels == account.labels) {
+        if (worker.counted && worker.account.life == account.life && worker.account.service == account.service &&
+            worker.account.cpu == account.cpu && worker.account.memory == account.memory &&
+            worker.account.gpu == account.gpu && worker.account.labels == account.labels) {
             worker.account = account;
             return;
         }
@@ -184,7 +191,8 @@
         touch(worker);
         Load& load = loads[account.service];
         load.whole_cpu += account.cpu, load.whole_memory += account.memory;
-        for (auto& [name, run] : worker.runs) use(load, run, 1);
+        for (auto& [name, run] : worker.runs)
+            use(load, run, 1);
         count_room(worker);
     }
     // The worker and its runs no longer count for its service.
@@ -193,7 +201,8 @@
         if (!worker.counted) return;
         Load& load = loads[worker.account.service];
         load.whole_cpu -= worker.account.cpu, load.whole_memory -= worker.account.memory;
-        for (auto& [name, run] : worker.runs) use(load, run, -1);
+        for (auto& [name, run] : worker.runs)
+            use(load, run, -1);
         worker.counted = false;
     }
     RunEntry& add_run(WorkerEntry& worker, JobEntry& entry, const RunName& name, RunState state, Micros now) {
@@ -208,7 +217,8 @@
         run.since = now;
         run.estimate = step.estimate;
         run.priority = entry.job.fixed.priority;
-        run.remote = !step.affinity.empty() && std::find(worker.account.labels.begin(), worker.account.labels.end(), step.affinity) == worker.account.labels.end();
+        run.remote = !step.affinity.empty() && std::find(worker.account.labels.begin(), worker.account.labels.end(),
+                                                         step.affinity) == worker.account.labels.end();
         worker.cpu_used += run.cpu;
         worker.memory_used += run.memory;
         worker.gpu_used += run.gpu;
@@ -235,7 +245,8 @@
         plan_wanted = true;
     }
     bool usable(const WorkerEntry& worker, Micros now) const {
-        return worker.reconciled && !worker.silent && !worker.account.draining && now - worker.heard_at <= settings.fresh && now >= worker.avoided_until &&
+        return worker.reconciled && !worker.silent && !worker.account.draining &&
+               now - worker.heard_at <= settings.fresh && now >= worker.avoided_until &&
                !conducts.paused(worker.node, now);
     }
     // Whether a task that is placed once is to get a copy elsewhere: its only run is far behind.
@@ -280,16 +291,19 @@
         for (std::uint32_t step = 0; step < count; ++step) {
             ++operations;
             Micros before = 0, before_left = 0;
-            for (std::uint32_t earlier : job.fixed.spec.steps[step].depends) before = std::max(before, whole[earlier]), before_left = std::max(before_left, left[earlier]);
+            for (std::uint32_t earlier : job.fixed.spec.steps[step].depends)
+                before = std::max(before, whole[earlier]), before_left = std::max(before_left, left[earlier]);
             Micros length = durations.expect(entry, step);
-            bool done = progress != entry.progress.end() ? progress->second[step].unfinished == 0 : time && time->steps[step].done();
+            bool done = progress != entry.progress.end() ? progress->second[step].unfinished == 0
+                                                         : time && time->steps[step].done();
             whole[step] = before + length;
             left[step] = before_left + (done ? 0 : length);
             chain = std::max(chain, whole[step]);
             rest = std::max(rest, left[step]);
             lasting = lasting || job.fixed.spec.steps[step].long_running;
         }
-        Micros begun = job.timed() ? job.fixed.spec.first_at + Micros(time ? time->number : 0) * job.fixed.spec.interval : job.fixed.accepted_wall;
+        Micros begun = job.timed() ? job.fixed.spec.first_at + Micros(time ? time->number : 0) * job.fixed.spec.interval
+                                   : job.fixed.accepted_wall;
         Micros aim = Micros(extension * double(chain)) + target;
         Standing standing{priority, begun, begun + aim, rest, lasting};
         Hope hope = hope_of(standing, wall);
@@ -308,11 +322,14 @@
                 progress.cpu_each = double(wanted.cpu) * length;
                 progress.memory_each = double(wanted.memory) * length;
             }
-            for (std::uint32_t index = 0; index < progress.bits.size(); ++index) count_task(entry, time, step, index, progress);
+            for (std::uint32_t index = 0; index < progress.bits.size(); ++index)
+                count_task(entry, time, step, index, progress);
         }
-        for (std::uint32_t step = 0; step < steps.size(); ++step) list(entry, time, step);
+        for (std::uint32_t step = 0; step < steps.size(); ++step)
+            list(entry, time, step);
     }
-    void count_task(const JobEntry& entry, const Time& time, std::uint32_t step, std::uint32_t index, StepProgress& progress) {
+    void count_task(const JobEntry& entry, const Time& time, std::uint32_t step, std::uint32_t index,
+                    StepProgress& progress) {
         ++operations;
         const Task& task = time.steps[step].tasks[index];
         std::uint8_t bits = 0;
@@ -323,17 +340,18 @@
         std::uint8_t changed = bits ^ progress.bits[index];
         if (!changed) return;
         progress.bits[index] = bits;
-        if (changed & waits) bits & waits ? void(progress.waiting.insert(index)) : void(progress.waiting.erase(index));
-        if (changed & copy) bits & copy ? void(progress.copies.insert(index)) : void(progress.copies.erase(index));
-        if (changed & unfinished) bits & unfinished ? ++progress.unfinished : --progress.unfinished;
-        if (changed & placed) bits & placed ? ++progress.placed : --progress.placed;
+        if (changed & waits) bits& waits ? void(progress.waiting.insert(index)) : void(progress.waiting.erase(index));
+        if (changed & copy) bits& copy ? void(progress.copies.insert(index)) : void(progress.copies.erase(index));
+        if (changed & unfinished) bits& unfinished ? ++progress.unfinished : --progress.unfinished;
+        if (changed & placed) bits& placed ? ++progress.placed : --progress.placed;
     }
     // Puts the step into the order of what is ready, or takes it out, and counts what waits.
     void list(JobEntry& entry, const Time& time, std::uint32_t step) {
         auto& steps = entry.progress.at(time.number);
         StepProgress& progress = steps[step];
         if (!progress.turn_come)
-            progress.turn_come = std::all_of(entry.job.fixed.spec.steps[step].depends.begin(), entry.job.fixed.spec.steps[step].depends.end(),
+            progress.turn_come = std::all_of(entry.job.fixed.spec.steps[step].depends.begin(),
+                                             entry.job.fixed.spec.steps[step].depends.end(),
                                              [&](std::uint32_t earlier) { return steps[earlier].unfinished == 0; });
         count_backlog(entry, progress, std::int64_t(progress.waiting.size()));
         bool ready_now = progress.turn_come && (!progress.waiting.empty() || !progress.copies.empty());
@@ -371,7 +389,8 @@
         each.cpu += sign * run.cpu, each.memory += sign * run.memory, each.runs += sign;
     }
     static void count_room(WorkerEntry& worker) {
-        worker.free = {worker.account.cpu - worker.cpu_used, worker.account.memory - worker.memory_used, worker.account.gpu - worker.gpu_used};
+        worker.free = {worker.account.cpu - worker.cpu_used, worker.account.memory - worker.memory_used,
+                       worker.account.gpu - worker.gpu_used};
     }
 };
 
--- a/source/control/plan/demand.hpp
+++ b/source/control/plan/demand.hpp
@@ -31,13 +31,16 @@
     template <class See>
     void each(See see) const {
         for (const auto& [service, levels] : uses_)
-            for (const auto& [level, use] : levels) see(service, level, use.faded_cpu, use.faded_memory);
+            for (const auto& [level, use] : levels)
+                see(service, level, use.faded_cpu, use.faded_memory);
     }
     void restore(Name service, std::int64_t level, double cpu, double memory) {
         Use& use = uses_[service][level];
         use.faded_cpu = cpu, use.faded_memory = memory;
     }
-    struct Kept { double cpu = 0, memory = 0; };
+    struct Kept {
+        double cpu = 0, memory = 0;
+    };
     // What work of this level and length leaves free for more urgent levels, beyond what they use now.
     Kept kept_from(Name service, std::int64_t level, Micros length, const Resources& capacity) const {
         Kept kept;
@@ -46,8 +49,10 @@
         double patience = std::clamp(double(length) / double(std::max<Micros>(settings_.urgent_length, 1)), 0.0, 1.0);
         for (const auto& [other, use] : found->second) {
             if (other >= level) break;
-            kept.cpu += patience * std::clamp(use.faded_cpu - double(use.now.cpu), 0.0, settings_.urgent_most * double(capacity.cpu));
-            kept.memory += patience * std::clamp(use.faded_memory - double(use.now.memory), 0.0, settings_.urgent_most * double(capacity.memory));
+            kept.cpu += patience * std::clamp(use.faded_cpu - double(use.now.cpu), 0.0,
+                                              settings_.urgent_most * double(capacity.cpu));
+            kept.memory += patience * std::clamp(use.faded_memory - double(use.now.memory), 0.0,
+                                                 settings_.urgent_most * double(capacity.memory));
         }
         // Less than a hundredth of the service is not worth keeping.
         if (kept.cpu < 0.01 * double(capacity.cpu)) kept.cpu = 0;
@@ -64,7 +69,8 @@
     Resources in_use(Name service) const {
         Resources sum;
         if (auto found = uses_.find(service); found != uses_.end())
-            for (const auto& [level, use] : found->second) sum += use.now;
+            for (const auto& [level, use] : found->second)
+                sum += use.now;
         return sum;
     }
 
--- a/source/control/plan/fleet.hpp
+++ b/source/control/plan/fleet.hpp
@@ -4,14 +4,17 @@
 
 namespace calicostall {
 
-// Example: Fleet fleet; auto place = fleet.add(worker); fleet.begin_run(place, run); fleet.end_run(place, run.id); fleet.remove(place);
-// `free` follows the runs; the place of a worker stays the same until it is removed and may be used again after.
+// Example: Fleet fleet; auto place = fleet.add(worker); fleet.begin_run(place, run); fleet.end_run(place, run.id);
+// fleet.remove(place); `free` follows the runs; the place of a worker stays the same until it is removed and may be
+// used again after.
 class Fleet {
 public:
     std::uint32_t add(PlanWorker worker) {
         std::uint32_t place;
-        if (!spare_.empty()) place = spare_.back(), spare_.pop_back();
-        else place = std::uint32_t(slots_.size()), slots_.emplace_back();
+        if (!spare_.empty())
+            place = spare_.back(), spare_.pop_back();
+        else
+            place = std::uint32_t(slots_.size()), slots_.emplace_back();
         Slot& slot = slots_[place];
         slot = Slot{};
         std::vector<PlanRun> runs = std::move(worker.runs);
@@ -22,12 +25,14 @@
         services_[slot.worker.service].count += 1;
         services_[slot.worker.service].capacity += slot.worker.capacity;
         file(place);
-        for (PlanRun& run : runs) begin_run(place, std::move(run));
+        for (PlanRun& run : runs)
+            begin_run(place, std::move(run));
         return place;
     }
     void remove(std::uint32_t place) {
         Slot& slot = slots_[place];
-        while (!slot.worker.runs.empty()) end_run(place, slot.worker.runs.back().id);
+        while (!slot.worker.runs.empty())
+            end_run(place, slot.worker.runs.back().id);
         unfile(place);
         auto& service = services_[slot.worker.service];
         service.count -= 1;
@@ -57,7 +62,8 @@
         PlanWorker& worker = slots_[place].worker;
         unfile(place);
         worker.free = worker.capacity;
-        for (const PlanRun& run : worker.runs) leave_gang(place, run);
+        for (const PlanRun& run : worker.runs)
+            leave_gang(place, run);
         for (const PlanRun& run : runs) {
             worker.free -= run.room;
             if (run.gang) gangs_[run.gang].emplace_back(place, run.id);
@@ -75,7 +81,8 @@
     }
     void end_run(std::uint32_t place, std::uint64_t id) {
         PlanWorker& worker = slots_[place].worker;
-        auto found = std::find_if(worker.runs.begin(), worker.runs.end(), [&](const PlanRun& run) { return run.id == id; });
+        auto found =
+            std::find_if(worker.runs.begin(), worker.runs.end(), [&](const PlanRun& run) { return run.id == id; });
         if (found == worker.runs.end()) return;
         unfile(place);
         worker.free += found->room;
@@ -96,7 +103,10 @@
         auto found = gangs_.find(id);
         return found == gangs_.end() ? nullptr : &found->second;
     }
-    struct ServiceSum { size_t count = 0; Resources capacity; };
+    struct ServiceSum {
+        size_t count = 0;
+        Resources capacity;
+    };
     ServiceSum service(Name name) const {
         auto found = services_.find(name);
         return found == services_.end() ? ServiceSum{} : found->second;
@@ -109,7 +119,8 @@
         auto [least_cpu, least_memory] = class_of(room);
         for (const auto& [key, members] : found->second)
             if (key.first >= least_cpu && key.second >= least_memory)
-                for (std::uint32_t place : members) see(place);
+                for (std::uint32_t place : members)
+                    see(place);
     }
 
 private:
--- a/source/control/plan/planner.hpp
+++ b/source/control/plan/planner.hpp
@@ -1,4 +1,5 @@
-// Stage two and the plan as a whole: one view in, one plan out. Pure; the daemon, the simulator and the preview call it.
+// Stage two and the plan as a whole: one view in, one plan out. Pure; the daemon, the simulator and the preview call
+// it.
 #pragma once
 #include <cmath>
 
@@ -11,7 +12,8 @@
 
 namespace calicostall {
 
-// Everything a plan is made of. All times by one clock: whose is the caller's matter (the daemon: wall time of the core).
+// Everything a plan is made of. All times by one clock: whose is the caller's matter (the daemon: wall time of the
+// core).
 struct PlanView {
     const PlannerSettings& settings;
     const WaitingItems& items;
@@ -19,7 +21,7 @@
     const UrgentDemand& demand;     // what urgent queues used lately
     std::int64_t urgent_level = 0;  // the least level of all queues
     Micros now = 0;
-    std::optional<Cursor> resume;   // as the plan before said: its bound on work was reached there
+    std::optional<Cursor> resume;  // as the plan before said: its bound on work was reached there
 };
 
 // When a run is expected to be over: an overdue one takes a quarter of its time longer.
@@ -32,7 +34,8 @@
 // The work of one call of `make_plan`.
 class PlanMaker {
 public:
-    explicit PlanMaker(const PlanView& view) : view_(view), settings_(view.settings), now_(view.now), slots_(view.fleet.places()) {}
+    explicit PlanMaker(const PlanView& view)
+        : view_(view), settings_(view.settings), now_(view.now), slots_(view.fleet.places()) {}
 
     Plan run() && {
         // The head of the order is looked at each time; below it a plan goes on where the one before stopped.
@@ -48,7 +51,8 @@
         };
         Cursor stopped = view_.items.in_order(now_, look);
         if (more && view_.resume) {
-            for (size_t hope = 0; hope < 3; ++hope) stopped[hope] = std::max(stopped[hope], (*view_.resume)[hope]);
+            for (size_t hope = 0; hope < 3; ++hope)
+                stopped[hope] = std::max(stopped[hope], (*view_.resume)[hope]);
             most = settings_.looks_most;
             stopped = view_.items.in_order(now_, look, stopped);
         }
@@ -61,9 +65,9 @@
     struct Use {
         Resources room;
         Micros from, until;
-        bool reserved;   // else it starts now
-        bool backfill;   // started into a gap
-        bool firm;       // what starts before it must end in time: it will push nothing out
+        bool reserved;  // else it starts now
+        bool backfill;  // started into a gap
+        bool firm;      // what starts before it must end in time: it will push nothing out
         double points;
     };
     // What a plan has changed on a worker so far.
@@ -76,17 +80,29 @@
     struct Ranked {
         double rank = 0;
         std::uint32_t place = 0;
-        bool operator<(const Ranked& other) const { return rank < other.rank || (rank == other.rank && place > other.place); }
+        bool operator<(const Ranked& other) const {
+            return rank < other.rank || (rank == other.rank && place > other.place);
+        }
+    };
+    struct Failed {
+        Name service, needs;
+        Resources room;
+        Micros length;
+        Reason reason;
     };
-    struct Failed { Name service, needs; Resources room; Micros length; Reason reason; };
     // What was seen while an item looked for a worker.
-    struct Seen { bool suitable = false, apart = false, trust = false, reserved = false, fits = false; };
+    struct Seen {
+        bool suitable = false, apart = false, trust = false, reserved = false, fits = false;
+    };
 
     // --- one item ---
 
     void take_item() {
         const Item& item = *item_;
-        if (item.blocked != Item::Blocked::no) return wait(item.count, item.blocked == Item::Blocked::dependency ? Reason::dependency : item.blocked == Item::Blocked::budget ? Reason::budget : Reason::due_time);
+        if (item.blocked != Item::Blocked::no)
+            return wait(item.count, item.blocked == Item::Blocked::dependency ? Reason::dependency
+                                    : item.blocked == Item::Blocked::budget   ? Reason::budget
+                                                                              : Reason::due_time);
         if (view_.fleet.service(item.service).count == 0) return wait(item.count, Reason::label);
         seen_ = {};
         if (item.gang) return take_gang();
@@ -99,7 +115,9 @@
         if (left == 0) return;
         const Failed* like = known_to_fail();
         Reason reason = reserve(left, placed + held, like);
-        if (!like && item.earliest <= now_ && !seen_.apart && !seen_.trust && item.away.empty() && item.on_worker.empty()) note_failed(reason);
+        if (!like && item.earliest <= now_ && !seen_.apart && !seen_.trust && item.away.empty() &&
+            item.on_worker.empty())
+            note_failed(reason);
         wait(left, reason);
     }
     // How many tasks a less urgent level may start: the rest of the room is kept for what urgent queues used lately.
@@ -111,10 +129,14 @@
         if (kept.cpu <= 0 && kept.memory <= 0) return item.count;
         Resources used = view_.demand.in_use(item.service) + planned_[item.service];
         double most = double(item.count);
-        if (item.room.cpu > 0) most = std::min(most, (double(service.capacity.cpu - used.cpu) - kept.cpu) / double(item.room.cpu));
-        if (item.room.memory > 0) most = std::min(most, (double(service.capacity.memory - used.memory) - kept.memory) / double(item.room.memory));
+        if (item.room.cpu > 0)
+            most = std::min(most, (double(service.capacity.cpu - used.cpu) - kept.cpu) / double(item.room.cpu));
+        if (item.room.memory > 0)
+            most = std::min(most,
+                            (double(service.capacity.memory - used.memory) - kept.memory) / double(item.room.memory));
         // A level is never shut out wholly.
-        bool first = view_.demand.in_use(item.service, item.standing.level) == Resources{} && planned_levels_[{item.service, item.standing.level}] == 0;
+        bool first = view_.demand.in_use(item.service, item.standing.level) == Resources{} &&
+                     planned_levels_[{item.service, item.standing.level}] == 0;
         if (item.gang) return most >= double(item.count) || first ? item.count : 0;
         return std::uint32_t(std::clamp(most, first ? 1.0 : 0.0, double(item.count)));
     }
@@ -122,13 +144,16 @@
     const Failed* known_to_fail() const {
         const Item& item = *item_;
         for (const Failed& each : failed_)
-            if (each.service == item.service && (each.needs == 0 || each.needs == item.needs) && item.room.holds(each.room) && item.duration >= each.length && (each.length == 0 || !item.checkpoints)) return &each;
+            if (each.service == item.service && (each.needs == 0 || each.needs == item.needs) &&
+                item.room.holds(each.room) && item.duration >= each.length && (each.length == 0 || !item.checkpoints))
+                return &each;
         return nullptr;
     }
     void note_failed(Reason reason) {
         const Item& item = *item_;
         if (failed_.size() >= 32 || (seen_.reserved && item.checkpoints)) return;
-        failed_.push_back({item.service, item.needs, item.room, seen_.reserved ? item.duration : 0, reason == Reason::pushing ? Reason::room : reason});
+        failed_.push_back({item.service, item.needs, item.room, seen_.reserved ? item.duration : 0,
+                           reason == Reason::pushing ? Reason::room : reason});
     }
     void wait(std::uint32_t tasks, Reason reason) { plan_.waits.push_back({item_->id, tasks, reason}); }
 
@@ -188,10 +213,12 @@
         const PlanWorker& worker = view_.fleet.at(place);
         if (!worker.open || !worker.has(item_->needs) || !worker.capacity.holds(item_->room)) return false;
         seen_.suitable = true;
-        if (std::find(item_->away.begin(), item_->away.end(), place) != item_->away.end()) return seen_.apart = true, false;
+        if (std::find(item_->away.begin(), item_->away.end(), place) != item_->away.end())
+            return seen_.apart = true, false;
         if (item_->anti_affinity && on_worker(place) >= item_->anti_affinity) return seen_.apart = true, false;
         if (worker.trust < settings_.trust_least) return seen_.trust = true, false;
-        if (worker.runs_most && worker.runs.size() + slots_[place].planned.size() >= worker.runs_most) return seen_.trust = true, false;
+        if (worker.runs_most && worker.runs.size() + slots_[place].planned.size() >= worker.runs_most)
+            return seen_.trust = true, false;
         return true;
     }
     enum class Fit { no, yes, backfill };
@@ -207,21 +234,27 @@
         seen_.reserved = true;
         return Fit::no;
     }
-    // What may be pushed out again starts in a gap too, if it gets a fair part of its time before, and if pushing it out
-    // will then cost less than it saves.
+    // What may be pushed out again starts in a gap too, if it gets a fair part of its time before, and if pushing it
+    // out will then cost less than it saves.
     bool may_be_pushed_later(std::uint32_t place, const Timeline& line, Micros length) const {
         if (!item_->checkpoints || !item_->preemptable || item_->gang) return false;
         Micros until = line.ends_at(item_->room, now_);
-        if (until - now_ < stop_time() + settings_.push_early || double(until - now_) < settings_.ratio_run * double(length)) return false;
+        if (until - now_ < stop_time() + settings_.push_early ||
+            double(until - now_) < settings_.ratio_run * double(length))
+            return false;
         // With all that was started into gaps there: they would be pushed out together.
         const Slot& slot = slots_[place];
         std::int64_t cpu = item_->room.cpu;
-        for (const PlanRun& run : view_.fleet.at(place).runs) cpu += run.backfill ? run.room.cpu : 0;
-        for (const Use& use : slot.planned) cpu += use.backfill ? use.room.cpu : 0;
+        for (const PlanRun& run : view_.fleet.at(place).runs)
+            cpu += run.backfill ? run.room.cpu : 0;
+        for (const Use& use : slot.planned)
+            cpu += use.backfill ? use.room.cpu : 0;
         double waste = double(cpu) * double(settings_.restore + stop_time()), left = double(now_ + length - until);
         for (const Use& use : slot.planned) {
             if (!use.reserved || use.from >= now_ + length || use.until <= until) continue;
-            if (use.firm || !outranks(use.points, points_) || waste > settings_.waste_most * double(use.room.cpu) * left) return false;
+            if (use.firm || !outranks(use.points, points_) ||
+                waste > settings_.waste_most * double(use.room.cpu) * left)
+                return false;
             if (left < settings_.ratio_remaining * double(until - now_)) return false;
         }
         return true;
@@ -232,11 +265,15 @@
         const PlanWorker& worker = view_.fleet.at(place);
         const Resources& free = free_of(place);
         double left;
-        if (item_->standing.level <= view_.urgent_level) left = share(free, worker.capacity);  // spread: the emptiest first
-        else left = 1 - share(free - item_->room, worker.capacity);                              // pack: the best filled first
-        double points = settings_.weight_load * left - settings_.weight_finish * (stretch(worker) - 1) - settings_.weight_trust * (1 - worker.trust);
+        if (item_->standing.level <= view_.urgent_level)
+            left = share(free, worker.capacity);  // spread: the emptiest first
+        else
+            left = 1 - share(free - item_->room, worker.capacity);  // pack: the best filled first
+        double points = settings_.weight_load * left - settings_.weight_finish * (stretch(worker) - 1) -
+                        settings_.weight_trust * (1 - worker.trust);
         if (worker.pace > settings_.slow_pace) points -= settings_.weight_slow;
-        if (std::find(item_->disliked.begin(), item_->disliked.end(), place) != item_->disliked.end()) points -= settings_.weight_failed;
+        if (std::find(item_->disliked.begin(), item_->disliked.end(), place) != item_->disliked.end())
+            points -= settings_.weight_failed;
         if (worker.rack && worker.rack != item_->affinity) {
             double wanted = double(view_.items.demand_on(worker.rack));
             points -= settings_.weight_demand * wanted / (wanted + 16);
@@ -244,7 +281,8 @@
         return points;
     }
     static double share(const Resources& free, const Resources& whole) {
-        double by_cpu = whole.cpu > 0 ? double(free.cpu) / double(whole.cpu) : 1, by_memory = whole.memory > 0 ? double(free.memory) / double(whole.memory) : 1;
+        double by_cpu = whole.cpu > 0 ? double(free.cpu) / double(whole.cpu) : 1,
+               by_memory = whole.memory > 0 ? double(free.memory) / double(whole.memory) : 1;
         return std::min(by_cpu, by_memory);
     }
     void start(std::uint32_t place, std::uint32_t task, bool backfill) {
@@ -277,16 +315,20 @@
         plan_.evaluations += 1 + worker.runs.size() / 4;
         std::vector<std::pair<Micros, Resources>> ends;
         ends.reserve(worker.runs.size());
-        for (const PlanRun& run : worker.runs) ends.emplace_back(over(run), run.room);
+        for (const PlanRun& run : worker.runs)
+            ends.emplace_back(over(run), run.room);
         slot.timeline.emplace(now_, worker.free, std::move(ends));
-        for (const auto& each : slot.planned) slot.timeline->take(each.room, each.from, each.until);
+        for (const auto& each : slot.planned)
+            slot.timeline->take(each.room, each.from, each.until);
         return *slot.timeline;
     }
     Micros over(const PlanRun& run) const {
         if (stopped_.contains(run.id)) return now_ + stop_time();
         return expected_over(run, now_);
     }
-    Micros stop_time() const { return std::max<Micros>(1, Micros(settings_.stop_share * double(settings_.stop_grace))); }
+    Micros stop_time() const {
+        return std::max<Micros>(1, Micros(settings_.stop_share * double(settings_.stop_grace)));
+    }
 
     // --- reservations ---
 
@@ -301,7 +343,9 @@
         Micros from = never, finish = never;
         double busy = 0;
         std::vector<const PlanRun*> push;  // what is to be pushed out for it when its time comes
-        bool before(const Slotted& other) const { return std::tie(finish, busy, place) < std::tie(other.finish, other.busy, other.place); }
+        bool before(const Slotted& other) const {
+            return std::tie(finish, busy, place) < std::tie(other.finish, other.busy, other.place);
+        }
     };
     // The slot in which one task ends first; of equal ones that of the worker with the least work before it.
     Slotted earliest_slot(bool nearby_only) {
@@ -328,18 +372,23 @@
     // Runs that were started into a gap count as gone when the gap ends, where that costs less than it saves.
     void sooner_by_pushing(Slotted& slot, const Timeline& line, const PlanWorker& worker, Micros length) {
         Micros ready = now_ + stop_time();
-        if (slot.from <= ready || item_->earliest > now_ || hope_of(item_->standing, now_) == Hope::none || plan_.stops.size() >= settings_.stops_most) return;
+        if (slot.from <= ready || item_->earliest > now_ || hope_of(item_->standing, now_) == Hope::none ||
+            plan_.stops.size() >= settings_.stops_most)
+            return;
         std::vector<const PlanRun*> cheap;
         for (const PlanRun& run : worker.runs)
             if (run.backfill && run.checkpoints && run.gang == 0 && may_push(run)) cheap.push_back(&run);
         if (cheap.empty()) return;
         Timeline soft = line;
-        for (const PlanRun* run : cheap) soft.give(run->room, ready, over(*run));
+        for (const PlanRun* run : cheap)
+            soft.give(run->room, ready, over(*run));
         Micros from = soft.earliest(item_->room, length, now_);
         if (from >= slot.from) return;
         Resources free = line.least(from, from + length);
         double waste = 0;
-        std::sort(cheap.begin(), cheap.end(), [](const PlanRun* left, const PlanRun* right) { return std::pair(left->room.cpu, left->id) < std::pair(right->room.cpu, right->id); });
+        std::sort(cheap.begin(), cheap.end(), [](const PlanRun* left, const PlanRun* right) {
+            return std::pair(left->room.cpu, left->id) < std::pair(right->room.cpu, right->id);
+        });
         std::vector<const PlanRun*> push;
         for (const PlanRun* run : cheap) {
             if (free.holds(item_->room)) break;
@@ -360,7 +409,10 @@
         return busy;
     }
     std::uint32_t reservations_each() const { return std::uint32_t(std::max(1.0, settings_.reservations_most / 4)); }
-    bool may_reserve() const { return double(reservations_made_) < settings_.reservations_most && plan_.evaluations <= settings_.evaluations_most; }
+    bool may_reserve() const {
+        return double(reservations_made_) < settings_.reservations_most &&
+               plan_.evaluations <= settings_.evaluations_most;
+    }
     // A task that fits away from its data now waits if a slot near it ends it sooner.
     bool reserve_nearby(std::uint32_t task) {
         if (!may_reserve() || item_->standing.lasting) return false;
@@ -379,8 +431,10 @@
             Slotted slot = earliest_slot(false);
             if (slot.push.empty()) {
                 if (Slotted pushed = push_out(slot); pushed.from < never) slot = pushed, pushing = true;
-            } else if (slot.from <= now_ + stop_time() + settings_.push_early && plan_.stops.size() + slot.push.size() <= settings_.stops_most) {
-                for (const PlanRun* run : slot.push) stop(slot.place, *run);
+            } else if (slot.from <= now_ + stop_time() + settings_.push_early &&
+                       plan_.stops.size() + slot.push.size() <= settings_.stops_most) {
+                for (const PlanRun* run : slot.push)
+                    stop(slot.place, *run);
                 pushing = true;
             }
             if (slot.from >= never) break;
@@ -406,14 +460,19 @@
 
     // --- pushing out ---
 
-    bool outranks(double high, double low) const { return high - low >= std::log2(settings_.ratio_priority) * settings_.points_double; }
+    bool outranks(double high, double low) const {
+        return high - low >= std::log2(settings_.ratio_priority) * settings_.points_double;
+    }
     // The time after which the item would earn less than it can now.
     Micros threshold() const {
         const Standing& standing = item_->standing;
         switch (hope_of(standing, now_)) {
-            case Hope::aim: return standing.due;
-            case Hope::late: return standing.lasting ? never : standing.begun + 3 * (standing.due - standing.begun);
-            case Hope::none: return 0;
+            case Hope::aim:
+                return standing.due;
+            case Hope::late:
+                return standing.lasting ? never : standing.begun + 3 * (standing.due - standing.begun);
+            case Hope::none:
+                return 0;
         }
         return 0;
     }
@@ -426,7 +485,8 @@
     // Whether the ratios allow that a run makes way for this item.
     bool may_push(const PlanRun& run) const {
         if (!run.preemptable || run.stopping || stopped_.contains(run.id)) return false;
-        double invested = double(std::max<Micros>(now_ - run.started, 0)), remaining = double(expected_over(run, now_) - now_);
+        double invested = double(std::max<Micros>(now_ - run.started, 0)),
+               remaining = double(expected_over(run, now_) - now_);
         return remaining >= settings_.ratio_remaining * invested && outranks(points_, points_of(run));
     }
     // Thousandths of a core times microseconds that a stop loses.
@@ -455,7 +515,8 @@
                     if (!may_push(member)) return false;
                     members.emplace_back(other, &member);
                 }
-        for (const auto& member : members) victims.runs.push_back(member), victims.waste += waste_of(*member.second);
+        for (const auto& member : members)
+            victims.runs.push_back(member), victims.waste += waste_of(*member.second);
         return true;
     }
     Slotted push_out(const Slotted& otherwise) {
@@ -475,8 +536,11 @@
             auto victims = victims_on(place, worker);
             if (victims && (!best || victims->waste < best->waste)) best = std::move(victims), best_place = place;
         });
-        if (!best || best->waste > settings_.waste_most * double(item_->room.cpu) * double(item_->duration) || plan_.stops.size() + best->runs.size() > settings_.stops_most) return none;
-        for (const auto& [place, run] : best->runs) stop(place, *run);
+        if (!best || best->waste > settings_.waste_most * double(item_->room.cpu) * double(item_->duration) ||
+            plan_.stops.size() + best->runs.size() > settings_.stops_most)
+            return none;
+        for (const auto& [place, run] : best->runs)
+            stop(place, *run);
         return {best_place, ready, ready + item_->duration, 0, {}};
     }
     std::optional<Victims> victims_on(std::uint32_t place, const PlanWorker& worker) {
@@ -498,7 +562,8 @@
         if (!free.holds(item_->room)) return std::nullopt;
         // Spare what turned out not to be needed, the dearest first.
         for (size_t index = chosen.size(); index-- > 0;)
-            if ((free - chosen[index]->room).holds(item_->room)) free -= chosen[index]->room, chosen.erase(chosen.begin() + std::ptrdiff_t(index));
+            if ((free - chosen[index]->room).holds(item_->room))
+                free -= chosen[index]->room, chosen.erase(chosen.begin() + std::ptrdiff_t(index));
         Victims victims;
         std::set<std::uint64_t> gangs;
         for (const PlanRun* run : chosen) {
@@ -520,7 +585,10 @@
             if (rack.from < never) return start_gang(rack);
             if (whole.from < never) {
                 GangSlot later = item.same_rack && may_reserve() ? gang_later(true) : GangSlot{};
-                if (later.from >= never || later.from + item.duration >= now_ + Micros(double(item.duration) * settings_.remote_factor) || !item.same_rack) return start_gang(whole);
+                if (later.from >= never ||
+                    later.from + item.duration >= now_ + Micros(double(item.duration) * settings_.remote_factor) ||
+                    !item.same_rack)
+                    return start_gang(whole);
                 reserve_gang(later, item.duration);
                 return wait(item.count, Reason::nearby);
             }
@@ -540,8 +608,10 @@
         if (!suitable(place)) return 0;
         ++plan_.evaluations;
         Resources free;
-        if (at <= now_ && !slots_[place].reserved) free = free_of(place);
-        else free = timeline(place).least(at, at + length);
+        if (at <= now_ && !slots_[place].reserved)
+            free = free_of(place);
+        else
+            free = timeline(place).least(at, at + length);
         std::int64_t parts = item_->count;
         const Resources& room = item_->room;
         if (room.cpu > 0) parts = std::min(parts, free.cpu / room.cpu);
@@ -556,7 +626,10 @@
         const Item& item = *item_;
         Micros length = item.duration;
         if (item.same_rack && many_racks) length = Micros(double(length) * settings_.remote_factor);
-        struct Room { double rank; std::uint32_t place, parts, taken; };
+        struct Room {
+            double rank;
+            std::uint32_t place, parts, taken;
+        };
         std::vector<Room> rooms;
         std::uint64_t sum = 0;
         view_.fleet.candidates(item.service, at <= now_ ? item.room : Resources{}, [&](std::uint32_t place) {
@@ -566,7 +639,9 @@
             if (parts) rooms.push_back({rank(place), place, parts, 0}), sum += parts;
         });
         if (sum < item.count) return {};
-        auto worse = [](const Room& left, const Room& right) { return left.rank < right.rank || (left.rank == right.rank && left.place > right.place); };
+        auto worse = [](const Room& left, const Room& right) {
+            return left.rank < right.rank || (left.rank == right.rank && left.place > right.place);
+        };
         std::make_heap(rooms.begin(), rooms.end(), worse);
         GangSlot slot{at, length, {}};
         while (slot.members.size() < item.count) {
@@ -574,16 +649,20 @@
             Room& room = rooms.back();
             slot.members.push_back(room.place);
             const PlanWorker& worker = view_.fleet.at(room.place);
-            double step = settings_.weight_load * (share(worker.capacity, worker.capacity) - share(worker.capacity - item.room, worker.capacity));
+            double step = settings_.weight_load * (share(worker.capacity, worker.capacity) -
+                                                   share(worker.capacity - item.room, worker.capacity));
             room.rank += item.standing.level <= view_.urgent_level ? -step : step;
-            if (++room.taken >= room.parts) rooms.pop_back();
-            else std::push_heap(rooms.begin(), rooms.end(), worse);
+            if (++room.taken >= room.parts)
+                rooms.pop_back();
+            else
+                std::push_heap(rooms.begin(), rooms.end(), worse);
         }
         return slot;
     }
     std::set<Name> racks() const {
         std::set<Name> racks;
-        view_.fleet.candidates(item_->service, {}, [&](std::uint32_t place) { racks.insert(view_.fleet.at(place).rack); });
+        view_.fleet.candidates(item_->service, {},
+                               [&](std::uint32_t place) { racks.insert(view_.fleet.at(place).rack); });
         return racks;
     }
     GangSlot gang_at_rack(Micros at) {
@@ -601,24 +680,30 @@
         });
         std::sort(times.begin() + 1, times.end());
         times.erase(std::unique(times.begin(), times.end()), times.end());
-        auto attempt = [&](size_t index) { return one_rack ? gang_at_rack(times[index]) : gang_slot(times[index], 0, item_->same_rack); };
+        auto attempt = [&](size_t index) {
+            return one_rack ? gang_at_rack(times[index]) : gang_slot(times[index], 0, item_->same_rack);
+        };
         size_t low = 0, high = times.size();  // the answer lies in [low, high)
         GangSlot found;
         while (high - low > 16) {
             size_t middle = low + (high - low) / 2;
             GangSlot slot = attempt(middle);
-            if (slot.from < never) found = std::move(slot), high = middle;
-            else low = middle + 1;
+            if (slot.from < never)
+                found = std::move(slot), high = middle;
+            else
+                low = middle + 1;
         }
         for (size_t index = low; index < high; ++index)
             if (GangSlot slot = attempt(index); slot.from < never) return slot;
         return found;
     }
     void start_gang(const GangSlot& slot) {
-        for (std::uint32_t task = 0; task < slot.members.size(); ++task) start(slot.members[task], task, false);
+        for (std::uint32_t task = 0; task < slot.members.size(); ++task)
+            start(slot.members[task], task, false);
     }
     void reserve_gang(const GangSlot& slot, Micros length) {
-        for (std::uint32_t task = 0; task < slot.members.size(); ++task) reserve_at(slot.members[task], task, slot.from, slot.from + length);
+        for (std::uint32_t task = 0; task < slot.members.size(); ++task)
+            reserve_at(slot.members[task], task, slot.from, slot.from + length);
         ++reservations_made_;
     }
 
@@ -639,6 +724,8 @@
 };
 
 // Example: items.advance(now); demand.advance(now); Plan plan = make_plan({settings, items, fleet, demand, 0, now});
-inline Plan make_plan(const PlanView& view) { return PlanMaker(view).run(); }
+inline Plan make_plan(const PlanView& view) {
+    return PlanMaker(view).run();
+}
 
 }  // namespace calicostall
--- a/source/control/plan/settings.hpp
+++ b/source/control/plan/settings.hpp
@@ -12,13 +12,13 @@
     double remote_factor = 1.5;
     Micros stop_grace = milliseconds(900), restore = milliseconds(250), checkpoint_every = seconds(1);
     // Stage one: points of the static priority.
-    double weight_level = 1000;   // a level of the operator's priority
-    double weight_aim = 500;      // can still make its aim
+    double weight_level = 1000;       // a level of the operator's priority
+    double weight_aim = 500;          // can still make its aim
     double weight_hopeless = 100000;  // taken off what can earn nothing any more
-    double weight_slack = 1;      // a second less of slack, of what can make its aim
-    double weight_waiting = 1;    // a second of waiting, of what is late
-    double weight_room = 1;       // taken off for room: a whole mean worker
-    double points_double = 500;   // so many points more are twice the priority (for the ratio below)
+    double weight_slack = 1;          // a second less of slack, of what can make its aim
+    double weight_waiting = 1;        // a second of waiting, of what is late
+    double weight_room = 1;           // taken off for room: a whole mean worker
+    double points_double = 500;       // so many points more are twice the priority (for the ratio below)
     // Stage two: points of the dynamic rank.
     double weight_load = 1;       // spread or pack: an empty against a full worker
     double weight_demand = 0.25;  // workers whose rack waiting work asks for
@@ -29,9 +29,10 @@
     double slow_pace = 1.8, trust_least = 0.05;
     // Preemption.
     double ratio_priority = 2, ratio_remaining = 0.2, ratio_run = 0.2;
-    double stop_share = 1;        // how much of stop_grace a stop is expected to take
-    Micros push_early = milliseconds(50);  // a stop for a reservation leaves so much early: plans are not made all the time
-    double waste_most = 0.5;      // work lost by stops, against the work that is started for it
+    double stop_share = 1;  // how much of stop_grace a stop is expected to take
+    Micros push_early =
+        milliseconds(50);     // a stop for a reservation leaves so much early: plans are not made all the time
+    double waste_most = 0.5;  // work lost by stops, against the work that is started for it
     // Room kept for urgent queues.
     Micros urgent_memory = seconds(8);
     Micros urgent_length = seconds(4);
@@ -62,7 +63,8 @@
     see("weight-trust", "points taken off a worker without trust", settings.weight_trust);
     see("weight-failed", "points taken off a machine where the task failed", settings.weight_failed);
     see("ratio-priority", "least priority of what pushes out against what is pushed out", settings.ratio_priority);
-    see("ratio-remaining", "least time left of a run against its time so far, to push it out", settings.ratio_remaining);
+    see("ratio-remaining", "least time left of a run against its time so far, to push it out",
+        settings.ratio_remaining);
     see("ratio-run", "least share of its time that work in a gap gets before it may be pushed out", settings.ratio_run);
     see("waste-most", "most work lost by stops against work started for it", settings.waste_most);
     see("urgent-most", "most of a service that is kept for urgent queues", settings.urgent_most);
@@ -70,12 +72,15 @@
 }
 
 inline void PlannerSettings::check(Findings& findings) const {
-    static const std::map<std::string_view, std::pair<double, double>> bounds{{"points-double", {1, 1e6}}, {"ratio-priority", {1.01, 1e6}}, {"ratio-remaining", {0, 100}},
-                                                                              {"ratio-run", {0, 1}}, {"waste-most", {0, 100}}, {"urgent-most", {0, 0.9}}, {"reservations", {0, 1000}}};
+    static const std::map<std::string_view, std::pair<double, double>> bounds{
+        {"points-double", {1, 1e6}}, {"ratio-priority", {1.01, 1e6}}, {"ratio-remaining", {0, 100}},
+        {"ratio-run", {0, 1}},       {"waste-most", {0, 100}},        {"urgent-most", {0, 0.9}},
+        {"reservations", {0, 1000}}};
     each_planner_option(*this, [&](const char* name, const char*, double value) {
         auto found = bounds.find(name);
         auto [least, most] = found == bounds.end() ? std::pair(0.0, 1e6) : found->second;
-        if (!(value >= least && value <= most)) findings.add(fmt::format("--{}", name), fmt::format("must lie between {} and {}", least, most));
+        if (!(value >= least && value <= most))
+            findings.add(fmt::format("--{}", name), fmt::format("must lie between {} and {}", least, most));
     });
 }
 
--- a/source/control/plan/timeline.hpp
+++ b/source/control/plan/timeline.hpp
@@ -6,11 +6,14 @@
 
 constexpr Micros never = std::numeric_limits<Micros>::max() / 4;
 
-// Example: Timeline line(now, free, {{run_end, room}}); line.take(room, from, until); auto at = line.earliest(room, length, now);
+// Example: Timeline line(now, free, {{run_end, room}}); line.take(room, from, until); auto at = line.earliest(room,
+// length, now);
 class Timeline {
 public:
-    explicit Timeline(Micros now, const Resources& free, std::vector<std::pair<Micros, Resources>> ends = {}) : steps_{{now, free}} {
-        std::sort(ends.begin(), ends.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+    explicit Timeline(Micros now, const Resources& free, std::vector<std::pair<Micros, Resources>> ends = {})
+        : steps_{{now, free}} {
+        std::sort(ends.begin(), ends.end(),
+                  [](const auto& left, const auto& right) { return left.first < right.first; });
         steps_.reserve(ends.size() + 4);
         for (const auto& [at, room] : ends) {
             if (at >= never) break;
@@ -22,10 +25,12 @@
     void give(const Resources& room, Micros from, Micros until) { take(Resources{} - room, from, until); }
     void take(const Resources& room, Micros from, Micros until) {
         size_t first = cut(std::max(from, steps_[0].first)), last = until >= never ? steps_.size() : cut(until);
-        for (size_t place = first; place < last; ++place) steps_[place].second -= room;
+        for (size_t place = first; place < last; ++place)
+            steps_[place].second -= room;
     }
     bool holds(const Resources& room, Micros from, Micros until) const {
-        for (size_t place = place_of(from); place < steps_.size() && (place == 0 || steps_[place].first < until); ++place)
+        for (size_t place = place_of(from); place < steps_.size() && (place == 0 || steps_[place].first < until);
+             ++place)
             if (!steps_[place].second.holds(room)) return false;
         return true;
     }
@@ -46,7 +51,8 @@
             Micros at = std::max(start, steps_[place].first);
             if (!steps_[place].second.holds(room)) continue;
             size_t next = place + 1;
-            while (next < steps_.size() && steps_[next].first < at + length && steps_[next].second.holds(room)) ++next;
+            while (next < steps_.size() && steps_[next].first < at + length && steps_[next].second.holds(room))
+                ++next;
             if (next == steps_.size() || steps_[next].first >= at + length) return at;
             place = next;  // that step is too small: go on behind it
         }
@@ -62,7 +68,9 @@
 
 private:
     size_t place_of(Micros at) const {
-        size_t place = size_t(std::upper_bound(steps_.begin(), steps_.end(), at, [](Micros time, const auto& step) { return time < step.first; }) - steps_.begin());
+        size_t place = size_t(std::upper_bound(steps_.begin(), steps_.end(), at,
+                                               [](Micros time, const auto& step) { return time < step.first; }) -
+                              steps_.begin());
         return place == 0 ? 0 : place - 1;
     }
     size_t cut(Micros at) {
--- a/source/control/plan/view.hpp
+++ b/source/control/plan/view.hpp
@@ -26,67 +26,72 @@
     std::int64_t cpu = 0, memory = 0, gpu = 0;
     auto operator<=>(const Resources&) const = default;
     bool holds(const Resources& room) const { return room.cpu <= cpu && room.memory <= memory && room.gpu <= gpu; }
-    Resources& operator+=(const Resources& room) { return cpu += room.cpu, memory += room.memory, gpu += room.gpu, *this; }
-    Resources& operator-=(const Resources& room) { return cpu -= room.cpu, memory -= room.memory, gpu -= room.gpu, *this; }
+    Resources& operator+=(const Resources& room) {
+        return cpu += room.cpu, memory += room.memory, gpu += room.gpu, *this;
+    }
+    Resources& operator-=(const Resources& room) {
+        return cpu -= room.cpu, memory -= room.memory, gpu -= room.gpu, *this;
+    }
     friend Resources operator+(Resources left, const Resources& right) { return left += right; }
     friend Resources operator-(Resources left, const Resources& right) { return left -= right; }
 };
 
 // How a piece of work stands with its owner: what the static priority is made of. All times by one clock.
 struct Standing {
-    std::int64_t level = 0;   // the operator's priority: 0 goes first
-    Micros begun = 0;         // when it was handed in, or fell due
-    Micros due = 0;           // until when it earns everything (its aim)
-    Micros rest = 0;          // the longest chain of work still before it, its own duration included
-    bool lasting = false;     // runs until cancelled: it has no aim
+    std::int64_t level = 0;  // the operator's priority: 0 goes first
+    Micros begun = 0;        // when it was handed in, or fell due
+    Micros due = 0;          // until when it earns everything (its aim)
+    Micros rest = 0;         // the longest chain of work still before it, its own duration included
+    bool lasting = false;    // runs until cancelled: it has no aim
     auto operator<=>(const Standing&) const = default;
 };
 
 // One step of one occurrence of a job that waits: `count` tasks that are alike, or one gang, or one copy of a task.
 struct Item {
-    std::uint64_t id = 0;          // the caller's own number, comes back in the plan
+    std::uint64_t id = 0;  // the caller's own number, comes back in the plan
     Standing standing;
     Name service = 0;
-    Resources room;                // of one task
-    std::uint32_t count = 1;       // tasks that wait; a gang: all of its members
-    Micros duration = 0;           // expected on a sound worker near its data
-    Micros earliest = 0;           // not before this time
-    Name needs = 0;                // only workers with this label
-    Name affinity = 0;             // elsewhere it takes remote_factor times as long
+    Resources room;                   // of one task
+    std::uint32_t count = 1;          // tasks that wait; a gang: all of its members
+    Micros duration = 0;              // expected on a sound worker near its data
+    Micros earliest = 0;              // not before this time
+    Name needs = 0;                   // only workers with this label
+    Name affinity = 0;                // elsewhere it takes remote_factor times as long
     std::uint32_t anti_affinity = 0;  // at most so many of the step on one worker; 0: no bound
-    std::vector<std::pair<std::uint32_t, std::uint32_t>> on_worker;  // how many of the step are there: (worker's place in the fleet, count)
-    std::vector<std::uint32_t> away;  // workers that get none of it (a copy keeps apart from what it is to outrun)
+    std::vector<std::pair<std::uint32_t, std::uint32_t>>
+        on_worker;                        // how many of the step are there: (worker's place in the fleet, count)
+    std::vector<std::uint32_t> away;      // workers that get none of it (a copy keeps apart from what it is to outrun)
     std::vector<std::uint32_t> disliked;  // workers taken last for it: it failed there
     bool gang = false, same_rack = false;
-    bool checkpoints = false;      // a run that is pushed out loses little
-    bool preemptable = true;       // may be pushed out at all
+    bool checkpoints = false;  // a run that is pushed out loses little
+    bool preemptable = true;   // may be pushed out at all
     enum class Blocked : std::uint8_t { no, dependency, due_time, budget };
-    Blocked blocked = Blocked::no; // not its turn: the plan says only why
+    Blocked blocked = Blocked::no;  // not its turn: the plan says only why
 };
 
 // One run that takes room on a worker, orders in doubt and stops under way included.
 struct PlanRun {
-    std::uint64_t id = 0;          // the caller's own number, comes back in the plan
-    Standing standing;             // `rest` as it was at its start
+    std::uint64_t id = 0;  // the caller's own number, comes back in the plan
+    Standing standing;     // `rest` as it was at its start
     Resources room;
     Micros started = 0;
-    Micros expected_end = 0;       // an overdue one: the caller's best guess, or the past
-    std::uint64_t gang = 0;        // the same for all members of one run of a gang; 0: none
+    Micros expected_end = 0;  // an overdue one: the caller's best guess, or the past
+    std::uint64_t gang = 0;   // the same for all members of one run of a gang; 0: none
     bool checkpoints = false;
-    bool preemptable = true;       // running, wanted, and not lasting
-    bool stopping = false;         // its room is expected back at `expected_end`
-    bool backfill = false;         // as the start said
+    bool preemptable = true;  // running, wanted, and not lasting
+    bool stopping = false;    // its room is expected back at `expected_end`
+    bool backfill = false;    // as the start said
 };
 
 struct PlanWorker {
     Name service = 0;
     std::vector<Name> labels;
     Name rack = 0;
-    Resources capacity, free;      // `free` is kept by the fleet
-    double pace = 1;               // 3: its runs take three times as long as their siblings elsewhere
-    double trust = 1;              // 0..1: workers that drop out, refuse or fail earn it back step by step
-    bool open = true;              // takes starts: reconciled, heard of lately, not leaving
-    std::uint32_t runs_most = 0;   // so many runs at once at most, while it shows whether it works again; 0: no bound
+    Resources capacity, free;     // `free` is kept by the fleet
+    double pace = 1;              // 3: its runs take three times as long as their siblings elsewhere
+    double trust = 1;             // 0..1: workers that drop out, refuse or fail earn it back step by step
+    bool open = true;             // takes starts: reconciled, heard of lately, not leaving
+    std::uint32_t runs_most = 0;  // so many runs at once at most, while it shows whether it works again; 0: no bound
     std::vector<PlanRun> runs;
     bool has(Name label) const { return label == 0 || std::find(labels.begin(), labels.end(), label) != labels.end(); }
 };
@@ -98,7 +103,11 @@
     std::uint32_t task = 0, worker = 0;  // task: 0..count-1 of the item
     bool backfill = false;               // it runs into a reservation: when that falls due it may have to give way
 };
-struct Stop { std::uint64_t run = 0; std::uint32_t worker = 0; std::uint64_t for_item = 0; };
+struct Stop {
+    std::uint64_t run = 0;
+    std::uint32_t worker = 0;
+    std::uint64_t for_item = 0;
+};
 struct Reservation {
     std::uint64_t item = 0;
     std::uint32_t task = 0, worker = 0;
@@ -115,20 +124,28 @@
     label,        // no worker has the label or the service
     apart,        // anti-affinity, or a copy that must keep apart
     trust,        // only workers that are not trusted have room
-    dependency, due_time, budget,  // not its turn
-    unfinished,   // this plan's bound on work was reached before it
+    dependency,
+    due_time,
+    budget,      // not its turn
+    unfinished,  // this plan's bound on work was reached before it
 };
 constexpr const char* reason_text(Reason reason) {
-    constexpr std::array<const char*, 13> texts{"room", "reservation", "urgent room", "nearby", "pushing", "gang", "label", "apart", "trust", "dependency", "due time", "budget", "unfinished"};
+    constexpr std::array<const char*, 13> texts{"room",     "reservation", "urgent room", "nearby", "pushing",
+                                                "gang",     "label",       "apart",       "trust",  "dependency",
+                                                "due time", "budget",      "unfinished"};
     return texts[size_t(reason)];
 }
-struct Wait { std::uint64_t item = 0; std::uint32_t tasks = 0; Reason reason = Reason::room; };
+struct Wait {
+    std::uint64_t item = 0;
+    std::uint32_t tasks = 0;
+    Reason reason = Reason::room;
+};
 
 // A place in the order of the waiting items: for each hope the key and id of the first item not looked at.
 using Cursor = std::array<std::pair<double, std::uint64_t>, 3>;
 
 struct Plan {
-    std::vector<Start> starts;              // in the order in which they were decided
+    std::vector<Start> starts;  // in the order in which they were decided
     std::vector<Stop> stops;
     std::vector<Reservation> reservations;  // first ones first; not promises: the next plan makes its own
     std::vector<Wait> waits;                // why tasks wait, one entry an item that was looked at
--- a/source/control/plan/waiting.hpp
+++ b/source/control/plan/waiting.hpp
@@ -20,9 +20,13 @@
 inline double static_points(const PlannerSettings& settings, const Standing& standing, double room_share, Micros now) {
     double points = -settings.weight_level * double(standing.level) - settings.weight_room * room_share;
     switch (hope_of(standing, now)) {
-        case Hope::aim: return points + settings.weight_aim - settings.weight_slack * double(standing.due - standing.rest - now) / 1e6;
-        case Hope::late: return points + settings.weight_waiting * double(now - standing.begun) / 1e6;
-        case Hope::none: return points - settings.weight_hopeless + settings.weight_waiting * double(now - standing.begun) / 1e6;
+        case Hope::aim:
+            return points + settings.weight_aim -
+                   settings.weight_slack * double(standing.due - standing.rest - now) / 1e6;
+        case Hope::late:
+            return points + settings.weight_waiting * double(now - standing.begun) / 1e6;
+        case Hope::none:
+            return points - settings.weight_hopeless + settings.weight_waiting * double(now - standing.begun) / 1e6;
     }
     return points;
 }
@@ -66,7 +70,8 @@
     bool empty() const { return entries_.empty(); }
     void clear() {
         entries_.clear(), changes_.clear(), demand_.clear();
-        for (Order& order : order_) order.clear();
+        for (Order& order : order_)
+            order.clear();
     }
     // Moves the items whose hope has changed; to be called before each plan.
     void advance(Micros now) {
@@ -86,7 +91,8 @@
     template <class See>
     Cursor in_order(Micros now, See see, const std::optional<Cursor>& from = {}) const {
         std::array<Order::const_iterator, 3> at;
-        for (size_t hope = 0; hope < 3; ++hope) at[hope] = from ? order_[hope].lower_bound((*from)[hope]) : order_[hope].begin();
+        for (size_t hope = 0; hope < 3; ++hope)
+            at[hope] = from ? order_[hope].lower_bound((*from)[hope]) : order_[hope].begin();
         for (;;) {
             size_t best = 3;
             double most = 0;
@@ -99,7 +105,8 @@
             ++at[best];
         }
         Cursor cursor;
-        for (size_t hope = 0; hope < 3; ++hope) cursor[hope] = at[hope] == order_[hope].end() ? std::pair(1e300, std::uint64_t(0)) : at[hope]->first;
+        for (size_t hope = 0; hope < 3; ++hope)
+            cursor[hope] = at[hope] == order_[hope].end() ? std::pair(1e300, std::uint64_t(0)) : at[hope]->first;
         return cursor;
     }
     // How many waiting tasks ask for a label (near their data, or at all): the demand on the workers that have it.
@@ -110,7 +117,8 @@
     // Calls `see(item)` for every item, in no order.
     template <class See>
     void each(See see) const {
-        for (const auto& [id, entry] : entries_) see(entry.item);
+        for (const auto& [id, entry] : entries_)
+            see(entry.item);
     }
 
 private:
@@ -125,11 +133,13 @@
     void file(Entry& entry, Micros now) {
         entry.hope = hope_of(entry.item.standing, now);
         // The points at time 0 of the same hope, negated: the set begins with the highest.
-        entry.key = rate(entry.hope) * double(now) / 1e6 - static_points(settings_, entry.item.standing, entry.room_share, now);
+        entry.key =
+            rate(entry.hope) * double(now) / 1e6 - static_points(settings_, entry.item.standing, entry.room_share, now);
         order_[size_t(entry.hope)].emplace(std::pair(entry.key, entry.item.id), &entry);
         const Standing& standing = entry.item.standing;
         if (standing.lasting || entry.hope == Hope::none) return;
-        Micros until = (entry.hope == Hope::aim ? standing.due : standing.begun + 3 * (standing.due - standing.begun)) - standing.rest;
+        Micros until = (entry.hope == Hope::aim ? standing.due : standing.begun + 3 * (standing.due - standing.begun)) -
+                       standing.rest;
         changes_.emplace(until + 1, entry.item.id);
     }
     void demand(const Item& item, int sign) {
--- a/source/control/store/disk.hpp
+++ b/source/control/store/disk.hpp
@@ -25,12 +25,15 @@
         if (int code = mdb_env_create(&environment_)) return mdb_strerror(code);
         mdb_env_set_mapsize(environment_, size_t(std::max<std::int64_t>(16, room_mb_ ? room_mb_ * 3 / 4 : 64)) << 20);
         // One process has the folder, so no lock file; the meta page is synced by hand after each commit.
-        if (int code = mdb_env_open(environment_, folder_.c_str(), MDB_NOLOCK | MDB_NOMETASYNC | MDB_NORDAHEAD, 0644)) return mdb_strerror(code);
+        if (int code = mdb_env_open(environment_, folder_.c_str(), MDB_NOLOCK | MDB_NOMETASYNC | MDB_NORDAHEAD, 0644))
+            return mdb_strerror(code);
         MDB_txn* transaction = nullptr;
         if (int code = mdb_txn_begin(environment_, nullptr, 0, &transaction)) return mdb_strerror(code);
-        if (int code = mdb_dbi_open(transaction, nullptr, 0, &table_)) return mdb_txn_abort(transaction), mdb_strerror(code);
+        if (int code = mdb_dbi_open(transaction, nullptr, 0, &table_))
+            return mdb_txn_abort(transaction), mdb_strerror(code);
         MDB_cursor* cursor = nullptr;
-        if (int code = mdb_cursor_open(transaction, table_, &cursor)) return mdb_txn_abort(transaction), mdb_strerror(code);
+        if (int code = mdb_cursor_open(transaction, table_, &cursor))
+            return mdb_txn_abort(transaction), mdb_strerror(code);
         MDB_val key, value;
         std::string unreadable;
         while (mdb_cursor_get(cursor, &key, &value, MDB_NEXT) == 0) {
@@ -52,8 +55,8 @@
     void start() {
         if (!folder_.empty()) std::thread([this] { run(); }).detach();
     }
-    // `told` is called on the disk's thread once the change, and all earlier ones, are synced; it must be short and wait
-    // for nothing, as the next sync begins only after it.
+    // `told` is called on the disk's thread once the change, and all earlier ones, are synced; it must be short and
+    // wait for nothing, as the next sync begins only after it.
     void put(Change change, Told told) {
         if (folder_.empty()) return told();
         std::unique_lock guard(lock_);
@@ -97,14 +100,16 @@
                 std::lock_guard guard(lock_);
                 busy_ = false;
             }
-            for (Item& item : batch) item.told();
+            for (Item& item : batch)
+                item.told();
         }
     }
     bool commit(const std::vector<Item>& batch, bool identity) {
         MDB_txn* transaction = nullptr;
         if (mdb_txn_begin(environment_, nullptr, 0, &transaction)) return false;
         auto put = [&](const std::string& name, const std::string& bytes) {
-            MDB_val key{name.size(), const_cast<char*>(name.data())}, value{bytes.size(), const_cast<char*>(bytes.data())};
+            MDB_val key{name.size(), const_cast<char*>(name.data())},
+                value{bytes.size(), const_cast<char*>(bytes.data())};
             return mdb_put(transaction, table_, &key, &value, 0) == 0;
         };
         bool good = true;
