--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -10,7 +10,8 @@
     Micros retry = milliseconds(100);
     Micros ask_again = milliseconds(30);  // a daemon that does not trust this one yet
     size_t batch_bytes = 512 * 1024;
-    // Under load changes are gathered for half as long as the last write took, at most so long; after a pause nothing waits.
+    // Under load changes are gathered for half as long as the last write took, at most so long; after a pause nothing
+    // waits.
     Micros gather_most = milliseconds(6);
 };
 
@@ -49,7 +50,8 @@
         epoch_ = Epoch{(std::max(seen.value, epoch_.value) / number_room + 1) * number_room + me->number % number_room};
         mine_ = std::move(mine);
         Holdings known;
-        for (const auto& [key, value] : mine_) known.list.push_back({key, value.epoch, value.version});
+        for (const auto& [key, value] : mine_)
+            known.list.push_back({key, value.epoch, value.version});
         known_ = pack(known);
         core_epoch_ = Epoch{};
         core_version_ = Version{};
@@ -63,7 +65,8 @@
         change_state(State::idle);
         confirmed_at_ = -1;
         std::vector<Told> told;
-        for (Wait& wait : waits_) told.push_back(std::move(wait.told));
+        for (Wait& wait : waits_)
+            told.push_back(std::move(wait.told));
         waits_.clear();
         links_.clear();
         registers_.clear();
@@ -74,7 +77,8 @@
         tombs_.clear();
         learners_.clear();
         floor_version_ = Version{};
-        for (Told& each : told) each(false);
+        for (Told& each : told)
+            each(false);
     }
 
     // Proposes the key's next value. `told` is called once a majority has it (or with false when given up).
@@ -92,7 +96,8 @@
             Missing& missing = link.dirty[key];
             missing.replaces = missing.replaces || patch.all;
             missing.whole = missing.whole || fixed;
-            for (const Part& part : patch.parts) missing.parts.insert(part.number);
+            for (const Part& part : patch.parts)
+                missing.parts.insert(part.number);
         }
         if (told) waits_.push_back({key, value.version, 0, std::move(told)});
     }
@@ -137,7 +142,8 @@
     }
     bool reaches_majority(Micros since) const {
         size_t count = 0;
-        for (const Member& member : core_.members) count += member.identity == self_ || heard_since(member.identity, since);
+        for (const Member& member : core_.members)
+            count += member.identity == self_ || heard_since(member.identity, since);
         return count >= core_.majority();
     }
 
@@ -159,7 +165,10 @@
                 // The own promise is raised last: until the others trust this daemon, the present owner is left alone.
                 if (identity == self_ && grants_.size() + 1 < core_.majority()) continue;
                 bool sounding = identity != self_ && !link.ready;
-                errands.push_back(dispatch(link, now, PrepareAsk{self_, identity, epoch_, sounding ? PrepareKind::sounding : PrepareKind::grant, sounding ? "" : known_}));
+                errands.push_back(
+                    dispatch(link, now,
+                             PrepareAsk{self_, identity, epoch_, sounding ? PrepareKind::sounding : PrepareKind::grant,
+                                        sounding ? "" : known_}));
             } else if (!link.compared) {
                 // One that was not among the majority: what it holds is learnt before it is written to.
                 errands.push_back(dispatch(link, now, PrepareAsk{self_, identity, epoch_, PrepareKind::late, known_}));
@@ -174,7 +183,8 @@
     std::optional<Micros> next_pump() const {
         std::optional<Micros> next;
         for (const auto& [identity, link] : links_)
-            if (!link.flying && (!link.dirty.empty() || link.round < round_wanted_)) next = std::min(next.value_or(link.not_before), link.not_before);
+            if (!link.flying && (!link.dirty.empty() || link.round < round_wanted_))
+                next = std::min(next.value_or(link.not_before), link.not_before);
         return next;
     }
 
@@ -185,14 +195,17 @@
         if (!answer) return hold_off(*link, now);
         link->heard_at = now;
         switch (answer->verdict) {
-            case Verdict::ready: link->ready = true; return;
+            case Verdict::ready:
+                link->ready = true;
+                return;
             case Verdict::granted:
                 if (state_ != State::preparing) return compare(*link, *answer);
                 grants_[link->member.identity] = *answer;
                 adopt_core(*answer);
                 if (state_ == State::preparing && granted_majority()) begin_handing();
                 return;
-            default: break;
+            default:
+                break;
         }
         if (answer->promised > epoch_) return outbid(answer->promised);
         if (answer->verdict == Verdict::stranger) link->gone = true;
@@ -242,7 +255,8 @@
         if (link->completing && lacking.empty()) link->synced = true;
         link->round = std::max(link->round, link->flying_round);
         link->answered_from = link->sent_at;
-        for (const std::string& key : buried) settle_tomb(key);
+        for (const std::string& key : buried)
+            settle_tomb(key);
         if (state_ == State::handing && synced_majority()) change_state(State::acting);
         note_confirmation();
         tell();
@@ -321,18 +335,23 @@
 
     void tie_links() {
         std::map<Identity, Member> wanted;
-        for (const Member& member : core_.members) wanted[member.identity] = member;
-        for (const auto& [identity, member] : learners_) wanted[identity] = member;
+        for (const Member& member : core_.members)
+            wanted[member.identity] = member;
+        for (const auto& [identity, member] : learners_)
+            wanted[identity] = member;
         std::erase_if(links_, [&](const auto& each) { return !wanted.contains(each.first); });
-        for (const auto& [identity, member] : wanted) links_[identity].member = member;
+        for (const auto& [identity, member] : wanted)
+            links_[identity].member = member;
     }
     std::optional<WriteAsk> next_write(Identity identity, Link& link) {
-        if (link.dirty.empty() && link.purges.empty() && link.round >= round_wanted_ && link.synced) return std::nullopt;
+        if (link.dirty.empty() && link.purges.empty() && link.round >= round_wanted_ && link.synced)
+            return std::nullopt;
         WriteAsk ask{self_, identity, epoch_, false, false, {}, {}, link.adopting, {}};
         if (link.adopting) ask.excepted = link.excepted;
         size_t bytes = 0;
         link.in_flight.clear();
-        for (auto each = link.dirty.begin(); each != link.dirty.end() && bytes < settings_.batch_bytes; each = link.dirty.erase(each)) {
+        for (auto each = link.dirty.begin(); each != link.dirty.end() && bytes < settings_.batch_bytes;
+             each = link.dirty.erase(each)) {
             const auto& [key, missing] = *each;
             const Register& value = registers_.at(key);
             auto has = link.has.find(key);
@@ -344,7 +363,8 @@
                 entry.fixed = value.fixed;
             }
             if (entry.carries == Carries::all || missing.replaces) {
-                for (const auto& [number, part] : value.parts) entry.parts.push_back({number, part});
+                for (const auto& [number, part] : value.parts)
+                    entry.parts.push_back({number, part});
             } else {
                 for (std::uint64_t number : missing.parts) {
                     auto part = value.parts.find(number);
@@ -352,11 +372,13 @@
                 }
             }
             bytes += key.size() + entry.fixed.size() + entry.moving.size() + 32;
-            for (const Part& part : entry.parts) bytes += part.bytes.size() + 12;
+            for (const Part& part : entry.parts)
+                bytes += part.bytes.size() + 12;
             link.in_flight[key] = {value.version, std::move(each->second)};
             ask.entries.push_back(std::move(entry));
         }
-        for (const auto& [key, version] : link.purges) ask.purges.push_back({key, version});
+        for (const auto& [key, version] : link.purges)
+            ask.purges.push_back({key, version});
         link.purging = link.purges;
         ask.complete = !link.synced && link.dirty.empty();
         ask.level = link.dirty.empty();
@@ -366,7 +388,8 @@
     }
     bool granted_majority() const {
         size_t count = 0;
-        for (const Member& member : core_.members) count += grants_.contains(member.identity);
+        for (const Member& member : core_.members)
+            count += grants_.contains(member.identity);
         return count >= core_.majority() && grants_.contains(self_);
     }
     bool synced_majority() const {
@@ -384,7 +407,8 @@
             std::optional<Core> core = unpack_core(each.value.moving);
             auto mine = mine_.find("core");
             if (mine != mine_.end() && !each.value.newer_than(mine->second)) continue;
-            if (!core || std::tie(each.value.epoch, each.value.version) <= std::tie(core_epoch_, core_version_)) continue;
+            if (!core || std::tie(each.value.epoch, each.value.version) <= std::tie(core_epoch_, core_version_))
+                continue;
             core_epoch_ = each.value.epoch;
             core_version_ = each.value.version;
             core_ = *core;
@@ -395,19 +419,25 @@
     // What a member holds, from its answer: all of `mine_` but for what it named.
     std::map<std::string, Content> holdings(const PrepareAnswer& answer) const {
         std::map<std::string, Content> held;
-        for (const auto& [key, value] : mine_) held.emplace_hint(held.end(), key, Content{value.epoch, value.version});
-        for (const std::string& key : answer.lacking) held.erase(key);
-        for (const KeyedRegister& each : answer.registers) held[each.key] = {each.value.epoch, each.value.version};
+        for (const auto& [key, value] : mine_)
+            held.emplace_hint(held.end(), key, Content{value.epoch, value.version});
+        for (const std::string& key : answer.lacking)
+            held.erase(key);
+        for (const KeyedRegister& each : answer.registers)
+            held[each.key] = {each.value.epoch, each.value.version};
         return held;
     }
     void begin_handing() {
         Epoch floor;
-        for (const auto& [identity, grant] : grants_) floor = std::max(floor, grant.synced);
+        for (const auto& [identity, grant] : grants_)
+            floor = std::max(floor, grant.synced);
         registers_.clear();
-        // The newest value of each key on the majority. What was known is on it unless each of them lacks it or has another.
+        // The newest value of each key on the majority. What was known is on it unless each of them lacks it or has
+        // another.
         std::map<std::string, size_t> elsewhere;
         for (const auto& [identity, grant] : grants_) {
-            for (const std::string& key : grant.lacking) elsewhere[key]++;
+            for (const std::string& key : grant.lacking)
+                elsewhere[key]++;
             for (const KeyedRegister& each : grant.registers)
                 if (mine_.contains(each.key)) elsewhere[each.key]++;
         }
@@ -421,7 +451,8 @@
             if (found == elsewhere.end() || found->second < grants_.size()) weigh(key, value);
         }
         for (const auto& [identity, grant] : grants_)
-            for (const KeyedRegister& each : grant.registers) weigh(each.key, each.value);
+            for (const KeyedRegister& each : grant.registers)
+                weigh(each.key, each.value);
         for (auto& [key, value] : registers_) {
             chosen_[key] = {value.epoch, value.version};
             value.epoch = epoch_;
@@ -435,7 +466,8 @@
             if (auto grant = grants_.find(identity); grant != grants_.end()) compare(link, grant->second);
         }
         // The contents are in `registers_` now; of what was known its epochs and versions are still needed.
-        for (auto& [key, value] : mine_) value.fixed.clear(), value.moving.clear(), value.parts.clear();
+        for (auto& [key, value] : mine_)
+            value.fixed.clear(), value.moving.clear(), value.parts.clear();
         grants_.clear();
         change_state(State::handing);
     }
@@ -452,14 +484,19 @@
                 continue;
             }
             auto chosen = chosen_.find(key);
-            bool alike = content == Content{epoch_, value->second.version} || (chosen != chosen_.end() && content == chosen->second);
-            if (alike) link.alike[key] = content.second;
-            else link.excepted.push_back(key);
+            bool alike = content == Content{epoch_, value->second.version} ||
+                         (chosen != chosen_.end() && content == chosen->second);
+            if (alike)
+                link.alike[key] = content.second;
+            else
+                link.excepted.push_back(key);
         }
         for (const auto& [key, value] : registers_) {
             auto alike = link.alike.find(key);
-            if (alike == link.alike.end() || alike->second != value.version) link.dirty[key].whole = true;
-            else link.dirty.erase(key);
+            if (alike == link.alike.end() || alike->second != value.version)
+                link.dirty[key].whole = true;
+            else
+                link.dirty.erase(key);
         }
     }
     void settle_tomb(const std::string& key) {
@@ -502,14 +539,16 @@
             times.push_back(link == links_.end() ? -1 : link->second.answered_from);
         }
         std::sort(times.rbegin(), times.rend());
-        if (acting() && times.size() >= core_.majority()) confirmed_at_ = std::max(confirmed_at_, times[core_.majority() - 1]);
+        if (acting() && times.size() >= core_.majority())
+            confirmed_at_ = std::max(confirmed_at_, times[core_.majority() - 1]);
     }
     void tell() {
         if (!acting()) return;
         std::vector<Told> told;
         for (auto wait = waits_.begin(); wait != waits_.end();) {
             auto found = registers_.find(wait->key);
-            bool held = wait->version.value == 0 || found == registers_.end() || holders(wait->key, wait->version) >= core_.majority();
+            bool held = wait->version.value == 0 || found == registers_.end() ||
+                        holders(wait->key, wait->version) >= core_.majority();
             if (held && rounders(wait->round) >= core_.majority()) {
                 told.push_back(std::move(wait->told));
                 wait = waits_.erase(wait);
@@ -517,7 +556,8 @@
                 ++wait;
             }
         }
-        for (Told& each : told) each(true);
+        for (Told& each : told)
+            each(true);
     }
 
 public:
@@ -536,9 +576,9 @@
     Micros confirmed_at_ = -1;
     std::uint64_t takeovers_ = 0, last_ticket_ = 0, round_wanted_ = 0;
     std::map<std::string, Register> registers_;
-    std::map<std::string, Register> mine_;        // what the own replica held when the takeover began
-    std::string known_;                           // the same as packed Holdings
-    std::map<std::string, Content> chosen_;       // which contents the takeover settled on
+    std::map<std::string, Register> mine_;   // what the own replica held when the takeover began
+    std::string known_;                      // the same as packed Holdings
+    std::map<std::string, Content> chosen_;  // which contents the takeover settled on
     std::map<Identity, Link> links_;
     std::map<Identity, PrepareAnswer> grants_;
     std::map<Identity, Member> learners_;
--- a/source/control/store/register.hpp
+++ b/source/control/store/register.hpp
@@ -10,7 +10,9 @@
     std::string bytes;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(number), visit(bytes); }
+    void describe(Visitor& visit) {
+        visit(number), visit(bytes);
+    }
     bool operator==(const Part&) const = default;
 };
 
@@ -20,7 +22,8 @@
     std::string moving;
     std::vector<Part> parts;
     bool all = false;
-    Patch(std::string moving = {}, std::vector<Part> parts = {}, bool all = false) : moving(std::move(moving)), parts(std::move(parts)), all(all) {}
+    Patch(std::string moving = {}, std::vector<Part> parts = {}, bool all = false)
+        : moving(std::move(moving)), parts(std::move(parts)), all(all) {}
     Patch(const char* moving) : moving(moving) {}
 };
 
@@ -34,15 +37,21 @@
     std::map<std::uint64_t, std::string> parts;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(epoch), visit(version), visit(fixed), visit(moving), visit(parts); }
+    void describe(Visitor& visit) {
+        visit(epoch), visit(version), visit(fixed), visit(moving), visit(parts);
+    }
     bool operator==(const Register&) const = default;
-    bool newer_than(const Register& other) const { return std::tie(epoch, version) > std::tie(other.epoch, other.version); }
+    bool newer_than(const Register& other) const {
+        return std::tie(epoch, version) > std::tie(other.epoch, other.version);
+    }
     bool empty() const { return fixed.empty() && moving.empty() && parts.empty(); }
     void change(const std::vector<Part>& changed, bool all) {
         if (all) parts.clear();
         for (const Part& part : changed) {
-            if (part.bytes.empty()) parts.erase(part.number);
-            else parts[part.number] = part.bytes;
+            if (part.bytes.empty())
+                parts.erase(part.number);
+            else
+                parts[part.number] = part.bytes;
         }
     }
 };
@@ -55,7 +64,9 @@
     std::string control;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(number), visit(identity), visit(address), visit(control); }
+    void describe(Visitor& visit) {
+        visit(number), visit(identity), visit(address), visit(control);
+    }
 };
 
 struct Core {
@@ -64,7 +75,9 @@
     std::uint64_t size_wanted = 0;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(members), visit(next_number), visit(size_wanted); }
+    void describe(Visitor& visit) {
+        visit(members), visit(next_number), visit(size_wanted);
+    }
 
     size_t majority() const { return members.size() / 2 + 1; }
     const Member* find(Identity identity) const {
@@ -84,7 +97,9 @@
     Register value;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(key), visit(value); }
+    void describe(Visitor& visit) {
+        visit(key), visit(value);
+    }
 };
 
 // That somebody holds a key, and which content of it.
@@ -94,17 +109,22 @@
     Version version;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(key), visit(epoch), visit(version); }
+    void describe(Visitor& visit) {
+        visit(key), visit(epoch), visit(version);
+    }
 };
 struct Holdings {
     std::vector<Holding> list;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(list); }
+    void describe(Visitor& visit) {
+        visit(list);
+    }
 };
 
 // sounding: would it be granted? (nothing is promised, and nothing big is sent to one that does not trust the asker)
-// grant: the ordinary prepare. late: the epoch has its majority, and only what the replica holds is wanted, without contents.
+// grant: the ordinary prepare. late: the epoch has its majority, and only what the replica holds is wanted, without
+// contents.
 enum class PrepareKind { grant, sounding, late };
 
 struct PrepareAsk {
@@ -114,7 +134,9 @@
     std::string known;  // packed Holdings, sorted by key: what the asker has already
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(from), visit(to), visit(epoch), visit(kind), visit(known); }
+    void describe(Visitor& visit) {
+        visit(from), visit(to), visit(epoch), visit(kind), visit(known);
+    }
 };
 
 // ready: a sounding that would be granted.
@@ -128,7 +150,9 @@
     std::vector<std::string> lacking;      // known there and not held here
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(verdict), visit(promised), visit(synced), visit(wall), visit(registers), visit(lacking); }
+    void describe(Visitor& visit) {
+        visit(verdict), visit(promised), visit(synced), visit(wall), visit(registers), visit(lacking);
+    }
 };
 
 // How much of a register a write carries: all of it, or what changed since the version `base` of the same epoch.
@@ -145,7 +169,8 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(key), visit(carries), visit(epoch), visit(version), visit(base), visit(fixed), visit(moving), visit(parts), visit(replaces);
+        visit(key), visit(carries), visit(epoch), visit(version), visit(base), visit(fixed), visit(moving),
+            visit(parts), visit(replaces);
     }
 };
 
@@ -155,7 +180,9 @@
     Version version;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(key), visit(version); }
+    void describe(Visitor& visit) {
+        visit(key), visit(version);
+    }
 };
 
 struct WriteAsk {
@@ -165,12 +192,13 @@
     bool level = false;     // after these entries nothing more is waiting for the replica
     std::vector<WriteEntry> entries;
     std::vector<Purge> purges;
-    bool adopt = false;                // once an epoch: all that the replica holds gets this epoch,
+    bool adopt = false;                 // once an epoch: all that the replica holds gets this epoch,
     std::vector<std::string> excepted;  // but these keys
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(from), visit(to), visit(epoch), visit(complete), visit(level), visit(entries), visit(purges), visit(adopt), visit(excepted);
+        visit(from), visit(to), visit(epoch), visit(complete), visit(level), visit(entries), visit(purges),
+            visit(adopt), visit(excepted);
     }
 };
 
@@ -181,7 +209,9 @@
     std::vector<std::string> lacking;  // keys of which the replica does not have what the entry builds on
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(verdict), visit(promised), visit(wall), visit(lacking); }
+    void describe(Visitor& visit) {
+        visit(verdict), visit(promised), visit(wall), visit(lacking);
+    }
 };
 
 }  // namespace calicostall
--- a/source/forecast/demand.hpp
+++ b/source/forecast/demand.hpp
@@ -7,12 +7,12 @@
 namespace calicostall {
 
 struct ForecastSettings {
-    size_t ahead = 6;          // spans
-    size_t warm_up = 6;        // spans before the first forecast
-    size_t season = 0;         // spans in a season, 0: none
-    double pressure = 0.85;    // the share of the fleet from which urgent work is expected to wait
-    double caution = 1.28;     // how many deviations above the mean count as the upper edge (nine of ten)
-    double waited_least = 1;   // task-seconds of urgent waiting in a span that count as an event
+    size_t ahead = 6;         // spans
+    size_t warm_up = 6;       // spans before the first forecast
+    size_t season = 0;        // spans in a season, 0: none
+    double pressure = 0.85;   // the share of the fleet from which urgent work is expected to wait
+    double caution = 1.28;    // how many deviations above the mean count as the upper edge (nine of ten)
+    double waited_least = 1;  // task-seconds of urgent waiting in a span that count as an event
 };
 
 // Level, trend and, where a season is given, the usual course within it.
@@ -41,7 +41,9 @@
         return std::max(0.0, level_ + slope_ * double(ahead) + usual);
     }
     // What the value hardly exceeds: mean absolute deviations, widened with distance.
-    double upper(size_t ahead, double caution) const { return mean(ahead) + caution * 1.25 * deviation_ * std::sqrt(1 + 0.12 * double(ahead)); }
+    double upper(size_t ahead, double caution) const {
+        return mean(ahead) + caution * 1.25 * deviation_ * std::sqrt(1 + 0.12 * double(ahead));
+    }
 
 private:
     std::vector<double> season_;
@@ -93,7 +95,8 @@
         all.queues.push_back(std::move(mine));
     }
     // Urgent queues are taken together for the edge: not all of them are high at once.
-    for (double value : urgent_values) urgent.add(value);
+    for (double value : urgent_values)
+        urgent.add(value);
     for (auto span = history.fleet.begin(); span != history.fleet.end() && span->first < until; ++span)
         if (span->second > 0) all.fleet = span->second;
     for (size_t ahead = 1; ahead <= settings.ahead; ++ahead) {
@@ -120,7 +123,8 @@
     size_t forecasts = 0, warnings = 0, false_warnings = 0;
     double mean_off = 0;  // mean absolute difference of the next span's forecast, as a share of the mean demand
     size_t missed() const {
-        return size_t(std::count_if(events.begin(), events.end(), [](const Event& event) { return !event.warned_before; }));
+        return size_t(
+            std::count_if(events.begin(), events.end(), [](const Event& event) { return !event.warned_before; }));
     }
 };
 
@@ -132,7 +136,8 @@
     double demand = 0, off = 0;
     for (const auto& [name, queue] : history.queues)
         if (queue.priority == most_urgent)
-            for (const auto& [span, value] : queue.spans) waited[span] += value.waited;
+            for (const auto& [span, value] : queue.spans)
+                waited[span] += value.waited;
     std::map<std::int64_t, size_t> warned;  // span at which the warning was given -> how many spans ahead it pointed
     for (std::int64_t span = history.first + std::int64_t(settings.warm_up); span <= history.last; ++span) {
         Forecast forecast = forecast_demand(history, span, settings);
@@ -142,7 +147,8 @@
         for (const auto& queue : forecast.queues) {
             told += queue.mean.front();
             auto found = history.queues.at(queue.queue).spans.find(span);
-            if (found != history.queues.at(queue.queue).spans.end()) next += found->second.arrived / (double(history.length) / 1e6);
+            if (found != history.queues.at(queue.queue).spans.end())
+                next += found->second.arrived / (double(history.length) / 1e6);
         }
         demand += next;
         off += std::abs(next - told);
@@ -166,7 +172,8 @@
     }
     for (const auto& [at, ahead] : warned) {
         bool hit = false;
-        for (std::int64_t span = at; span < at + std::int64_t(settings.ahead); ++span) hit = hit || is_event(span);
+        for (std::int64_t span = at; span < at + std::int64_t(settings.ahead); ++span)
+            hit = hit || is_event(span);
         test.false_warnings += !hit;
     }
     return test;
--- a/source/forecast/history.hpp
+++ b/source/forecast/history.hpp
@@ -12,19 +12,27 @@
 
 // What one owner saw of one queue in one span.
 struct QueueSpan {
-    std::int64_t span = 0;        // number of the span since 1970
+    std::int64_t span = 0;  // number of the span since 1970
     Micros length = 0;
     std::string queue;
     std::int64_t priority = 0;
-    double arrived = 0;           // accelerator-seconds of the tasks that came, as expected from what was learnt
-    double used = 0;              // accelerator-seconds of the runs that ended
-    double waited = 0;            // task-seconds that tasks were ready and had no worker
-    double fleet = 0;             // accelerators in the fleet, mean over the span
-    bool whole = true;            // false: this owner held the record for a part of the span only
+    double arrived = 0;  // accelerator-seconds of the tasks that came, as expected from what was learnt
+    double used = 0;     // accelerator-seconds of the runs that ended
+    double waited = 0;   // task-seconds that tasks were ready and had no worker
+    double fleet = 0;    // accelerators in the fleet, mean over the span
+    bool whole = true;   // false: this owner held the record for a part of the span only
 
     // Example: "{"span":4,"length_ms":60000,"queue":"a.example/q/","priority":0,"arrived":12.5,...}"
     std::string line() const {
-        return boost::json::serialize(boost::json::object{{"span", span}, {"length_ms", length / 1000}, {"queue", queue}, {"priority", priority}, {"arrived", arrived}, {"used", used}, {"waited", waited}, {"fleet", fleet}, {"whole", whole}});
+        return boost::json::serialize(boost::json::object{{"span", span},
+                                                          {"length_ms", length / 1000},
+                                                          {"queue", queue},
+                                                          {"priority", priority},
+                                                          {"arrived", arrived},
+                                                          {"used", used},
+                                                          {"waited", waited},
+                                                          {"fleet", fleet},
+                                                          {"whole", whole}});
     }
 };
 
@@ -42,7 +50,8 @@
     bool empty() const { return queues.empty(); }
     std::int64_t most_urgent() const {
         std::int64_t least = std::numeric_limits<std::int64_t>::max();
-        for (const auto& [name, queue] : queues) least = std::min(least, queue.priority);
+        for (const auto& [name, queue] : queues)
+            least = std::min(least, queue.priority);
         return least;
     }
 };
@@ -57,7 +66,9 @@
         text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
         ++line_number;
         size_t mark = line.find("history {");
-        std::string_view body = mark != std::string_view::npos ? line.substr(mark + 8) : line.starts_with('{') ? line : std::string_view();
+        std::string_view body = mark != std::string_view::npos ? line.substr(mark + 8)
+                                : line.starts_with('{')        ? line
+                                                               : std::string_view();
         if (body.empty()) continue;
         std::string where = fmt::format("{}:{}", name, line_number);
         boost::system::error_code error;
@@ -69,7 +80,8 @@
         const auto& object = value.as_object();
         auto number = [&](std::string_view field) {
             const auto* found = object.if_contains(field);
-            if (!found || !found->is_number()) return findings.add(where, fmt::format("'{}' is missing or no number", field)), 0.0;
+            if (!found || !found->is_number())
+                return findings.add(where, fmt::format("'{}' is missing or no number", field)), 0.0;
             double read = found->to_number<double>();
             if (!(read >= 0) || read > 1e15) findings.add(where, fmt::format("'{}' is out of range", field));
             return read;
@@ -84,12 +96,15 @@
         span.waited = number("waited");
         span.fleet = number("fleet");
         const auto* queue = object.if_contains("queue");
-        if (!queue || !queue->is_string()) findings.add(where, "'queue' is missing or no text");
-        else span.queue = std::string(queue->as_string());
+        if (!queue || !queue->is_string())
+            findings.add(where, "'queue' is missing or no text");
+        else
+            span.queue = std::string(queue->as_string());
         const auto* whole = object.if_contains("whole");
         span.whole = !whole || !whole->is_bool() || whole->as_bool();
         if (span.length <= 0) findings.add(where, "'length_ms' must be above 0");
-        if (history.length != 0 && span.length > 0 && span.length != history.length) findings.add(where, "has another length than the spans before it");
+        if (history.length != 0 && span.length > 0 && span.length != history.length)
+            findings.add(where, "has another length than the spans before it");
         if (findings.list().size() != before) continue;
         if (history.empty()) history.first = history.last = span.span;
         history.length = span.length;
--- a/source/front.hpp
+++ b/source/front.hpp
@@ -23,11 +23,13 @@
     Front(FrontSettings settings, Loop& loop)
         : settings_(std::move(settings)),
           loop_(loop),
-          locator_({settings_.machine.node, replicas(settings_.machine), 2, seconds(5), true}, loop, [this] { take_news(); }) {}
+          locator_({settings_.machine.node, replicas(settings_.machine), 2, seconds(5), true}, loop,
+                   [this] { take_news(); }) {}
 
     Findings open() {
         Findings findings;
-        auto listen = [&](std::unique_ptr<Listener>& listener, const std::string& address, const char* place, size_t body, Listener::Take take) {
+        auto listen = [&](std::unique_ptr<Listener>& listener, const std::string& address, const char* place,
+                          size_t body, Listener::Take take) {
             if (address.empty()) return;
             try {
                 listener = std::make_unique<Listener>(address, Listener::Limits{.body_bytes = body}, std::move(take));
@@ -36,7 +38,8 @@
                 findings.add(place, fmt::format("{}: {}", address, error.what()));
             }
         };
-        listen(front_, settings_.machine.front, "bind_addrs.front", 8 << 20, [this](Request request) { take(std::move(request)); });
+        listen(front_, settings_.machine.front, "bind_addrs.front", 8 << 20,
+               [this](Request request) { take(std::move(request)); });
         listen(readiness_, settings_.machine.readiness, "bind_addrs.readiness", 4096, [this](Request request) {
             request.reply.send(Response::plain(request.path == "/ready" && ready() ? 200 : 503));
         });
@@ -58,7 +61,8 @@
 
     static std::vector<std::string> replicas(const Settings& machine) {
         std::vector<std::string> addresses;
-        for (const std::string& seed : machine.seeds) addresses.push_back(fmt::format("{}:{}", address_host(seed), machine.first_port));
+        for (const std::string& seed : machine.seeds)
+            addresses.push_back(fmt::format("{}:{}", address_host(seed), machine.first_port));
         return addresses;
     }
 
@@ -121,7 +125,8 @@
         }
         const Queue* queue = config_.find(request.host, request.path);
         Micros patience = settings_.patience_most;
-        if (!request.deadline_ms.empty()) patience = std::min(patience, Micros(std::atoll(request.deadline_ms.c_str())) * 1000 - milliseconds(100));
+        if (!request.deadline_ms.empty())
+            patience = std::min(patience, Micros(std::atoll(request.deadline_ms.c_str())) * 1000 - milliseconds(100));
         if (queue) patience = std::min(patience, queue->patience - milliseconds(100));
         Waiting waiting;
         waiting.reply = std::move(request.reply);
@@ -166,7 +171,8 @@
                 waiting_.take(handle)->reply.send(response);
                 return;
             }
-            if (!(frame && frame->fate == CallFate::elsewhere) && answer.fate != Answer::Fate::refused) waiting->doubtful = true;
+            if (!(frame && frame->fate == CallFate::elsewhere) && answer.fate != Answer::Fate::refused)
+                waiting->doubtful = true;
             counters().add("sends_again");
             if (waiting->flying > 0) return;
             // An owner that has just been elected says so for a moment; silence is a reason to go elsewhere.
--- a/source/hollow/experiment.hpp
+++ b/source/hollow/experiment.hpp
@@ -8,13 +8,13 @@
 // One load, held for a while. `workers` may rise from step to step and never falls.
 struct HollowStep {
     std::int64_t workers = 10;
-    double starts_per_s = 10;      // of tasks, by jobs that arrive at random
-    std::int64_t running = 0;      // long tasks that are there before the measuring begins
+    double starts_per_s = 10;  // of tasks, by jobs that arrive at random
+    std::int64_t running = 0;  // long tasks that are there before the measuring begins
     std::int64_t gang = 1;
     std::int64_t tasks_per_job = 10;
-    std::int64_t teams = 1;        // a queue each
-    double changes_per_s = 0;      // of the configuration
-    double looks_per_s = 0;        // clients that ask for a job's state
+    std::int64_t teams = 1;    // a queue each
+    double changes_per_s = 0;  // of the configuration
+    double looks_per_s = 0;    // clients that ask for a job's state
     Micros task_length = milliseconds(500);
     Micros warm = seconds(3), length = seconds(10);
 };
@@ -30,9 +30,9 @@
     std::vector<std::string> controls, fronts;  // on 127.0.0.0/8
     std::int64_t first_port = 7720;
     std::int64_t zones = 8;
-    std::int64_t threads = 2;                   // that run sides
-    std::int64_t hollow_fronts = 0;             // that only ask for news, with the configuration
-    double cpu_share = 0;                       // inside: its clock is charged for the time taken at this share of a core; 0: not
+    std::int64_t threads = 2;        // that run sides
+    std::int64_t hollow_fronts = 0;  // that only ask for news, with the configuration
+    double cpu_share = 0;            // inside: its clock is charged for the time taken at this share of a core; 0: not
     std::int64_t worker_cpu = 64000, worker_memory = 262144, task_cpu = 100, task_memory = 64;
     std::int64_t spec_bytes = 200;
     std::vector<HollowStep> steps;
@@ -44,17 +44,24 @@
     if (mark == std::string::npos) return false;
     std::vector<std::int64_t> parts(1, -1);
     for (char letter : address.substr(0, mark)) {
-        if (letter == '.') parts.push_back(-1);
-        else if (letter < '0' || letter > '9') return false;
-        else if (std::int64_t& part = parts.back(); (part = std::max<std::int64_t>(part, 0) * 10 + (letter - '0')) > 255) return false;
+        if (letter == '.')
+            parts.push_back(-1);
+        else if (letter < '0' || letter > '9')
+            return false;
+        else if (std::int64_t& part = parts.back();
+                 (part = std::max<std::int64_t>(part, 0) * 10 + (letter - '0')) > 255)
+            return false;
     }
-    bool whole = parts.size() == 4 && std::none_of(parts.begin(), parts.end(), [](std::int64_t part) { return part < 0; });
+    bool whole =
+        parts.size() == 4 && std::none_of(parts.begin(), parts.end(), [](std::int64_t part) { return part < 0; });
     std::string port = address.substr(mark + 1);
-    bool digits = !port.empty() && port.size() <= 5 && std::all_of(port.begin(), port.end(), [](char letter) { return letter >= '0' && letter <= '9'; });
+    bool digits = !port.empty() && port.size() <= 5 &&
+                  std::all_of(port.begin(), port.end(), [](char letter) { return letter >= '0' && letter <= '9'; });
     return whole && parts[0] == 127 && digits && std::stoi(port) > 0 && std::stoi(port) < 65536;
 }
 
-// Example: Findings findings; Experiment experiment = parse_experiment(text, findings); if (!findings.empty()) report();
+// Example: Findings findings; Experiment experiment = parse_experiment(text, findings); if (!findings.empty())
+// report();
 inline Experiment parse_experiment(std::string_view text, Findings& findings) {
     Experiment experiment;
     boost::system::error_code error;
@@ -63,32 +70,43 @@
         findings.add("experiment", error ? "cannot be read as JSON: " + error.message() : "must be a table");
         return experiment;
     }
-    auto known = [&](const boost::json::object& object, const std::string& place, std::initializer_list<std::string_view> names) {
+    auto known = [&](const boost::json::object& object, const std::string& place,
+                     std::initializer_list<std::string_view> names) {
         for (const auto& each : object)
-            if (std::find(names.begin(), names.end(), std::string_view(each.key())) == names.end()) findings.add(place + std::string(each.key()), "is unknown");
+            if (std::find(names.begin(), names.end(), std::string_view(each.key())) == names.end())
+                findings.add(place + std::string(each.key()), "is unknown");
     };
     auto within = [&](FieldReader& reader, const char* name, double otherwise, double least, double most) {
         double number = reader.number(name, otherwise);
-        if (number < least || number > most) findings.add(reader.path(name), fmt::format("must lie between {} and {}", least, most));
+        if (number < least || number > most)
+            findings.add(reader.path(name), fmt::format("must lie between {} and {}", least, most));
         return std::clamp(number, least, most);
     };
-    known(whole.as_object(), "", {"name", "seed", "through", "controls", "fronts", "first_port", "zones", "threads", "hollow_fronts", "cpu_share", "worker_cpu", "worker_memory_mb", "task_cpu", "task_mem_mb", "spec_bytes", "steps"});
+    known(whole.as_object(), "",
+          {"name", "seed", "through", "controls", "fronts", "first_port", "zones", "threads", "hollow_fronts",
+           "cpu_share", "worker_cpu", "worker_memory_mb", "task_cpu", "task_mem_mb", "spec_bytes", "steps"});
     FieldReader reader(whole.as_object(), "", findings);
     experiment.name = reader.text("name", true);
     experiment.seed = std::uint64_t(within(reader, "seed", 1, 0, 1e15));
     std::string through = reader.text("through", true);
-    if (through == "front") experiment.through = HollowThrough::front;
-    else if (through == "control") experiment.through = HollowThrough::control;
-    else if (through == "inside") experiment.through = HollowThrough::inside;
-    else if (!through.empty()) findings.add("through", "must be front, control or inside");
+    if (through == "front")
+        experiment.through = HollowThrough::front;
+    else if (through == "control")
+        experiment.through = HollowThrough::control;
+    else if (through == "inside")
+        experiment.through = HollowThrough::inside;
+    else if (!through.empty())
+        findings.add("through", "must be front, control or inside");
     auto addresses = [&](const char* name, bool needed, size_t most) {
         std::vector<std::string> all;
         const auto* list = reader.list(name, needed);
         for (size_t place = 0; list && place < list->size(); ++place) {
             const auto& each = (*list)[place];
             std::string where = fmt::format("{}.{}", name, place);
-            if (!each.is_string() || !loopback_address(std::string(each.as_string()))) findings.add(where, "must be an address of 127.0.0.0/8 with a port");
-            else all.emplace_back(each.as_string());
+            if (!each.is_string() || !loopback_address(std::string(each.as_string())))
+                findings.add(where, "must be an address of 127.0.0.0/8 with a port");
+            else
+                all.emplace_back(each.as_string());
         }
         if (needed && list && list->empty()) findings.add(name, "must hold at least one address");
         if (list && list->size() > most) findings.add(name, fmt::format("must hold at most {} addresses", most));
@@ -116,7 +134,9 @@
             findings.add(where, "must be a table");
             continue;
         }
-        known((*steps)[place].as_object(), where + ".", {"workers", "starts_per_s", "running", "gang", "tasks_per_job", "teams", "changes_per_s", "looks_per_s", "task_ms", "warm_s", "length_s"});
+        known((*steps)[place].as_object(), where + ".",
+              {"workers", "starts_per_s", "running", "gang", "tasks_per_job", "teams", "changes_per_s", "looks_per_s",
+               "task_ms", "warm_s", "length_s"});
         FieldReader inner((*steps)[place].as_object(), where, findings);
         HollowStep step;
         step.workers = std::int64_t(within(inner, "workers", 10, 1, 2000));
@@ -130,8 +150,10 @@
         step.task_length = milliseconds(std::int64_t(within(inner, "task_ms", 500, 0, 600000)));
         step.warm = Micros(within(inner, "warm_s", 3, 0, 60) * 1e6);
         step.length = Micros(within(inner, "length_s", 10, 1, 60) * 1e6);
-        if (step.gang > 1 && step.tasks_per_job % step.gang != 0) findings.add(where + ".tasks_per_job", "must be a multiple of gang");
-        if (!experiment.steps.empty() && step.workers < experiment.steps.back().workers) findings.add(where + ".workers", "must not be below the step before");
+        if (step.gang > 1 && step.tasks_per_job % step.gang != 0)
+            findings.add(where + ".tasks_per_job", "must be a multiple of gang");
+        if (!experiment.steps.empty() && step.workers < experiment.steps.back().workers)
+            findings.add(where + ".workers", "must not be below the step before");
         all += step.warm + step.length;
         experiment.steps.push_back(step);
     }
--- a/source/hollow/inside.hpp
+++ b/source/hollow/inside.hpp
@@ -20,10 +20,12 @@
 struct InstantLedger {
     std::deque<std::function<void(bool)>> told;
     std::uint64_t proposals = 0, bytes = 0;
-    void propose(const std::string& key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> then) {
+    void propose(const std::string& key, std::optional<std::string> fixed, Patch patch,
+                 std::function<void(bool)> then) {
         ++proposals;
         bytes += key.size() + (fixed ? fixed->size() : 0) + patch.moving.size();
-        for (const Part& part : patch.parts) bytes += pack(part).size();
+        for (const Part& part : patch.parts)
+            bytes += pack(part).size();
         if (then) told.push_back(std::move(then));
     }
     void confirm(const std::string&, std::function<void(bool)> then) {
@@ -49,7 +51,8 @@
         std::uint64_t proposals = 0, proposal_bytes = 0, order_bytes = 0, report_bytes = 0, side_asks = 0;
     };
 
-    InsideRun(const Experiment& experiment) : experiment_(experiment), load_(experiment), scheduler_(SchedulerSettings{}, ledger_) {
+    InsideRun(const Experiment& experiment)
+        : experiment_(experiment), load_(experiment), scheduler_(SchedulerSettings{}, ledger_) {
         scheduler_.begin(Epoch{1}, {}, now_);
         CallAsk ask{"PUT", {}, "/config", HollowLoad::config(1, 64), "0", false};
         scheduler_.put_config(ask, [](CallFate, Response) {});
@@ -59,26 +62,37 @@
 
     // Runs one step. Example: InsideRun run(experiment); run.play(experiment.steps[0]).starts
     Result play(const HollowStep& step) {
-        while (std::int64_t(machines_.size()) < step.workers) add_machine();
-        for (Micros until = now_ + milliseconds(500); now_ < until;) round(nullptr);
+        while (std::int64_t(machines_.size()) < step.workers)
+            add_machine();
+        for (Micros until = now_ + milliseconds(500); now_ < until;)
+            round(nullptr);
         while (long_tasks_ < step.running) {
-            std::int64_t tasks = std::max(step.gang, std::min<std::int64_t>(step.running - long_tasks_, 200) / step.gang * step.gang);
+            std::int64_t tasks =
+                std::max(step.gang, std::min<std::int64_t>(step.running - long_tasks_, 200) / step.gang * step.gang);
             long_tasks_ += tasks;
             submit(step, tasks, seconds(3600));
-            for (int more = 0; more < 5; ++more) round(nullptr);
+            for (int more = 0; more < 5; ++more)
+                round(nullptr);
         }
-        for (Micros until = now_ + seconds(60); now_ < until && std::int64_t(running()) < step.running;) round(nullptr);
+        for (Micros until = now_ + seconds(60); now_ < until && std::int64_t(running()) < step.running;)
+            round(nullptr);
         next_arrival_ = load_.next_arrival(step, now_);
-        for (Micros until = now_ + step.warm; now_ < until;) round(&step);
+        for (Micros until = now_ + step.warm; now_ < until;)
+            round(&step);
         Result before = totals();
         start_ms.clear(), urgent_start_ms.clear(), tick_ms.clear();
         parts_.clear();
-        for (Micros until = now_ + step.length; now_ < until;) round(&step);
+        for (Micros until = now_ + step.length; now_ < until;)
+            round(&step);
         Result after = totals();
         after.clock_s -= before.clock_s;
-        for (auto field : {&Result::starts, &Result::done, &Result::other_ends, &Result::jobs, &Result::jobs_refused, &Result::proposals, &Result::proposal_bytes, &Result::order_bytes, &Result::report_bytes, &Result::side_asks}) after.*field -= before.*field;
+        for (auto field : {&Result::starts, &Result::done, &Result::other_ends, &Result::jobs, &Result::jobs_refused,
+                           &Result::proposals, &Result::proposal_bytes, &Result::order_bytes, &Result::report_bytes,
+                           &Result::side_asks})
+            after.*field -= before.*field;
         after.cpu_by_part = parts_;
-        for (const auto& [part, cpu] : parts_) after.cpu_s += cpu;
+        for (const auto& [part, cpu] : parts_)
+            after.cpu_s += cpu;
         return after;
     }
 
@@ -106,7 +120,8 @@
     }
     size_t running() const {
         size_t all = 0;
-        for (const auto& machine : machines_) all += machine.worker->running();
+        for (const auto& machine : machines_)
+            all += machine.worker->running();
         return all;
     }
     Result totals() const {
@@ -114,7 +129,8 @@
         for (const auto& machine : machines_) {
             all.starts += machine.worker->starts();
             all.done += machine.worker->ends("done");
-            for (const char* how : {"lapsed", "broken", "alone", "stopped"}) all.other_ends += machine.worker->ends(how);
+            for (const char* how : {"lapsed", "broken", "alone", "stopped"})
+                all.other_ends += machine.worker->ends(how);
         }
         all.running = running();
         all.clock_s = double(now_) / 1e6;
@@ -143,7 +159,9 @@
         ++sums_.jobs;
         CallAsk ask{"POST", job.host, job.path, std::move(job.body), {}, false};
         charge("calls", [&] {
-            scheduler_.call(ask, now_, wall(), [this](CallFate fate, Response response) { sums_.jobs_refused += fate != CallFate::settled || response.code != 200; });
+            scheduler_.call(ask, now_, wall(), [this](CallFate fate, Response response) {
+                sums_.jobs_refused += fate != CallFate::settled || response.code != 200;
+            });
             ledger_.settle();
         });
     }
@@ -168,9 +186,11 @@
         std::vector<Machine*> with_news;
         charge("news", [&] {
             for (Machine& machine : machines_)
-                if (scheduler_.has_news(machine.node, machine.epoch, machine.taken, machine.seen)) with_news.push_back(&machine);
+                if (scheduler_.has_news(machine.node, machine.epoch, machine.taken, machine.seen))
+                    with_news.push_back(&machine);
         });
-        for (Machine* machine : with_news) hear(*machine);
+        for (Machine* machine : with_news)
+            hear(*machine);
     }
     void tell(Machine& machine) {
         SideAsk ask;
@@ -212,15 +232,30 @@
         machine.look = machine.look || answer->look;
         machine.seen = std::max(machine.seen, answer->seen);
         std::int64_t until = machine.worker->clock_ms(now_ + answer->allowance);
-        if (answer->allowance > 0) machine.worker->take("/hold", fmt::format("{{\"fence\":{},\"seen_at\":{},\"until_ms\":{}}}", machine.epoch.value, machine.seen, until), now_);
+        if (answer->allowance > 0)
+            machine.worker->take("/hold",
+                                 fmt::format("{{\"fence\":{},\"seen_at\":{},\"until_ms\":{}}}", machine.epoch.value,
+                                             machine.seen, until),
+                                 now_);
         for (const Order& order : answer->orders) {
             if (order.number <= machine.taken) continue;
             machine.taken = order.number;
-            boost::json::object body{{"task", order.task}, {"run_id", order.run}, {"fence", machine.epoch.value}, {"until_ms", until}, {"job_spec", order.spec}};
+            boost::json::object body{{"task", order.task},
+                                     {"run_id", order.run},
+                                     {"fence", machine.epoch.value},
+                                     {"until_ms", until},
+                                     {"job_spec", order.spec}};
             bool starts = order.kind == OrderKind::start;
             auto said = machine.worker->take(starts ? "/run-start" : "/run-stop", boost::json::serialize(body), now_);
-            if (starts) machine.results.push_back({order.number, said.code == 200 ? OrderFate::started : OrderFate::turned_away, order.task, order.run, {}, 0});
-            else machine.stops.push_back(fmt::format("{} {}", order.task, order.run)), machine.look = true;
+            if (starts)
+                machine.results.push_back({order.number,
+                                           said.code == 200 ? OrderFate::started : OrderFate::turned_away,
+                                           order.task,
+                                           order.run,
+                                           {},
+                                           0});
+            else
+                machine.stops.push_back(fmt::format("{} {}", order.task, order.run)), machine.look = true;
         }
     }
 
--- a/source/hollow/load.hpp
+++ b/source/hollow/load.hpp
@@ -9,7 +9,10 @@
 // Jobs that arrive at random, the same ones for the same seed.
 class HollowLoad {
 public:
-    struct Job { std::string host, path, id, body; std::int64_t team = 0; };
+    struct Job {
+        std::string host, path, id, body;
+        std::int64_t team = 0;
+    };
     static constexpr const char* host = "hollow.example";
     static constexpr const char* service = "hollow";
 
@@ -31,11 +34,15 @@
         boost::json::array steps;
         std::int64_t each = step.gang > 1 ? step.gang : tasks;
         for (std::int64_t left = tasks; left > 0; left -= each) {
-            boost::json::object one{{"count", std::min(left, each)}, {"cpu", experiment_.task_cpu}, {"task_mem_mb", experiment_.task_memory}, {"estimate_ms", length / 1000}};
+            boost::json::object one{{"count", std::min(left, each)},
+                                    {"cpu", experiment_.task_cpu},
+                                    {"task_mem_mb", experiment_.task_memory},
+                                    {"estimate_ms", length / 1000}};
             if (step.gang > 1) one["gang"] = true;
             steps.push_back(std::move(one));
         }
-        job.body = boost::json::serialize(boost::json::object{{"job_spec", spec.text(size_t(experiment_.spec_bytes))}, {"steps", std::move(steps)}});
+        job.body = boost::json::serialize(
+            boost::json::object{{"job_spec", spec.text(size_t(experiment_.spec_bytes))}, {"steps", std::move(steps)}});
         return job;
     }
     // Team 0 and every third after it is urgent (priority 0).
@@ -44,10 +51,26 @@
     static std::string config(std::uint64_t revision, std::int64_t teams) {
         boost::json::array routes;
         for (std::int64_t team = 0; team < teams; ++team)
-            routes.push_back(boost::json::object{{"name", fmt::format("r-{}", team)}, {"host", host}, {"path_prefix", fmt::format("/team{}/", team)}, {"kind", "unsafe"}, {"timeout_ms", 3000 + revision % 100}, {"target_ms", 250},
-                                                 {"priority", priority(team)}, {"service", service}, {"max_attempts", 4}, {"extension", 2.0}});
-        boost::json::array services{boost::json::object{{"name", service}, {"health_path", "/health"}, {"max_conns", 64}, {"protocol", "h1"}, {"tls", false}, {"guards", false}}};
-        return boost::json::serialize(boost::json::object{{"revision", revision}, {"routes", std::move(routes)}, {"services", std::move(services)}, {"limits", boost::json::object{{"max_body_bytes", 262144}}}});
+            routes.push_back(boost::json::object{{"name", fmt::format("r-{}", team)},
+                                                 {"host", host},
+                                                 {"path_prefix", fmt::format("/team{}/", team)},
+                                                 {"kind", "unsafe"},
+                                                 {"timeout_ms", 3000 + revision % 100},
+                                                 {"target_ms", 250},
+                                                 {"priority", priority(team)},
+                                                 {"service", service},
+                                                 {"max_attempts", 4},
+                                                 {"extension", 2.0}});
+        boost::json::array services{boost::json::object{{"name", service},
+                                                        {"health_path", "/health"},
+                                                        {"max_conns", 64},
+                                                        {"protocol", "h1"},
+                                                        {"tls", false},
+                                                        {"guards", false}}};
+        return boost::json::serialize(boost::json::object{{"revision", revision},
+                                                          {"routes", std::move(routes)},
+                                                          {"services", std::move(services)},
+                                                          {"limits", boost::json::object{{"max_body_bytes", 262144}}}});
     }
     WorkerAccount account(std::int64_t number) const {
         WorkerAccount account;
--- a/source/hollow/measure.hpp
+++ b/source/hollow/measure.hpp
@@ -1,7 +1,7 @@
 // What an experiment measures: percentiles, slopes, and what a process has used.
 #pragma once
-#include <boost/json.hpp>
 #include <dirent.h>
+#include <boost/json.hpp>
 #include <fstream>
 #include <sstream>
 
@@ -15,8 +15,10 @@
 public:
     void add(double value) {
         std::lock_guard guard(lock_);
-        if (values_.size() < most) values_.push_back(value);
-        else ++dropped_;
+        if (values_.size() < most)
+            values_.push_back(value);
+        else
+            ++dropped_;
     }
     void clear() {
         std::lock_guard guard(lock_);
@@ -35,7 +37,10 @@
         std::lock_guard guard(lock_);
         return values_.size();
     }
-    boost::json::object json() const { return {{"count", count()}, {"p50", at(0.5)}, {"p90", at(0.9)}, {"p99", at(0.99)}, {"max", at(1)}, {"dropped", dropped_}}; }
+    boost::json::object json() const {
+        return {{"count", count()}, {"p50", at(0.5)}, {"p90", at(0.9)},
+                {"p99", at(0.99)},  {"max", at(1)},   {"dropped", dropped_}};
+    }
 
 private:
     static constexpr size_t most = 1000000;
@@ -59,15 +64,19 @@
     fit.points = points.size();
     if (points.empty()) return fit;
     double count = double(points.size()), mean_x = 0, mean_y = 0;
-    for (auto [x, y] : points) mean_x += x / count, mean_y += y / count;
+    for (auto [x, y] : points)
+        mean_x += x / count, mean_y += y / count;
     double spread_x = 0, spread_y = 0, together = 0;
-    for (auto [x, y] : points) spread_x += (x - mean_x) * (x - mean_x), spread_y += (y - mean_y) * (y - mean_y), together += (x - mean_x) * (y - mean_y);
+    for (auto [x, y] : points)
+        spread_x += (x - mean_x) * (x - mean_x), spread_y += (y - mean_y) * (y - mean_y),
+            together += (x - mean_x) * (y - mean_y);
     fit.at_zero = mean_y;
     if (spread_x <= 0) return fit;
     fit.slope = together / spread_x;
     fit.at_zero = mean_y - fit.slope * mean_x;
     double left = 0;
-    for (auto [x, y] : points) left += (y - fit.at(x)) * (y - fit.at(x));
+    for (auto [x, y] : points)
+        left += (y - fit.at(x)) * (y - fit.at(x));
     fit.explained = spread_y > 0 ? 1 - left / spread_y : 1;
     if (points.size() > 2) fit.slope_error = std::sqrt(left / (count - 2) / spread_x);
     return fit;
@@ -149,7 +158,8 @@
     std::istringstream line(log.substr(mark + 10, log.find('\n', mark) - mark - 10));
     std::string word;
     while (line >> word)
-        if (size_t equals = word.find('='); equals != std::string::npos) read.table[word.substr(0, equals)] = std::atof(word.c_str() + equals + 1);
+        if (size_t equals = word.find('='); equals != std::string::npos)
+            read.table[word.substr(0, equals)] = std::atof(word.c_str() + equals + 1);
     return read;
 }
 
--- a/source/hollow/worker.hpp
+++ b/source/hollow/worker.hpp
@@ -105,7 +105,8 @@
         if (path == "/run-stop") return stop(object, now);
         if (path != "/hold") return {404, {}};
         std::uint64_t seen_at = number(object, "seen_at");
-        while (!finished_.empty() && finished_.front().number <= seen_at) finished_.pop_front();
+        while (!finished_.empty() && finished_.front().number <= seen_at)
+            finished_.pop_front();
         extend(object);
         return listed(now);
     }
@@ -115,7 +116,9 @@
         report.fence = Epoch{fence_};
         for (const auto& [name, task] : tasks_) {
             Micros begun = task.begun(board_);
-            std::int64_t percent = begun < 0 || task.spec.length == 0 ? 0 : std::min<std::int64_t>(99, 100 * (now - begun) / task.spec.length);
+            std::int64_t percent = begun < 0 || task.spec.length == 0
+                                       ? 0
+                                       : std::min<std::int64_t>(99, 100 * (now - begun) / task.spec.length);
             report.active.push_back({name, task.run, {}, percent});
         }
         for (const End& end : finished_) {
@@ -128,15 +131,19 @@
         HoldReport all = report(now);
         std::string body = fmt::format("{{\"clock_ms\":{},\"active\":[", clock_ms(now));
         const char* comma = "";
-        for (const ActiveRun& run : all.active) body += fmt::format("{}[\"{}\",{},\"\",{}]", std::exchange(comma, ","), run.task, run.run, run.percent);
+        for (const ActiveRun& run : all.active)
+            body += fmt::format("{}[\"{}\",{},\"\",{}]", std::exchange(comma, ","), run.task, run.run, run.percent);
         body += "],\"finished\":[";
         comma = "";
-        for (const FinishedRun& run : all.finished) body += fmt::format("{}[{},\"{}\",{},\"{}\",\"\"]", std::exchange(comma, ","), run.number, run.task, run.run, run.how);
+        for (const FinishedRun& run : all.finished)
+            body += fmt::format("{}[{},\"{}\",{},\"{}\",\"\"]", std::exchange(comma, ","), run.number, run.task,
+                                run.run, run.how);
         return {200, body + "]}"};
     }
     void advance(Micros now) {
         if (!tasks_.empty() && until_ms_ > 0 && clock_ms(now) >= until_ms_) {
-            while (!tasks_.empty()) end(tasks_.begin(), "lapsed");
+            while (!tasks_.empty())
+                end(tasks_.begin(), "lapsed");
             return;
         }
         if (now < next_) return;
@@ -145,11 +152,17 @@
             auto next = std::next(task);
             Task& mine = task->second;
             Micros begun = mine.begun(board_);
-            if (!mine.gang.empty() && board_.broken(mine.gang)) end(task, "broken");
-            else if (begun < 0 && now - mine.since >= gang_wait_) end(task, "alone");
-            else if (begun >= 0 && now - begun >= mine.spec.length) end(task, "done");
-            else if (begun < 0) next_ = std::min(next_, now + milliseconds(2));
-            else next_ = std::min(next_, mine.gang.empty() ? begun + mine.spec.length : std::min(begun + mine.spec.length, now + milliseconds(20)));
+            if (!mine.gang.empty() && board_.broken(mine.gang))
+                end(task, "broken");
+            else if (begun < 0 && now - mine.since >= gang_wait_)
+                end(task, "alone");
+            else if (begun >= 0 && now - begun >= mine.spec.length)
+                end(task, "done");
+            else if (begun < 0)
+                next_ = std::min(next_, now + milliseconds(2));
+            else
+                next_ = std::min(next_, mine.gang.empty() ? begun + mine.spec.length
+                                                          : std::min(begun + mine.spec.length, now + milliseconds(20)));
             task = next;
         }
     }
@@ -177,8 +190,12 @@
         const auto* value = object.if_contains(name);
         return value && value->is_string() ? std::string(value->as_string()) : std::string();
     }
-    void extend(const boost::json::object& object) { until_ms_ = std::max(until_ms_, std::int64_t(number(object, "until_ms"))); }
-    Said refuse(const char* reason, Micros now) const { return {409, fmt::format("{{\"clock_ms\":{},\"reason\":\"{}\"}}", clock_ms(now), reason)}; }
+    void extend(const boost::json::object& object) {
+        until_ms_ = std::max(until_ms_, std::int64_t(number(object, "until_ms")));
+    }
+    Said refuse(const char* reason, Micros now) const {
+        return {409, fmt::format("{{\"clock_ms\":{},\"reason\":\"{}\"}}", clock_ms(now), reason)};
+    }
     Said start(const boost::json::object& object, Micros now) {
         std::string name = text(object, "task");
         std::uint32_t run = std::uint32_t(number(object, "run_id"));
@@ -205,8 +222,10 @@
     Said stop(const boost::json::object& object, Micros now) {
         std::string name = text(object, "task");
         std::uint32_t run = std::uint32_t(number(object, "run_id"));
-        if (auto found = tasks_.find(name); found != tasks_.end() && found->second.run == run) end(found, "stopped");
-        else note_over(name, run);
+        if (auto found = tasks_.find(name); found != tasks_.end() && found->second.run == run)
+            end(found, "stopped");
+        else
+            note_over(name, run);
         return {200, fmt::format("{{\"clock_ms\":{}}}", clock_ms(now))};
     }
     void note_over(const std::string& name, std::uint32_t run) {
--- a/source/preview/check.hpp
+++ b/source/preview/check.hpp
@@ -7,15 +7,25 @@
 
 // What a saved preview said, as far as the check needs it.
 struct Said {
-    struct Task { std::string queue, worker; Landing landing = Landing::waits; Micros at = -1, ends = -1; };
-    struct Running { std::string queue, worker; Micros ends = -1; };
-    struct Pushed { std::string queue, task, worker; Micros at = 0; };
+    struct Task {
+        std::string queue, worker;
+        Landing landing = Landing::waits;
+        Micros at = -1, ends = -1;
+    };
+    struct Running {
+        std::string queue, worker;
+        Micros ends = -1;
+    };
+    struct Pushed {
+        std::string queue, task, worker;
+        Micros at = 0;
+    };
     Micros wall = 0, horizon = 0;
     std::int64_t unheard = 0;  // workers that its owner had not heard of
     std::string epoch;
     std::set<std::string> jobs;
     std::vector<std::pair<std::string, std::int64_t>> queues;
-    std::map<std::string, Task> tasks;        // without copies
+    std::map<std::string, Task> tasks;  // without copies
     std::map<std::string, Running> running;
     std::vector<Pushed> pushed;
 };
@@ -26,16 +36,20 @@
     Said said;
     boost::system::error_code error;
     boost::json::value whole = boost::json::parse(text, error);
-    if (error || !whole.is_object()) return findings.add(name, error ? "cannot be read as JSON: " + error.message() : "must be a table"), said;
-    auto whole_number = [&](const boost::json::object& object, const std::string& place, const char* field, std::optional<std::int64_t> otherwise = {}) -> std::int64_t {
+    if (error || !whole.is_object())
+        return findings.add(name, error ? "cannot be read as JSON: " + error.message() : "must be a table"), said;
+    auto whole_number = [&](const boost::json::object& object, const std::string& place, const char* field,
+                            std::optional<std::int64_t> otherwise = {}) -> std::int64_t {
         const auto* value = object.if_contains(field);
         if (!value && otherwise) return *otherwise;
-        if (!value || !value->is_number()) return findings.add(place + "." + field, value ? "must be a number" : "is missing"), 0;
+        if (!value || !value->is_number())
+            return findings.add(place + "." + field, value ? "must be a number" : "is missing"), 0;
         return value->to_number<std::int64_t>();
     };
     const boost::json::object& object = whole.as_object();
     std::int64_t format = whole_number(object, name, "preview");
-    if (findings.empty() && format != preview_format) findings.add(name + ".preview", fmt::format("is {}, this program reads {}", format, preview_format));
+    if (findings.empty() && format != preview_format)
+        findings.add(name + ".preview", fmt::format("is {}, this program reads {}", format, preview_format));
     if (!findings.empty()) return said;
     said.wall = whole_number(object, name, "wall_us");
     said.epoch = std::to_string(whole_number(object, name, "epoch"));
@@ -43,8 +57,10 @@
     FieldReader top(object, name, findings);
     if (const auto* jobs = top.list("jobs", true)) {
         for (const auto& job : *jobs) {
-            if (job.is_string()) said.jobs.emplace(job.as_string());
-            else findings.add(name + ".jobs", "must hold texts");
+            if (job.is_string())
+                said.jobs.emplace(job.as_string());
+            else
+                findings.add(name + ".jobs", "must hold texts");
         }
     }
     const char* part_name = changed ? "changed" : "stands";
@@ -57,8 +73,10 @@
         const auto* list = reader.list(list_name, true);
         for (size_t place = 0; list && place < list->size(); ++place) {
             std::string where = fmt::format("{}.{}[{}]", at, list_name, place);
-            if (!(*list)[place].is_object()) findings.add(where, "must be a table");
-            else see((*list)[place].as_object(), where);
+            if (!(*list)[place].is_object())
+                findings.add(where, "must be a table");
+            else
+                see((*list)[place].as_object(), where);
         }
     };
     each("queues", [&](const boost::json::object& one, const std::string& where) {
@@ -68,19 +86,25 @@
     each("tasks", [&](const boost::json::object& one, const std::string& where) {
         FieldReader fields(one, where, findings);
         std::string task = fields.text("task", true), landing = fields.text("landing", true);
-        Said::Task read{fields.text("queue", true), fields.text("worker", false), Landing::waits, whole_number(one, where, "at_us", -1), whole_number(one, where, "ends_us", -1)};
-        if (landing == "lands") read.landing = Landing::lands;
-        else if (landing == "nowhere") read.landing = Landing::nowhere;
-        else if (landing != "waits") findings.add(where + ".landing", fmt::format("'{}' is unknown", landing));
+        Said::Task read{fields.text("queue", true), fields.text("worker", false), Landing::waits,
+                        whole_number(one, where, "at_us", -1), whole_number(one, where, "ends_us", -1)};
+        if (landing == "lands")
+            read.landing = Landing::lands;
+        else if (landing == "nowhere")
+            read.landing = Landing::nowhere;
+        else if (landing != "waits")
+            findings.add(where + ".landing", fmt::format("'{}' is unknown", landing));
         if (!fields.flag("copy", false)) said.tasks[task] = std::move(read);
     });
     each("running", [&](const boost::json::object& one, const std::string& where) {
         FieldReader fields(one, where, findings);
-        said.running[fields.text("task", true)] = {fields.text("queue", true), fields.text("worker", true), whole_number(one, where, "ends_us", -1)};
+        said.running[fields.text("task", true)] = {fields.text("queue", true), fields.text("worker", true),
+                                                   whole_number(one, where, "ends_us", -1)};
     });
     each("pushed_aside", [&](const boost::json::object& one, const std::string& where) {
         FieldReader fields(one, where, findings);
-        said.pushed.push_back({fields.text("queue", true), fields.text("task", true), fields.text("worker", true), whole_number(one, where, "at_us")});
+        said.pushed.push_back({fields.text("queue", true), fields.text("task", true), fields.text("worker", true),
+                               whole_number(one, where, "at_us")});
     });
     return said;
 }
@@ -95,21 +119,25 @@
     size_t said = 0, true_ones = 0;
     void add(bool good) { ++said, true_ones += good; }
     Tally& operator+=(const Tally& more) { return said += more.said, true_ones += more.true_ones, *this; }
-    std::string text() const { return said ? fmt::format("{}/{} {:.0f}%", true_ones, said, 100 * double(true_ones) / double(said)) : "-"; }
+    std::string text() const {
+        return said ? fmt::format("{}/{} {:.0f}%", true_ones, said, 100 * double(true_ones) / double(said)) : "-";
+    }
 };
 
 struct QueueCheck {
     std::int64_t priority = 0;
     Tally worker, worker_at_once, time, waited, pushed;
-    Tally undisturbed;           // worker and time, of tasks said to start before anything happened that no preview can know
-    size_t not_covered = 0;      // said for a time that the logs don't reach
-    size_t pushed_unsaid = 0;    // runs of the snapshot that were stopped though the preview did not say so
+    Tally undisturbed;  // worker and time, of tasks said to start before anything happened that no preview can know
+    size_t not_covered = 0;    // said for a time that the logs don't reach
+    size_t pushed_unsaid = 0;  // runs of the snapshot that were stopped though the preview did not say so
     std::map<std::string, size_t> causes;
     QueueCheck& operator+=(const QueueCheck& more) {
         priority = more.priority;
-        worker += more.worker, worker_at_once += more.worker_at_once, time += more.time, waited += more.waited, pushed += more.pushed, undisturbed += more.undisturbed;
+        worker += more.worker, worker_at_once += more.worker_at_once, time += more.time, waited += more.waited,
+            pushed += more.pushed, undisturbed += more.undisturbed;
         not_covered += more.not_covered, pushed_unsaid += more.pushed_unsaid;
-        for (const auto& [cause, count] : more.causes) causes[cause] += count;
+        for (const auto& [cause, count] : more.causes)
+            causes[cause] += count;
         return *this;
     }
 };
@@ -128,34 +156,45 @@
 // Example: CheckResult result = Checker(said, lines, {}).check();
 class Checker {
 public:
-    Checker(const Said& said, const std::vector<RunLine>& lines, const CheckSettings& settings) : said_(said), settings_(settings) {
+    Checker(const Said& said, const std::vector<RunLine>& lines, const CheckSettings& settings)
+        : said_(said), settings_(settings) {
         for (const RunLine& line : lines) {
             last_ = std::max(last_, line.wall - said.wall);
             if (line.wall < said.wall) continue;
             after_.push_back(&line);
         }
-        std::stable_sort(after_.begin(), after_.end(), [](const RunLine* left, const RunLine* right) { return left->wall < right->wall; });
+        std::stable_sort(after_.begin(), after_.end(),
+                         [](const RunLine* left, const RunLine* right) { return left->wall < right->wall; });
         if (settings.until) last_ = settings.until - said.wall;
         covered_ = std::min(last_, said.horizon);
         index();
     }
     CheckResult check() {
         result_.compared = covered_ > 0;
-        for (const auto& [queue, priority] : said_.queues) result_.queues[queue].priority = priority;
+        for (const auto& [queue, priority] : said_.queues)
+            result_.queues[queue].priority = priority;
         if (!result_.compared) return std::move(result_);
         // Misses are found first: one may be the cause of the next.
         for (const auto& [task, said] : said_.tasks) {
             auto began = starts_.find(task);
-            if (said.landing == Landing::lands && began != starts_.end() && began->second.worker != said.worker) strays_[began->second.worker].push_back(began->second.at);
+            if (said.landing == Landing::lands && began != starts_.end() && began->second.worker != said.worker)
+                strays_[began->second.worker].push_back(began->second.at);
         }
-        for (const auto& [task, said] : said_.tasks) check_task(task, said);
+        for (const auto& [task, said] : said_.tasks)
+            check_task(task, said);
         check_pushed();
         return std::move(result_);
     }
 
 private:
-    struct Began { std::string worker; Micros at = 0; };
-    struct Ended { std::string worker, how; Micros at = 0; };
+    struct Began {
+        std::string worker;
+        Micros at = 0;
+    };
+    struct Ended {
+        std::string worker, how;
+        Micros at = 0;
+    };
 
     void index() {
         for (const RunLine* line : after_) {
@@ -171,15 +210,23 @@
                     if (line->how == "stopped") stops_.emplace(line->task, at);
                     if (line->how == "failed") failed_[line->worker].push_back(at), failed_jobs_[job].push_back(at);
                     break;
-                case RunLine::Event::worker_over: over_.try_emplace(line->worker, at); break;
-                case RunLine::Event::job_ended: jobs_ended_.try_emplace(line->task, std::pair(line->how, at)); break;
+                case RunLine::Event::worker_over:
+                    over_.try_emplace(line->worker, at);
+                    break;
+                case RunLine::Event::job_ended:
+                    jobs_ended_.try_emplace(line->task, std::pair(line->how, at));
+                    break;
                 case RunLine::Event::owner:
                     if (line->how != said_.epoch && !owner_changed_) owner_changed_ = at;
                     break;
-                case RunLine::Event::accepted: break;
+                case RunLine::Event::accepted:
+                    break;
             }
-            bool surprise = (line->event == RunLine::Event::start && !said_.jobs.contains(job)) || line->event == RunLine::Event::accepted || line->event == RunLine::Event::worker_over ||
-                            (line->event == RunLine::Event::end && line->how == "failed") || (line->event == RunLine::Event::job_ended && line->how != "done") || (line->event == RunLine::Event::owner && line->how != said_.epoch);
+            bool surprise = (line->event == RunLine::Event::start && !said_.jobs.contains(job)) ||
+                            line->event == RunLine::Event::accepted || line->event == RunLine::Event::worker_over ||
+                            (line->event == RunLine::Event::end && line->how == "failed") ||
+                            (line->event == RunLine::Event::job_ended && line->how != "done") ||
+                            (line->event == RunLine::Event::owner && line->how != said_.epoch);
             if (surprise) disturbed_ = std::min(disturbed_, at);
         }
         // Runs that took longer or shorter than said: they give their room back at another time.
@@ -187,14 +234,18 @@
             auto found = ends_.find(task);
             bool over = found != ends_.end() && found->second.how == "done";
             Micros took = (found != ends_.end() ? found->second.at : covered_) - began;
-            if (over ? std::abs(took - length) <= settings_.within : found != ends_.end() || took <= length + settings_.within) return;
+            if (over ? std::abs(took - length) <= settings_.within
+                     : found != ends_.end() || took <= length + settings_.within)
+                return;
             Micros at = began + std::min(took, length);
-            off_[worker].push_back(at), off_jobs_[task.substr(0, task.rfind('.', task.rfind('.') - 1))].emplace_back(at, task);
+            off_[worker].push_back(at),
+                off_jobs_[task.substr(0, task.rfind('.', task.rfind('.') - 1))].emplace_back(at, task);
         };
         for (const auto& [task, run] : said_.running)
             if (run.ends >= 0) note_off(task, run.worker, 0, run.ends);
         for (const auto& [task, each] : said_.tasks)
-            if (auto began = starts_.find(task); each.ends >= 0 && began != starts_.end()) note_off(task, began->second.worker, began->second.at, each.ends - each.at);
+            if (auto began = starts_.find(task); each.ends >= 0 && began != starts_.end())
+                note_off(task, began->second.worker, began->second.at, each.ends - each.at);
     }
     void miss(const std::string& task, const std::string& queue, std::string what, std::string cause) {
         ++result_.queues[queue].causes[cause];
@@ -212,15 +263,22 @@
         std::string what;
         bool early = started && (!lands || began->second.at < said.at - settings_.within);
         if (!lands || said.at > 0) queue.waited.add(!early);
-        if (early) what = lands ? fmt::format("started {:.2f} s early", double(said.at - began->second.at) / 1e6) : fmt::format("started though said to {}", said.landing == Landing::nowhere ? "land nowhere" : "wait");
+        if (early)
+            what = lands ? fmt::format("started {:.2f} s early", double(said.at - began->second.at) / 1e6)
+                         : fmt::format("started though said to {}",
+                                       said.landing == Landing::nowhere ? "land nowhere" : "wait");
         if (lands) {
-            bool there = started && began->second.worker == said.worker, on_time = started && std::abs(began->second.at - said.at) <= settings_.within;
+            bool there = started && began->second.worker == said.worker,
+                 on_time = started && std::abs(began->second.at - said.at) <= settings_.within;
             queue.worker.add(there), queue.time.add(on_time);
             if (said.at == 0) queue.worker_at_once.add(there);
             if (said.at < disturbed_) queue.undisturbed.add(there && on_time);
-            if (!started) what = "did not start";
-            else if (!there) what = fmt::format("started on {} instead of {}", began->second.worker, said.worker);
-            else if (!on_time && !early) what = fmt::format("started {:.2f} s late", double(began->second.at - said.at) / 1e6);
+            if (!started)
+                what = "did not start";
+            else if (!there)
+                what = fmt::format("started on {} instead of {}", began->second.worker, said.worker);
+            else if (!on_time && !early)
+                what = fmt::format("started {:.2f} s late", double(began->second.at - said.at) / 1e6);
         }
         if (what.empty()) return;
         std::vector<std::string> workers;
@@ -239,25 +297,35 @@
                 continue;
             }
             auto [first, last] = stops_.equal_range(pushed.task);
-            bool good = std::any_of(first, last, [&](const auto& stop) { return std::abs(stop.second - pushed.at) <= settings_.within; });
+            bool good = std::any_of(
+                first, last, [&](const auto& stop) { return std::abs(stop.second - pushed.at) <= settings_.within; });
             queue.pushed.add(good);
-            if (!good) miss(pushed.task, pushed.queue, "was not pushed aside", cause(pushed.task, {pushed.worker}, pushed.at + settings_.within));
+            if (!good)
+                miss(pushed.task, pushed.queue, "was not pushed aside",
+                     cause(pushed.task, {pushed.worker}, pushed.at + settings_.within));
         }
         for (const auto& [task, run] : said_.running) {
             auto stop = stops_.find(task);
-            if (stop == stops_.end() || stop->second > covered_ || foretold.contains(task) || jobs_ended_.contains(task.substr(0, task.find('.')))) continue;
+            if (stop == stops_.end() || stop->second > covered_ || foretold.contains(task) ||
+                jobs_ended_.contains(task.substr(0, task.find('.'))))
+                continue;
             ++result_.queues[run.queue].pushed_unsaid;
             miss(task, run.queue, "was stopped though not said", cause(task, {run.worker}, stop->second));
         }
     }
-    static bool any_until(const std::map<std::string, std::vector<Micros>>& times, const std::string& key, Micros until) {
+    static bool any_until(const std::map<std::string, std::vector<Micros>>& times, const std::string& key,
+                          Micros until) {
         auto found = times.find(key);
-        return found != times.end() && std::any_of(found->second.begin(), found->second.end(), [&](Micros at) { return at <= until; });
+        return found != times.end() &&
+               std::any_of(found->second.begin(), found->second.end(), [&](Micros at) { return at <= until; });
     }
     // The first of these that holds; the more certain ones come first.
-    std::string cause(const std::string& task, const std::vector<std::string>& workers, Micros until, bool early = false) const {
+    std::string cause(const std::string& task, const std::vector<std::string>& workers, Micros until,
+                      bool early = false) const {
         std::string job = task.substr(0, task.find('.')), time = task.substr(0, task.rfind('.', task.rfind('.') - 1));
-        if (auto ended = jobs_ended_.find(job); ended != jobs_ended_.end() && ended->second.first != "done" && ended->second.second <= until) return "job " + ended->second.first;
+        if (auto ended = jobs_ended_.find(job);
+            ended != jobs_ended_.end() && ended->second.first != "done" && ended->second.second <= until)
+            return "job " + ended->second.first;
         if (said_.unheard > 0) return "workers not heard of";
         if (owner_changed_ && *owner_changed_ <= until) return "record changed hands";
         for (const std::string& worker : workers)
@@ -266,7 +334,11 @@
         for (const std::string& worker : workers)
             if (!early && any_until(strangers_, worker, until)) return "new arrival";
         if (any_until(failed_jobs_, job, until)) return "a run failed";
-        if (auto found = off_jobs_.find(time); found != off_jobs_.end() && std::any_of(found->second.begin(), found->second.end(), [&](const auto& each) { return each.first <= until && each.second != task; })) return "estimate off";
+        if (auto found = off_jobs_.find(time);
+            found != off_jobs_.end() && std::any_of(found->second.begin(), found->second.end(), [&](const auto& each) {
+                return each.first <= until && each.second != task;
+            }))
+            return "estimate off";
         for (const std::string& worker : workers) {
             if (any_until(failed_, worker, until)) return "a run failed";
             if (any_until(off_, worker, until)) return "estimate off";
@@ -299,23 +371,30 @@
 // Example: fmt::print("{}", check_text(result, 20));
 inline std::string check_text(const CheckResult& result, size_t misses_most) {
     if (!result.compared) return "the logs hold nothing of the time after the preview\n";
-    std::string text = fmt::format("{:<32} {:>15} {:>15} {:>15} {:>15} {:>12} {:>11} {:>12}\n", "queue", "worker named", "undisturbed", "on time", "waited so", "pushed so", "unsaid", "not covered");
+    std::string text = fmt::format("{:<32} {:>15} {:>15} {:>15} {:>15} {:>12} {:>11} {:>12}\n", "queue", "worker named",
+                                   "undisturbed", "on time", "waited so", "pushed so", "unsaid", "not covered");
     std::vector<std::pair<std::string, QueueCheck>> rows(result.queues.begin(), result.queues.end());
-    std::stable_sort(rows.begin(), rows.end(), [](const auto& left, const auto& right) { return left.second.priority < right.second.priority; });
+    std::stable_sort(rows.begin(), rows.end(),
+                     [](const auto& left, const auto& right) { return left.second.priority < right.second.priority; });
     QueueCheck sum;
-    for (const auto& [name, each] : rows) sum += each;
+    for (const auto& [name, each] : rows)
+        sum += each;
     rows.emplace_back("all", sum);
     for (const auto& [name, each] : rows)
-        text += fmt::format("{:<32} {:>15} {:>15} {:>15} {:>15} {:>12} {:>11} {:>12}\n", name, each.worker.text(), each.undisturbed.text(), each.time.text(), each.waited.text(), each.pushed.text(), each.pushed_unsaid, each.not_covered);
+        text += fmt::format("{:<32} {:>15} {:>15} {:>15} {:>15} {:>12} {:>11} {:>12}\n", name, each.worker.text(),
+                            each.undisturbed.text(), each.time.text(), each.waited.text(), each.pushed.text(),
+                            each.pushed_unsaid, each.not_covered);
     text += fmt::format("\ncauses of the {} misses:", result.misses.size());
-    for (const auto& [cause, count] : sum.causes) text += fmt::format(" {} {},", count, cause);
+    for (const auto& [cause, count] : sum.causes)
+        text += fmt::format(" {} {},", count, cause);
     if (text.back() == ',') text.pop_back();
     text += "\n";
     for (size_t place = 0; place < std::min(misses_most, result.misses.size()); ++place) {
         const Miss& miss = result.misses[place];
         text += fmt::format("  {} {} {}: {}\n", miss.queue, miss.task, miss.what, miss.cause);
     }
-    if (result.misses.size() > misses_most) text += fmt::format("  and {} more; --json shows all\n", result.misses.size() - misses_most);
+    if (result.misses.size() > misses_most)
+        text += fmt::format("  and {} more; --json shows all\n", result.misses.size() - misses_most);
     return text;
 }
 inline boost::json::object check_json(const CheckResult& result) {
@@ -324,11 +403,23 @@
     auto share = [](const Tally& each) { return object{{"said", each.said}, {"true", each.true_ones}}; };
     for (const auto& [name, each] : result.queues) {
         object causes;
-        for (const auto& [cause, count] : each.causes) causes[cause] = count;
-        queues.push_back(object{{"queue", name}, {"priority", each.priority}, {"worker", share(each.worker)}, {"worker_at_once", share(each.worker_at_once)}, {"undisturbed", share(each.undisturbed)}, {"time", share(each.time)}, {"waited", share(each.waited)}, {"pushed", share(each.pushed)},
-                                {"pushed_unsaid", each.pushed_unsaid}, {"not_covered", each.not_covered}, {"causes", std::move(causes)}});
+        for (const auto& [cause, count] : each.causes)
+            causes[cause] = count;
+        queues.push_back(object{{"queue", name},
+                                {"priority", each.priority},
+                                {"worker", share(each.worker)},
+                                {"worker_at_once", share(each.worker_at_once)},
+                                {"undisturbed", share(each.undisturbed)},
+                                {"time", share(each.time)},
+                                {"waited", share(each.waited)},
+                                {"pushed", share(each.pushed)},
+                                {"pushed_unsaid", each.pushed_unsaid},
+                                {"not_covered", each.not_covered},
+                                {"causes", std::move(causes)}});
     }
-    for (const Miss& each : result.misses) misses.push_back(object{{"task", each.task}, {"queue", each.queue}, {"what", each.what}, {"cause", each.cause}});
+    for (const Miss& each : result.misses)
+        misses.push_back(
+            object{{"task", each.task}, {"queue", each.queue}, {"what", each.what}, {"cause", each.cause}});
     return object{{"compared", result.compared}, {"queues", std::move(queues)}, {"misses", std::move(misses)}};
 }
 
--- a/source/preview/command.hpp
+++ b/source/preview/command.hpp
@@ -23,7 +23,8 @@
 // Names of everything that a change file may set under `planner`.
 inline std::vector<std::string> planner_names() {
     std::vector<std::string> names;
-    for (const PlannerField& field : planner_fields(PlannerSettings{})) names.push_back(field.name);
+    for (const PlannerField& field : planner_fields(PlannerSettings{}))
+        names.push_back(field.name);
     return names;
 }
 inline std::optional<std::string> read_input(const std::string& path, Findings& findings) {
@@ -33,13 +34,17 @@
     if (!file) return findings.add(path, "cannot be read"), std::nullopt;
     return text.str();
 }
-inline void check_planner(const Snapshot& snapshot, const ProposedChange& change, const std::string& name, Findings& findings) {
+inline void check_planner(const Snapshot& snapshot, const ProposedChange& change, const std::string& name,
+                          Findings& findings) {
     PlannerSettings settings;
-    for (const PlannerField& field : snapshot.planner) set_planner_field(settings, field.name, double(field.thousandths) / 1000);
-    for (const auto& [field, value] : change.planner) set_planner_field(settings, field, value);
+    for (const PlannerField& field : snapshot.planner)
+        set_planner_field(settings, field.name, double(field.thousandths) / 1000);
+    for (const auto& [field, value] : change.planner)
+        set_planner_field(settings, field, value);
     Findings inner;
     settings.check(inner);
-    for (const Finding& finding : inner.list()) findings.add(name + ".planner", finding.place + " " + finding.text);
+    for (const Finding& finding : inner.list())
+        findings.add(name + ".planner", finding.place + " " + finding.text);
 }
 
 // Reads everything that was given; says all that is wrong with it.
@@ -47,7 +52,8 @@
 inline ProposedChange read_change_files(const PreviewOptions& options, const Snapshot* snapshot, Findings& findings) {
     ProposedChange change;
     if (!options.configuration.empty())
-        if (auto text = read_input(options.configuration, findings)) read_configuration(*text, options.configuration, snapshot, change, findings);
+        if (auto text = read_input(options.configuration, findings))
+            read_configuration(*text, options.configuration, snapshot, change, findings);
     if (!options.change.empty())
         if (auto text = read_input(options.change, findings)) {
             read_change(*text, options.change, snapshot, planner_names(), change, findings);
@@ -64,9 +70,14 @@
 };
 
 // The snapshots that control wrote to a log, with the place of each. One whose last lines are missing is left out.
-inline std::vector<std::pair<std::string, std::string>> read_snapshot_lines(std::string_view text, const std::string& log, Findings& findings) {
+inline std::vector<std::pair<std::string, std::string>> read_snapshot_lines(std::string_view text,
+                                                                            const std::string& log,
+                                                                            Findings& findings) {
     std::vector<std::pair<std::string, std::string>> all;
-    struct Open { std::string place, bytes; size_t next = 0; };
+    struct Open {
+        std::string place, bytes;
+        size_t next = 0;
+    };
     std::map<std::string, Open> open;  // several owners may write into one log
     each_log_line(text, "snapshot", [&](std::string_view rest, size_t number) {
         std::istringstream words{std::string(rest)};
@@ -100,10 +111,13 @@
         if (!options.check_logged) continue;
         for (const auto& [place, bytes] : read_snapshot_lines(*text, log, outcome.findings)) {
             auto snapshot = unpack_snapshot(bytes, place, outcome.findings);
-            if (snapshot) logged.push_back(boost::json::serialize(preview_json(make_preview(std::move(*snapshot), ProposedChange{}, options.forward))));
+            if (snapshot)
+                logged.push_back(boost::json::serialize(
+                    preview_json(make_preview(std::move(*snapshot), ProposedChange{}, options.forward))));
         }
     }
-    if (lines.empty() && outcome.findings.empty()) outcome.findings.add("logs", "no line of what ran; was control run with --run-lines?");
+    if (lines.empty() && outcome.findings.empty())
+        outcome.findings.add("logs", "no line of what ran; was control run with --run-lines?");
     CheckResult result;
     if (!options.check_logged) {
         auto text = read_input(options.check, outcome.findings);
@@ -118,15 +132,19 @@
         unheard_of += said.unheard > 0;
         CheckResult one = Checker(said, lines, options.checking).check();
         result.compared = result.compared || one.compared;
-        for (const auto& [queue, each] : one.queues) result.queues[queue] += each;
+        for (const auto& [queue, each] : one.queues)
+            result.queues[queue] += each;
         result.misses.insert(result.misses.end(), one.misses.begin(), one.misses.end());
     }
     if (!outcome.findings.empty()) {
         outcome.status = PreviewStatus::bad_input;
         return outcome;
     }
-    if (options.check_logged) outcome.out = fmt::format("{} snapshots, {} of them by an owner that had not heard of all its workers\n", logged.size(), unheard_of);
-    outcome.out += options.json ? boost::json::serialize(check_json(result)) + "\n" : check_text(result, options.misses_most);
+    if (options.check_logged)
+        outcome.out = fmt::format("{} snapshots, {} of them by an owner that had not heard of all its workers\n",
+                                  logged.size(), unheard_of);
+    outcome.out +=
+        options.json ? boost::json::serialize(check_json(result)) + "\n" : check_text(result, options.misses_most);
     return outcome;
 }
 
@@ -144,7 +162,8 @@
         bytes = fetch_snapshot(options.control, unreachable);
         if (!bytes) {
             outcome.findings.add("control", "no daemon handed over a snapshot");
-            for (const Finding& finding : unreachable.list()) outcome.findings.add(finding.place, finding.text);
+            for (const Finding& finding : unreachable.list())
+                outcome.findings.add(finding.place, finding.text);
             outcome.status = PreviewStatus::unreachable;
             return outcome;
         }
--- a/source/preview/fetch.hpp
+++ b/source/preview/fetch.hpp
@@ -10,15 +10,22 @@
 
 // Asks one daemon after another until one hands over the record's snapshot; a daemon that is not the owner names it.
 // Example: Findings findings; auto bytes = fetch_snapshot({"10.0.0.4:7720"}, findings); if (!bytes) exit with 1
-inline std::optional<std::string> fetch_snapshot(const std::vector<std::string>& daemons, Findings& findings, size_t bytes_most = 64 << 20, Micros patience = seconds(10), Micros wait_when_often = milliseconds(1100)) {
-    struct Body { std::string text; size_t most; };
+inline std::optional<std::string> fetch_snapshot(const std::vector<std::string>& daemons, Findings& findings,
+                                                 size_t bytes_most = 64 << 20, Micros patience = seconds(10),
+                                                 Micros wait_when_often = milliseconds(1100)) {
+    struct Body {
+        std::string text;
+        size_t most;
+    };
     auto take = +[](char* data, size_t size, size_t count, void* into) -> size_t {
         Body& body = *static_cast<Body*>(into);
         if (body.text.size() + size * count > body.most) return 0;
         body.text.append(data, size * count);
         return size * count;
     };
-    struct Free { void operator()(CURL* easy) const { curl_easy_cleanup(easy); } };
+    struct Free {
+        void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+    };
     std::unique_ptr<CURL, Free> easy(curl_easy_init());
     // A daemon that has just handed one out is asked once more.
     std::vector<std::string> queue = daemons;
@@ -48,9 +55,13 @@
             queue.insert(queue.begin() + std::ptrdiff_t(place) + 1, daemon);
             continue;
         }
-        while (!body.text.empty() && body.text.back() == '\n') body.text.pop_back();
-        if (result != CURLE_OK) findings.add(daemon, curl_easy_strerror(result));
-        else findings.add(daemon, fmt::format("answers {}{}{}", code, body.text.empty() ? "" : ": ", body.text.substr(0, 300)));
+        while (!body.text.empty() && body.text.back() == '\n')
+            body.text.pop_back();
+        if (result != CURLE_OK)
+            findings.add(daemon, curl_easy_strerror(result));
+        else
+            findings.add(daemon,
+                         fmt::format("answers {}{}{}", code, body.text.empty() ? "" : ": ", body.text.substr(0, 300)));
     }
     return std::nullopt;
 }
--- a/source/preview/forward.hpp
+++ b/source/preview/forward.hpp
@@ -1,4 +1,5 @@
-// Runs the daemons' planner over a snapshot, forward in time by learnt durations. Pure: the same snapshot, the same outlook.
+// Runs the daemons' planner over a snapshot, forward in time by learnt durations. Pure: the same snapshot, the same
+// outlook.
 #pragma once
 #include "control/plan/planner.hpp"
 #include "preview/change.hpp"
@@ -23,8 +24,15 @@
 template <class Planner = DaemonsPlanner>
 class Forward {
 public:
-    Forward(const Snapshot& snapshot, const ProposedChange& change, const ForwardSettings& settings, Planner planner = {})
-        : snapshot_(snapshot), change_(change), settings_(settings), planner_(std::move(planner)), planner_settings_(settings_of(snapshot, change)), items_(planner_settings_), demand_(planner_settings_) {}
+    Forward(const Snapshot& snapshot, const ProposedChange& change, const ForwardSettings& settings,
+            Planner planner = {})
+        : snapshot_(snapshot),
+          change_(change),
+          settings_(settings),
+          planner_(std::move(planner)),
+          planner_settings_(settings_of(snapshot, change)),
+          items_(planner_settings_),
+          demand_(planner_settings_) {}
 
     Outlook look() {
         start_ = now_ = snapshot_.wall;
@@ -34,7 +42,8 @@
         take_workers();
         take_changes();
         list_waiting();
-        for (std::uint32_t job = 0; job < jobs_.size(); ++job) refresh_job(job);
+        for (std::uint32_t job = 0; job < jobs_.size(); ++job)
+            refresh_job(job);
         Micros end = start_ + settings_.horizon, last_change = now_;
         bool first = true;
         while (now_ <= end) {
@@ -49,7 +58,8 @@
             if (changed) last_change = now_;
             Micros next = std::numeric_limits<Micros>::max();
             if (!events_.empty()) next = std::max(events_.begin()->at, now_ + settings_.plan_apart);
-            if (!items_.empty() && now_ - last_change < settings_.idle_most) next = std::min(next, now_ + (unfinished || changed ? settings_.plan_apart : settings_.plan_again));
+            if (!items_.empty() && now_ - last_change < settings_.idle_most)
+                next = std::min(next, now_ + (unfinished || changed ? settings_.plan_apart : settings_.plan_again));
             if (next == std::numeric_limits<Micros>::max()) break;
             now_ = next;
         }
@@ -65,7 +75,7 @@
     struct TaskState {
         bool done = false;
         std::uint32_t failures = 0, live = 0;
-        Micros kept = 0;   // work that a checkpoint keeps
+        Micros kept = 0;           // work that a checkpoint keeps
         std::int64_t listed = -1;  // its place in the outlook while it has not landed
     };
     struct StepState {
@@ -100,7 +110,17 @@
         bool there = false, draining = false, usable = false, in_fleet = false;
         Micros avoided_until = 0;
     };
-    enum class Kind { run_ends, run_over, worker_opens, worker_drains, worker_leaves, worker_joins, worker_lapses, time_due, time_check };
+    enum class Kind {
+        run_ends,
+        run_over,
+        worker_opens,
+        worker_drains,
+        worker_leaves,
+        worker_joins,
+        worker_lapses,
+        time_due,
+        time_check
+    };
     struct Event {
         Micros at;
         Kind kind;
@@ -117,8 +137,10 @@
 
     static PlannerSettings settings_of(const Snapshot& snapshot, const ProposedChange& change) {
         PlannerSettings settings;
-        for (const PlannerField& field : snapshot.planner) set_planner_field(settings, field.name, double(field.thousandths) / 1000);
-        for (const auto& [name, value] : change.planner) set_planner_field(settings, name, value);
+        for (const PlannerField& field : snapshot.planner)
+            set_planner_field(settings, field.name, double(field.thousandths) / 1000);
+        for (const auto& [name, value] : change.planner)
+            set_planner_field(settings, name, value);
         return settings;
     }
 
@@ -126,10 +148,13 @@
 
     void take_config() {
         Findings ignored;
-        if (change_.config) config_ = *change_.config;
-        else if (!snapshot_.config.empty()) config_ = parse_config(snapshot_.config, ignored);
+        if (change_.config)
+            config_ = *change_.config;
+        else if (!snapshot_.config.empty())
+            config_ = parse_config(snapshot_.config, ignored);
         urgent_level_ = std::numeric_limits<std::int64_t>::max();
-        for (const Queue& queue : config_.queues) urgent_level_ = std::min(urgent_level_, queue.priority);
+        for (const Queue& queue : config_.queues)
+            urgent_level_ = std::min(urgent_level_, queue.priority);
     }
     void take_jobs() {
         for (std::uint32_t place = 0; place < snapshot_.jobs.size(); ++place) {
@@ -145,7 +170,8 @@
             Micros chain = 0;
             for (size_t step = 0; step < job.steps.size(); ++step) {
                 Micros before = 0;
-                for (std::uint32_t earlier : job.steps[step].wanted.depends) before = std::max(before, whole[earlier]);
+                for (std::uint32_t earlier : job.steps[step].wanted.depends)
+                    before = std::max(before, whole[earlier]);
                 whole[step] = before + job.steps[step].expected;
                 chain = std::max(chain, whole[step]);
             }
@@ -163,7 +189,9 @@
             }
             jobs_.push_back(std::move(state));
             by_id_[job.id] = place;
-            for (const SnapshotFailed& failed : job.failed) failed_on_[{place, failed.time, failed.step, failed.index}].insert(failed.nodes.begin(), failed.nodes.end());
+            for (const SnapshotFailed& failed : job.failed)
+                failed_on_[{place, failed.time, failed.step, failed.index}].insert(failed.nodes.begin(),
+                                                                                   failed.nodes.end());
             schedule_due(place);
         }
         for (const SnapshotDemand& each : snapshot_.demand)
@@ -176,18 +204,22 @@
         events_.insert({std::max(due, start_), Kind::time_due, place});
     }
     void take_workers() {
-        for (const SnapshotWorker& said : snapshot_.workers) add_worker(said);
+        for (const SnapshotWorker& said : snapshot_.workers)
+            add_worker(said);
         // Runs of a gang belong together by their task and run number.
         for (size_t place = 0; place < snapshot_.workers.size(); ++place)
-            for (const SnapshotRun& run : snapshot_.workers[place].runs) take_run(place, run);
-        for (auto& [id, run] : runs_) same_end_of_gang(run.gang);
+            for (const SnapshotRun& run : snapshot_.workers[place].runs)
+                take_run(place, run);
+        for (auto& [id, run] : runs_)
+            same_end_of_gang(run.gang);
         for (const auto& [key, ids] : live_) {
             if (ids.size() < 2) continue;
             outlook_.twice.push_back({key, lives_of(ids), 0, jobs_[key.job].job->steps[key.step].wanted.duplicate_ok});
         }
         for (size_t place = 0; place < workers_.size(); ++place) {
             const SnapshotWorker& said = workers_[place].said;
-            if ((said.placeholder || said.silent) && !said.runs.empty()) events_.insert({start_ + said.lapses_in, Kind::worker_lapses, place});
+            if ((said.placeholder || said.silent) && !said.runs.empty())
+                events_.insert({start_ + said.lapses_in, Kind::worker_lapses, place});
             if (said.leaves_in < 0) continue;
             events_.insert({start_ + said.leaves_in, Kind::worker_leaves, place});
             move_off(place, start_ + said.leaves_in);
@@ -198,13 +230,15 @@
         state.said = said;
         state.there = true;
         state.draining = said.draining;
-        state.usable = !said.silent && !said.placeholder && !said.paused && (snapshot_.fresh == 0 || said.heard_ago <= snapshot_.fresh);
+        state.usable = !said.silent && !said.placeholder && !said.paused &&
+                       (snapshot_.fresh == 0 || said.heard_ago <= snapshot_.fresh);
         // A worker that is heard of and has not reported under this owner's fence is about to.
         Micros opens_in = std::max(said.avoided_for, said.reconciled ? 0 : report_soon);
         state.avoided_until = now_ + opens_in;
         PlanWorker worker;
         worker.service = names_.of(said.service);
-        for (const std::string& label : said.labels) worker.labels.push_back(names_.of(label));
+        for (const std::string& label : said.labels)
+            worker.labels.push_back(names_.of(label));
         worker.rack = said.labels.size() > 1 ? names_.of(said.labels[1]) : 0;
         worker.capacity = {said.cpu, said.memory, said.gpu};
         // What is known from the record only offers no room.
@@ -222,7 +256,9 @@
         const WorkerState& state = workers_[place];
         bool open = state.there && state.usable && !state.draining && now_ >= state.avoided_until;
         double trust = double(state.said.trust_thousandths) / 1000;
-        if (state.in_fleet) fleet_.judge(state.place, open, double(state.said.pace_thousandths) / 1000, std::max(trust, planner_settings_.trust_least), trust < trial_trust ? 1 : 0);
+        if (state.in_fleet)
+            fleet_.judge(state.place, open, double(state.said.pace_thousandths) / 1000,
+                         std::max(trust, planner_settings_.trust_least), trust < trial_trust ? 1 : 0);
     }
     void take_run(size_t place, const SnapshotRun& said) {
         RunState run;
@@ -247,11 +283,13 @@
             wanted = &state->job->steps[said.step].wanted;
             lasting = wanted->long_running;
             Micros expected = duration_on(*state, said.step, place);
-            if (lasting) run.ends = endless;
+            if (lasting)
+                run.ends = endless;
             else {
                 // As the daemons reckon; what is overdue takes a quarter of its time longer.
                 if (said.percent >= 10 && said.shown > 0) expected = said.shown * 100 / said.percent;
-                run.ends = run.started + expected > start_ ? run.started + expected : start_ + std::max<Micros>(milliseconds(20), elapsed / 4);
+                run.ends = run.started + expected > start_ ? run.started + expected
+                                                           : start_ + std::max<Micros>(milliseconds(20), elapsed / 4);
             }
             if (wanted->gang) run.gang = gang_of(run.key, said.run);
             run.copy = said.doubled;
@@ -262,7 +300,8 @@
         bool in_doubt = workers_[place].said.placeholder || workers_[place].said.silent;
         if (!run.room_only) {
             run.running = std::int64_t(outlook_.running.size());
-            outlook_.running.push_back({run.key, workers_[place].said.life, run.ends == endless ? -1 : run.ends - start_, run.stopping, in_doubt});
+            outlook_.running.push_back({run.key, workers_[place].said.life,
+                                        run.ends == endless ? -1 : run.ends - start_, run.stopping, in_doubt});
         }
         begin(id, run, standing, wanted);
         // What is known from the record only goes on, but nobody can say until when.
@@ -277,7 +316,10 @@
                 continue;
             }
             for (size_t worker = 0; worker < workers_.size(); ++worker)
-                if (workers_[worker].said.life == change.name) events_.insert({start_ + change.after, change.move == WorkerMove::drain ? Kind::worker_drains : Kind::worker_leaves, worker});
+                if (workers_[worker].said.life == change.name)
+                    events_.insert({start_ + change.after,
+                                    change.move == WorkerMove::drain ? Kind::worker_drains : Kind::worker_leaves,
+                                    worker});
         }
     }
 
@@ -288,7 +330,9 @@
         double pace = double(workers_[worker].said.pace_thousandths) / 1000;
         double length = double(wanted.expected) * (pace > planner_settings_.slow_pace ? pace : 1);
         const auto& labels = workers_[worker].said.labels;
-        if (!wanted.wanted.affinity.empty() && std::find(labels.begin(), labels.end(), wanted.wanted.affinity) == labels.end()) length *= planner_settings_.remote_factor;
+        if (!wanted.wanted.affinity.empty() &&
+            std::find(labels.begin(), labels.end(), wanted.wanted.affinity) == labels.end())
+            length *= planner_settings_.remote_factor;
         return std::max<Micros>(1, Micros(length));
     }
     // As the daemons see it: by the first time that is open, of the whole job.
@@ -303,12 +347,14 @@
         Standing standing;
         for (size_t place = 0; place < left.size(); ++place) {
             Micros before = 0;
-            for (std::uint32_t earlier : state.job->steps[place].wanted.depends) before = std::max(before, left[earlier]);
+            for (std::uint32_t earlier : state.job->steps[place].wanted.depends)
+                before = std::max(before, left[earlier]);
             left[place] = before + (first && (*first)[place].open == 0 ? 0 : state.job->steps[place].expected);
             standing.rest = std::max(standing.rest, left[place]);
         }
         standing.level = state.level;
-        standing.begun = state.job->repeats ? state.job->first_at + Micros(number) * state.job->interval : state.job->accepted_wall;
+        standing.begun =
+            state.job->repeats ? state.job->first_at + Micros(number) * state.job->interval : state.job->accepted_wall;
         standing.due = standing.begun + state.aim;
         standing.lasting = state.job->steps[step].wanted.long_running;
         return standing;
@@ -352,7 +398,8 @@
         run.ends = at;
         run.stopping = stopping;
         if (at != endless) events_.insert({at, stopping ? Kind::run_over : Kind::run_ends, id});
-        if (PlanRun* seen = workers_[run.worker].in_fleet ? fleet_.find_run(workers_[run.worker].place, id) : nullptr) seen->expected_end = at, seen->stopping = stopping;
+        if (PlanRun* seen = workers_[run.worker].in_fleet ? fleet_.find_run(workers_[run.worker].place, id) : nullptr)
+            seen->expected_end = at, seen->stopping = stopping;
         std::int64_t ends = at == endless ? -1 : at - start_;
         if (run.running >= 0) outlook_.running[size_t(run.running)].ends = ends;
         if (run.listed >= 0 && !stopping) outlook_.tasks[size_t(run.listed)].ends = ends;
@@ -361,7 +408,8 @@
     void same_end_of_gang(std::uint64_t gang) {
         if (!gang) return;
         Micros last = 0;
-        for (std::uint64_t id : gangs_[gang]) last = std::max(last, runs_.at(id).ends);
+        for (std::uint64_t id : gangs_[gang])
+            last = std::max(last, runs_.at(id).ends);
         for (std::uint64_t id : std::set<std::uint64_t>(gangs_[gang]))
             if (!runs_.at(id).stopping && runs_.at(id).ends != last) set_end(id, last, false);
     }
@@ -394,10 +442,13 @@
         }
         // The copies of a task that is done are stopped.
         if (auto others = live_.find(run.key); others != live_.end())
-            for (std::uint64_t other : std::set<std::uint64_t>(others->second)) set_end(other, now_ + stop_takes(), true);
+            for (std::uint64_t other : std::set<std::uint64_t>(others->second))
+                set_end(other, now_ + stop_takes(), true);
         doubled_.erase(run.key);
-        if (step.open == 0) refresh_time(run.key.job, run.key.time);
-        else refresh(run.key.job, run.key.time, run.key.step);
+        if (step.open == 0)
+            refresh_time(run.key.job, run.key.time);
+        else
+            refresh(run.key.job, run.key.time, run.key.step);
     }
     // A stop was carried out, or nothing can run there any more: the task waits again.
     void over(std::uint64_t id) {
@@ -414,9 +465,11 @@
         run.pushed = true;
         const Step& wanted = jobs_[run.key.job].job->steps[run.key.step].wanted;
         Micros worked = std::max<Micros>(0, now_ - run.started), kept = 0;
-        if (wanted.checkpoints && planner_settings_.checkpoint_every > 0) kept = worked / planner_settings_.checkpoint_every * planner_settings_.checkpoint_every;
+        if (wanted.checkpoints && planner_settings_.checkpoint_every > 0)
+            kept = worked / planner_settings_.checkpoint_every * planner_settings_.checkpoint_every;
         task(run.key).kept = std::max(task(run.key).kept, run.kept + kept);
-        outlook_.pushed.push_back({run.key, workers_[run.worker].said.life, now_ - start_, run.was_running, by, double(wanted.cpu + 8000 * wanted.gpu) / 1000 * double(worked - kept) / 1e6});
+        outlook_.pushed.push_back({run.key, workers_[run.worker].said.life, now_ - start_, run.was_running, by,
+                                   double(wanted.cpu + 8000 * wanted.gpu) / 1000 * double(worked - kept) / 1e6});
     }
     void stop(std::uint64_t id, const std::string& by) {
         push_aside(id, by);
@@ -425,7 +478,8 @@
     // Runs that cannot end before their worker leaves are moved off, as the daemons do.
     void move_off(size_t worker, Micros leaves) {
         for (auto& [id, run] : std::map<std::uint64_t, RunState>(runs_))
-            if (run.worker == worker && !run.stopping && !run.room_only && !run.gang && run.ends > leaves) stop(id, "its worker leaves");
+            if (run.worker == worker && !run.stopping && !run.room_only && !run.gang && run.ends > leaves)
+                stop(id, "its worker leaves");
     }
 
     // --- items ---
@@ -435,10 +489,13 @@
     TaskState& task(const TaskKey& key) { return step_of(key).tasks[key.index]; }
     std::vector<std::string> lives_of(const std::set<std::uint64_t>& ids) const {
         std::vector<std::string> lives;
-        for (std::uint64_t id : ids) lives.push_back(workers_[runs_.at(id).worker].said.life);
+        for (std::uint64_t id : ids)
+            lives.push_back(workers_[runs_.at(id).worker].said.life);
         return lives;
     }
-    std::uint64_t gang_of(const TaskKey& key, std::uint32_t run) { return gang_ids_.try_emplace({key.job, key.time, key.step, run}, gang_ids_.size() + 1).first->second; }
+    std::uint64_t gang_of(const TaskKey& key, std::uint32_t run) {
+        return gang_ids_.try_emplace({key.job, key.time, key.step, run}, gang_ids_.size() + 1).first->second;
+    }
     std::uint64_t item_id(const ItemOf& of) {
         auto [found, fresh] = item_ids_.try_emplace(of, item_ids_.size() + 1);
         if (fresh) items_of_[found->second] = of;
@@ -450,10 +507,12 @@
         return true;
     }
     void refresh_job(std::uint32_t place) {
-        for (auto& [number, steps] : jobs_[place].times) refresh_time(place, number);
+        for (auto& [number, steps] : jobs_[place].times)
+            refresh_time(place, number);
     }
     void refresh_time(std::uint32_t place, std::uint64_t number) {
-        for (std::uint32_t step = 0; step < jobs_[place].job->steps.size(); ++step) refresh(place, number, step);
+        for (std::uint32_t step = 0; step < jobs_[place].job->steps.size(); ++step)
+            refresh(place, number, step);
     }
     // Tells the planner's list of items what of this step waits now.
     void refresh(std::uint32_t place, std::uint64_t number, std::uint32_t step) {
@@ -467,17 +526,23 @@
         for (std::uint32_t index = 0; turn && index < at.tasks.size(); ++index) {
             TaskKey key{place, number, step, index};
             if (at.tasks[index].done || at.tasks[index].failures >= state.attempts_most) continue;
-            if (at.tasks[index].live == 1 && doubled_.contains(key) && wanted.duplicate_ok && !wanted.gang) singles.insert(index);
+            if (at.tasks[index].live == 1 && doubled_.contains(key) && wanted.duplicate_ok && !wanted.gang)
+                singles.insert(index);
             if (at.tasks[index].live > 0) continue;
-            if (!wanted.gang && failed_on_.contains(key)) singles.insert(index);
-            else at.waiting.push_back(index);
+            if (!wanted.gang && failed_on_.contains(key))
+                singles.insert(index);
+            else
+                at.waiting.push_back(index);
         }
         if (wanted.gang && at.waiting.size() != at.tasks.size()) at.waiting.clear();
-        if (at.waiting.empty()) items_.erase(item_id({place, number, step, -1}));
-        else put(place, number, step, -1, std::uint32_t(at.waiting.size()));
+        if (at.waiting.empty())
+            items_.erase(item_id({place, number, step, -1}));
+        else
+            put(place, number, step, -1, std::uint32_t(at.waiting.size()));
         for (std::uint32_t index : at.singles)
             if (!singles.contains(index)) items_.erase(item_id({place, number, step, std::int64_t(index)}));
-        for (std::uint32_t index : singles) put(place, number, step, std::int64_t(index), 1);
+        for (std::uint32_t index : singles)
+            put(place, number, step, std::int64_t(index), 1);
         at.singles = std::move(singles);
     }
     void put(std::uint32_t place, std::uint64_t number, std::uint32_t step, std::int64_t single, std::uint32_t count) {
@@ -492,16 +557,19 @@
         item.duration = std::max<Micros>(1, wanted.expected);
         item.needs = names_.of(wanted.wanted.needs), item.affinity = names_.of(wanted.wanted.affinity);
         item.anti_affinity = wanted.wanted.anti_affinity;
-        item.gang = wanted.wanted.gang, item.same_rack = wanted.wanted.same_rack, item.checkpoints = wanted.wanted.checkpoints;
+        item.gang = wanted.wanted.gang, item.same_rack = wanted.wanted.same_rack,
+        item.checkpoints = wanted.wanted.checkpoints;
         item.preemptable = !wanted.wanted.long_running;
         for (std::uint32_t index = 0; item.anti_affinity && index < wanted.wanted.count; ++index)
-            for (std::uint32_t there : places_of({place, number, step, index})) item.on_worker.emplace_back(there, 1);
+            for (std::uint32_t there : places_of({place, number, step, index}))
+                item.on_worker.emplace_back(there, 1);
         if (single >= 0) {
             TaskKey key{place, number, step, std::uint32_t(single)};
             item.away = places_of(key);
             if (auto failed = failed_on_.find(key); failed != failed_on_.end())
                 for (const WorkerState& worker : workers_)
-                    if (worker.in_fleet && failed->second.contains(worker.said.node)) item.disliked.push_back(worker.place);
+                    if (worker.in_fleet && failed->second.contains(worker.said.node))
+                        item.disliked.push_back(worker.place);
         }
         Fleet::ServiceSum sum = fleet_.service(item.service);
         double mean = sum.count ? double(sum.capacity.cpu) / double(sum.count) : 0;
@@ -511,7 +579,8 @@
         std::vector<std::uint32_t> places;
         if (auto live = live_.find(key); live != live_.end())
             for (std::uint64_t run : live->second)
-                if (const WorkerState& worker = workers_[runs_.at(run).worker]; worker.in_fleet) places.push_back(worker.place);
+                if (const WorkerState& worker = workers_[runs_.at(run).worker]; worker.in_fleet)
+                    places.push_back(worker.place);
         return places;
     }
 
@@ -528,7 +597,8 @@
     }
     void list_waiting() {
         for (std::uint32_t place = 0; place < jobs_.size(); ++place)
-            for (auto& [number, steps] : jobs_[place].times) list_time(place, number, {});
+            for (auto& [number, steps] : jobs_[place].times)
+                list_time(place, number, {});
     }
     void list_time(std::uint32_t place, std::uint64_t number, const std::string& why) {
         JobState& state = jobs_[place];
@@ -552,7 +622,9 @@
         const Step& wanted = state.job->steps[step].wanted;
         const std::string& service = names_.text(state.service);
         // An owner that has just begun knows some workers from the record only, or none: they may be what is asked for.
-        if (workers_.empty() || std::any_of(workers_.begin(), workers_.end(), [](const WorkerState& worker) { return worker.said.placeholder; })) return {};
+        if (workers_.empty() || std::any_of(workers_.begin(), workers_.end(),
+                                            [](const WorkerState& worker) { return worker.said.placeholder; }))
+            return {};
         std::vector<const SnapshotWorker*> there;
         for (size_t place = 0; place < workers_.size(); ++place)
             if (!workers_[place].said.placeholder && !leaves(place)) there.push_back(&workers_[place].said);
@@ -560,10 +632,15 @@
             if (change.move == WorkerMove::join) there.push_back(&change.joins);
         std::erase_if(there, [&](const SnapshotWorker* worker) { return worker->service != service; });
         if (there.empty()) return "service gone";
-        auto has = [](const SnapshotWorker* worker, const std::string& label) { return std::find(worker->labels.begin(), worker->labels.end(), label) != worker->labels.end(); };
-        if (!wanted.needs.empty()) std::erase_if(there, [&](const SnapshotWorker* worker) { return !has(worker, wanted.needs); });
+        auto has = [](const SnapshotWorker* worker, const std::string& label) {
+            return std::find(worker->labels.begin(), worker->labels.end(), label) != worker->labels.end();
+        };
+        if (!wanted.needs.empty())
+            std::erase_if(there, [&](const SnapshotWorker* worker) { return !has(worker, wanted.needs); });
         if (there.empty()) return "label missing";
-        std::erase_if(there, [&](const SnapshotWorker* worker) { return worker->cpu < wanted.cpu || worker->memory < wanted.memory || worker->gpu < wanted.gpu; });
+        std::erase_if(there, [&](const SnapshotWorker* worker) {
+            return worker->cpu < wanted.cpu || worker->memory < wanted.memory || worker->gpu < wanted.gpu;
+        });
         if (there.empty()) return "no worker is large enough";
         if (!wanted.gang) return {};
         std::uint64_t fit = 0;
@@ -578,7 +655,9 @@
         return fit < wanted.count ? "gang too wide" : std::string();
     }
     bool leaves(size_t place) const {
-        return std::any_of(change_.workers.begin(), change_.workers.end(), [&](const WorkerChange& change) { return change.move == WorkerMove::leave && change.name == workers_[place].said.life; });
+        return std::any_of(change_.workers.begin(), change_.workers.end(), [&](const WorkerChange& change) {
+            return change.move == WorkerMove::leave && change.name == workers_[place].said.life;
+        });
     }
 
     // --- events ---
@@ -595,15 +674,28 @@
     }
     void take(const Event& event) {
         switch (event.kind) {
-            case Kind::run_ends: runs_.at(event.which).ends = endless; return done(event.which);
-            case Kind::run_over: runs_.at(event.which).ends = endless; return over(event.which);
-            case Kind::worker_opens: return judge(event.which);
-            case Kind::worker_drains: workers_[event.which].draining = true; return judge(event.which);
-            case Kind::worker_leaves: return leave(event.which);
-            case Kind::worker_joins: add_worker(change_.workers[event.which].joins); return;
-            case Kind::worker_lapses: return lapse(event.which);
-            case Kind::time_due: return begin_time(std::uint32_t(event.which));
-            case Kind::time_check: return;
+            case Kind::run_ends:
+                runs_.at(event.which).ends = endless;
+                return done(event.which);
+            case Kind::run_over:
+                runs_.at(event.which).ends = endless;
+                return over(event.which);
+            case Kind::worker_opens:
+                return judge(event.which);
+            case Kind::worker_drains:
+                workers_[event.which].draining = true;
+                return judge(event.which);
+            case Kind::worker_leaves:
+                return leave(event.which);
+            case Kind::worker_joins:
+                add_worker(change_.workers[event.which].joins);
+                return;
+            case Kind::worker_lapses:
+                return lapse(event.which);
+            case Kind::time_due:
+                return begin_time(std::uint32_t(event.which));
+            case Kind::time_check:
+                return;
         }
     }
     // Its runs are in doubt until its hold has surely lapsed.
@@ -658,14 +750,17 @@
         resume_ = plan.resume;
         unfinished = plan.unfinished;
         if (first)
-            for (const Wait& wait : plan.waits) note_reason(wait);
+            for (const Wait& wait : plan.waits)
+                note_reason(wait);
         std::set<ItemOf> touched;
         for (const Stop& each : plan.stops) {
             auto place = at_place_.find(each.worker);
             auto run = runs_.find(each.run);
             if (place == at_place_.end() || run == runs_.end() || run->second.worker != place->second) continue;
             auto item = items_of_.find(each.for_item);
-            std::string by = item == items_of_.end() ? "" : fmt::format("{}.{}.{}", jobs_[item->second.job].job->id, item->second.time, item->second.step);
+            std::string by = item == items_of_.end() ? ""
+                                                     : fmt::format("{}.{}.{}", jobs_[item->second.job].job->id,
+                                                                   item->second.time, item->second.step);
             std::set<std::uint64_t> ids{each.run};
             if (run->second.gang) ids = gangs_[run->second.gang];
             for (std::uint64_t id : ids)
@@ -679,8 +774,10 @@
             start(found->second, each, place->second, gang_numbers[each.item]);
             touched.insert(found->second);
         }
-        for (auto& [item, gang] : gang_numbers) same_end_of_gang(gang);
-        for (const ItemOf& of : touched) refresh(of.job, of.time, of.step);
+        for (auto& [item, gang] : gang_numbers)
+            same_end_of_gang(gang);
+        for (const ItemOf& of : touched)
+            refresh(of.job, of.time, of.step);
         return !plan.starts.empty() || !plan.stops.empty();
     }
     void note_reason(const Wait& wait) {
@@ -700,7 +797,10 @@
         JobState& state = jobs_[of.job];
         StepState& at = state.times.at(of.time)[of.step];
         const SnapshotStep& wanted = state.job->steps[of.step];
-        TaskKey key{of.job, of.time, of.step, of.single >= 0 ? std::uint32_t(of.single) : number < at.waiting.size() ? at.waiting[number] : 0};
+        TaskKey key{of.job, of.time, of.step,
+                    of.single >= 0               ? std::uint32_t(of.single)
+                    : number < at.waiting.size() ? at.waiting[number]
+                                                 : 0};
         TaskState& each = task(key);
         bool copy = of.single >= 0 && doubled_.contains(key) && each.live == 1;
         RunState run;
@@ -716,8 +816,13 @@
         Micros length = duration_on(state, of.step, worker);
         if (each.kept > 0) length = std::max<Micros>(length / 20, length - each.kept) + planner_settings_.restore;
         run.ends = wanted.wanted.long_running ? endless : now_ + length;
-        if (wanted.wanted.gang) run.gang = gang = gang ? gang : gang_ids_.try_emplace({of.job, of.time, of.step, 1000000 + next_run_}, gang_ids_.size() + 1).first->second;
-        if (!copy && each.listed >= 0 && outlook_.tasks[size_t(each.listed)].landing != Landing::lands) run.listed = each.listed;
+        if (wanted.wanted.gang)
+            run.gang = gang =
+                gang ? gang
+                     : gang_ids_.try_emplace({of.job, of.time, of.step, 1000000 + next_run_}, gang_ids_.size() + 1)
+                           .first->second;
+        if (!copy && each.listed >= 0 && outlook_.tasks[size_t(each.listed)].landing != Landing::lands)
+            run.listed = each.listed;
         if (copy) {
             run.listed = std::int64_t(outlook_.tasks.size());
             outlook_.tasks.push_back({key, Landing::waits, true, {}, -1, -1, {}});
@@ -733,15 +838,19 @@
         std::uint64_t id = next_run_++;
         Standing standing = standing_of(state, of.step);
         begin(id, run, standing, &wanted.wanted);
-        if (each.live > 1 || each.done) outlook_.twice.push_back({key, lives_of(live_.at(key)), now_ - start_, wanted.wanted.duplicate_ok && !each.done});
+        if (each.live > 1 || each.done)
+            outlook_.twice.push_back(
+                {key, lives_of(live_.at(key)), now_ - start_, wanted.wanted.duplicate_ok && !each.done});
     }
     void finish() {
         // What was in doubt at first, or lost its worker, waits for its hold to lapse.
         for (TaskOutlook& each : outlook_.tasks)
             if (each.landing != Landing::lands && each.why.empty()) each.why = "room";
-        std::stable_sort(outlook_.tasks.begin(), outlook_.tasks.end(), [&](const TaskOutlook& left, const TaskOutlook& right) {
-            return std::tuple(jobs_[left.key.job].level, left.key, left.copy) < std::tuple(jobs_[right.key.job].level, right.key, right.copy);
-        });
+        std::stable_sort(outlook_.tasks.begin(), outlook_.tasks.end(),
+                         [&](const TaskOutlook& left, const TaskOutlook& right) {
+                             return std::tuple(jobs_[left.key.job].level, left.key, left.copy) <
+                                    std::tuple(jobs_[right.key.job].level, right.key, right.copy);
+                         });
     }
 
     const Snapshot& snapshot_;
--- a/source/preview/outlook.hpp
+++ b/source/preview/outlook.hpp
@@ -22,11 +22,11 @@
 struct TaskOutlook {
     TaskKey key;
     Landing landing = Landing::waits;
-    bool copy = false;     // one more run of a task that may be done twice
-    std::string worker;    // its life
-    Micros at = -1;        // when it starts
-    Micros ends = -1;      // when it is expected to end; -1: not within the horizon, or never
-    std::string why;       // why it does not start at once, or why it lands nowhere
+    bool copy = false;   // one more run of a task that may be done twice
+    std::string worker;  // its life
+    Micros at = -1;      // when it starts
+    Micros ends = -1;    // when it is expected to end; -1: not within the horizon, or never
+    std::string why;     // why it does not start at once, or why it lands nowhere
 };
 
 // A run that takes room at the time of the snapshot.
@@ -60,8 +60,8 @@
     std::vector<RunOutlook> running;
     std::vector<PushedAside> pushed;
     std::vector<Twice> twice;
-    Micros horizon = 0;   // how far it looked
-    bool cut = false;     // it ended before the horizon since there was too much to plan
+    Micros horizon = 0;  // how far it looked
+    bool cut = false;    // it ended before the horizon since there was too much to plan
     size_t plans = 0;
     // Runs that could run beside another though they must not; anything but 0 is an alarm.
     size_t alarms() const {
--- a/source/preview/planner_fields.hpp
+++ b/source/preview/planner_fields.hpp
@@ -10,18 +10,25 @@
     std::int64_t thousandths = 0;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(name), visit(thousandths); }
+    void describe(Visitor& visit) {
+        visit(name), visit(thousandths);
+    }
 };
 
-// Calls see(name, value) for each setting: the operators' options and what is of the site; `value` is a double, Micros or size_t.
-// Example: each_planner_setting(settings, [](std::string_view name, auto& value) { ... });
+// Calls see(name, value) for each setting: the operators' options and what is of the site; `value` is a double, Micros
+// or size_t. Example: each_planner_setting(settings, [](std::string_view name, auto& value) { ... });
 template <class Settings, class See>
 void each_planner_setting(Settings& settings, See see) {
-    each_planner_option(settings, [&](const char* name, const char*, auto& value) { see(std::string_view(name), value); });
-    see("remote-factor", settings.remote_factor), see("stop-grace-s", settings.stop_grace), see("restore-s", settings.restore);
-    see("checkpoint-s", settings.checkpoint_every), see("slow-pace", settings.slow_pace), see("trust-least", settings.trust_least);
-    see("stop-share", settings.stop_share), see("push-early-s", settings.push_early), see("urgent-memory-s", settings.urgent_memory);
-    see("urgent-length-s", settings.urgent_length), see("looks-most", settings.looks_most), see("evaluations-most", settings.evaluations_most);
+    each_planner_option(settings,
+                        [&](const char* name, const char*, auto& value) { see(std::string_view(name), value); });
+    see("remote-factor", settings.remote_factor), see("stop-grace-s", settings.stop_grace),
+        see("restore-s", settings.restore);
+    see("checkpoint-s", settings.checkpoint_every), see("slow-pace", settings.slow_pace),
+        see("trust-least", settings.trust_least);
+    see("stop-share", settings.stop_share), see("push-early-s", settings.push_early),
+        see("urgent-memory-s", settings.urgent_memory);
+    see("urgent-length-s", settings.urgent_length), see("looks-most", settings.looks_most),
+        see("evaluations-most", settings.evaluations_most);
     see("stops-most", settings.stops_most);
 }
 inline std::vector<PlannerField> planner_fields(const PlannerSettings& settings) {
--- a/source/preview/record_view.hpp
+++ b/source/preview/record_view.hpp
@@ -23,7 +23,9 @@
     }
     // Calls visit(job, expected, failed) for each open job; expected(step) is how long a task of it takes as learnt.
     template <class Visit>
-    void each_open_job(Visit visit) const { record_.each_open_job(std::move(visit)); }
+    void each_open_job(Visit visit) const {
+        record_.each_open_job(std::move(visit));
+    }
 
 private:
     const Record& record_;
@@ -56,9 +58,11 @@
 };
 
 // Nothing when the snapshot would be larger than `limits.bytes`; the making stops as soon as that is sure.
-// Example: auto snapshot = snapshot_of(RecordView(scheduler), {epoch, now, wall, confirmed_at}, {}); if (!snapshot) answer 413
+// Example: auto snapshot = snapshot_of(RecordView(scheduler), {epoch, now, wall, confirmed_at}, {}); if (!snapshot)
+// answer 413
 template <class Record>
-std::optional<Snapshot> snapshot_of(const RecordView<Record>& record, const SnapshotMoment& moment, const SnapshotLimits& limits) {
+std::optional<Snapshot> snapshot_of(const RecordView<Record>& record, const SnapshotMoment& moment,
+                                    const SnapshotLimits& limits) {
     Snapshot snapshot;
     snapshot.epoch = moment.epoch;
     snapshot.wall = moment.wall;
@@ -73,12 +77,16 @@
     record.each_open_job([&](const auto& job, const auto& expected, const auto& failed) {
         if (full) return;
         SnapshotJob each;
-        each.id = job.fixed.id, each.host = job.fixed.host, each.prefix = job.fixed.prefix, each.service = job.fixed.service;
-        each.priority = job.fixed.priority, each.attempts_most = job.fixed.attempts_most, each.extension_thousandths = job.fixed.extension_thousandths;
+        each.id = job.fixed.id, each.host = job.fixed.host, each.prefix = job.fixed.prefix,
+        each.service = job.fixed.service;
+        each.priority = job.fixed.priority, each.attempts_most = job.fixed.attempts_most,
+        each.extension_thousandths = job.fixed.extension_thousandths;
         each.target = job.fixed.target, each.accepted_wall = job.fixed.accepted_wall;
-        each.repeats = job.fixed.spec.repeats, each.first_at = job.fixed.spec.first_at, each.interval = job.fixed.spec.interval;
+        each.repeats = job.fixed.spec.repeats, each.first_at = job.fixed.spec.first_at,
+        each.interval = job.fixed.spec.interval;
         each.next_time = job.moving.next_time;
-        for (std::uint32_t step = 0; step < job.fixed.spec.steps.size(); ++step) each.steps.push_back({job.fixed.spec.steps[step], std::max<Micros>(0, expected(step))});
+        for (std::uint32_t step = 0; step < job.fixed.spec.steps.size(); ++step)
+            each.steps.push_back({job.fixed.spec.steps[step], std::max<Micros>(0, expected(step))});
         least += 50 + 20 * each.steps.size();
         for (const auto& time : job.moving.times) {
             SnapshotTime times{time.number, {}};
@@ -86,8 +94,10 @@
                 std::vector<SnapshotTasks> ranges;
                 for (const auto& task : step.tasks) {
                     SnapshotTasks state{1, task.done, !task.saved.empty(), task.failures};
-                    if (!ranges.empty() && ranges.back().same_state(state)) ++ranges.back().count;
-                    else ranges.push_back(state);
+                    if (!ranges.empty() && ranges.back().same_state(state))
+                        ++ranges.back().count;
+                    else
+                        ranges.push_back(state);
                 }
                 least += 1 + 5 * ranges.size();
                 times.steps.push_back(std::move(ranges));
@@ -105,9 +115,11 @@
     for (const auto& [life, worker] : record.workers()) {
         if (full) return std::nullopt;
         SnapshotWorker each;
-        each.life = life, each.node = worker.node, each.service = worker.account.service, each.zone = worker.account.zone, each.labels = worker.account.labels;
+        each.life = life, each.node = worker.node, each.service = worker.account.service,
+        each.zone = worker.account.zone, each.labels = worker.account.labels;
         each.cpu = worker.account.cpu, each.memory = worker.account.memory, each.gpu = worker.account.gpu;
-        each.placeholder = worker.placeholder, each.reconciled = worker.reconciled, each.silent = worker.silent, each.draining = worker.account.draining;
+        each.placeholder = worker.placeholder, each.reconciled = worker.reconciled, each.silent = worker.silent,
+        each.draining = worker.account.draining;
         each.heard_ago = moment.now - worker.heard_at;
         each.leaves_in = worker.leaves_at < 0 ? -1 : std::max<Micros>(0, worker.leaves_at - moment.now);
         each.lapses_in = std::max<Micros>(0, worker.lapses_at - moment.now);
@@ -135,12 +147,19 @@
     record.each_demand([&](const std::string& service, std::int64_t level, double cpu, double memory) {
         snapshot.demand.push_back({service, level, std::int64_t(cpu), std::int64_t(memory)});
     });
-    std::sort(snapshot.demand.begin(), snapshot.demand.end(), [](const SnapshotDemand& left, const SnapshotDemand& right) { return std::tie(left.service, left.level) < std::tie(right.service, right.level); });
+    std::sort(snapshot.demand.begin(), snapshot.demand.end(),
+              [](const SnapshotDemand& left, const SnapshotDemand& right) {
+                  return std::tie(left.service, left.level) < std::tie(right.service, right.level);
+              });
     // One order whatever the owner's tables are kept in.
     std::sort(snapshot.jobs.begin(), snapshot.jobs.end(), [](const SnapshotJob& left, const SnapshotJob& right) {
-        return std::tie(left.priority, left.accepted_wall, left.id) < std::tie(right.priority, right.accepted_wall, right.id);
+        return std::tie(left.priority, left.accepted_wall, left.id) <
+               std::tie(right.priority, right.accepted_wall, right.id);
     });
-    std::sort(snapshot.workers.begin(), snapshot.workers.end(), [](const SnapshotWorker& left, const SnapshotWorker& right) { return std::tie(left.place, left.life) < std::tie(right.place, right.life); });
+    std::sort(snapshot.workers.begin(), snapshot.workers.end(),
+              [](const SnapshotWorker& left, const SnapshotWorker& right) {
+                  return std::tie(left.place, left.life) < std::tie(right.place, right.life);
+              });
     return full ? std::nullopt : std::optional(std::move(snapshot));
 }
 
--- a/source/preview/serve.hpp
+++ b/source/preview/serve.hpp
@@ -9,7 +9,8 @@
 
 class PreviewReads {
 public:
-    explicit PreviewReads(bool on, const SnapshotLimits& limits = {}) : on_(on), limits_(limits), pause_(limits.apart) {}
+    explicit PreviewReads(bool on, const SnapshotLimits& limits = {})
+        : on_(on), limits_(limits), pause_(limits.apart) {}
 
     // Who owns the record, as this daemon knows it.
     struct Owner {
@@ -21,14 +22,19 @@
         Response refusal;  // when there is no snapshot
     };
     // To be called under the owner's lock; what it took is packed by `answer` after the lock was let go.
-    // Example: PreviewReads::Taken taken = reads.take("GET", {acting(), owner_address()}, RecordView(scheduler), moment);
+    // Example: PreviewReads::Taken taken = reads.take("GET", {acting(), owner_address()}, RecordView(scheduler),
+    // moment);
     template <class Record>
-    Taken take(std::string_view method, const Owner& owner, const RecordView<Record>& record, const SnapshotMoment& moment) {
-        if (!on_) return {{}, Response::text(403, "preview reads are off; control offers them under --preview-reads\n")};
+    Taken take(std::string_view method, const Owner& owner, const RecordView<Record>& record,
+               const SnapshotMoment& moment) {
+        if (!on_)
+            return {{}, Response::text(403, "preview reads are off; control offers them under --preview-reads\n")};
         if (method != "GET") return {{}, Response::text(405, "only GET: a preview reads and nothing else\n")};
-        if (!owner.here && !owner.address.empty()) return {{}, Response::moved("http://" + owner.address + preview_path)};
+        if (!owner.here && !owner.address.empty())
+            return {{}, Response::moved("http://" + owner.address + preview_path)};
         if (!owner.here) return {{}, refused(503, "no owner is known here\n")};
-        if (!pause_.grant(moment.now)) return {{}, refused(429, fmt::format("one snapshot in {} ms, try again\n", limits_.apart / 1000))};
+        if (!pause_.grant(moment.now))
+            return {{}, refused(429, fmt::format("one snapshot in {} ms, try again\n", limits_.apart / 1000))};
         auto snapshot = snapshot_of(record, moment, limits_);
         if (!snapshot) return {{}, too_large()};
         return {std::move(snapshot), {}};
@@ -45,7 +51,9 @@
         response.retry_after_s = 1;
         return response;
     }
-    Response too_large() const { return Response::text(413, fmt::format("the snapshot would be larger than {} bytes\n", limits_.bytes)); }
+    Response too_large() const {
+        return Response::text(413, fmt::format("the snapshot would be larger than {} bytes\n", limits_.bytes));
+    }
 
     bool on_;
     SnapshotLimits limits_;
--- a/source/preview/snapshot.hpp
+++ b/source/preview/snapshot.hpp
@@ -18,8 +18,12 @@
     std::uint32_t failures = 0;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(count), visit(done), visit(saved), visit(failures); }
-    bool same_state(const SnapshotTasks& other) const { return done == other.done && saved == other.saved && failures == other.failures; }
+    void describe(Visitor& visit) {
+        visit(count), visit(done), visit(saved), visit(failures);
+    }
+    bool same_state(const SnapshotTasks& other) const {
+        return done == other.done && saved == other.saved && failures == other.failures;
+    }
 };
 
 struct SnapshotTime {
@@ -27,7 +31,9 @@
     std::vector<std::vector<SnapshotTasks>> steps;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(number), visit(steps); }
+    void describe(Visitor& visit) {
+        visit(number), visit(steps);
+    }
 };
 
 // A task that failed before, and the machines where it did.
@@ -37,7 +43,9 @@
     std::vector<std::string> nodes;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(time), visit(step), visit(index), visit(nodes); }
+    void describe(Visitor& visit) {
+        visit(time), visit(step), visit(index), visit(nodes);
+    }
 };
 
 struct SnapshotStep {
@@ -45,7 +53,9 @@
     Micros expected = 0;  // as learnt, on a sound worker near its data
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(wanted), visit(expected); }
+    void describe(Visitor& visit) {
+        visit(wanted), visit(expected);
+    }
 };
 
 struct SnapshotJob {
@@ -62,8 +72,9 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(id), visit(host), visit(prefix), visit(service), visit(priority), visit(attempts_most), visit(extension_thousandths), visit(target),
-            visit(accepted_wall), visit(repeats), visit(next_time), visit(first_at), visit(interval), visit(steps), visit(times), visit(failed);
+        visit(id), visit(host), visit(prefix), visit(service), visit(priority), visit(attempts_most),
+            visit(extension_thousandths), visit(target), visit(accepted_wall), visit(repeats), visit(next_time),
+            visit(first_at), visit(interval), visit(steps), visit(times), visit(failed);
     }
 };
 
@@ -78,13 +89,14 @@
     SnapshotRunState state = SnapshotRunState::intended;
     Micros elapsed = -1;  // since its order; -1: not ordered yet
     std::int64_t percent = 0;
-    Micros shown = 0;     // how long after its order the percent was seen
+    Micros shown = 0;  // how long after its order the percent was seen
     bool saved = false, doubled = false, backfill = false;
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(job), visit(time), visit(step), visit(index), visit(run), visit(cpu), visit(memory), visit(gpu), visit(priority), visit(state), visit(elapsed),
-            visit(percent), visit(shown), visit(saved), visit(doubled), visit(backfill);
+        visit(job), visit(time), visit(step), visit(index), visit(run), visit(cpu), visit(memory), visit(gpu),
+            visit(priority), visit(state), visit(elapsed), visit(percent), visit(shown), visit(saved), visit(doubled),
+            visit(backfill);
     }
     // Example: "5c0e7a21d94b36f8.0.1.17"
     std::string task() const { return fmt::format("{}.{}.{}.{}", job, time, step, index); }
@@ -102,8 +114,10 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(life), visit(node), visit(service), visit(zone), visit(place), visit(labels), visit(cpu), visit(memory), visit(gpu), visit(placeholder), visit(reconciled),
-            visit(silent), visit(draining), visit(paused), visit(heard_ago), visit(leaves_in), visit(avoided_for), visit(lapses_in), visit(pace_thousandths), visit(trust_thousandths), visit(runs);
+        visit(life), visit(node), visit(service), visit(zone), visit(place), visit(labels), visit(cpu), visit(memory),
+            visit(gpu), visit(placeholder), visit(reconciled), visit(silent), visit(draining), visit(paused),
+            visit(heard_ago), visit(leaves_in), visit(avoided_for), visit(lapses_in), visit(pace_thousandths),
+            visit(trust_thousandths), visit(runs);
     }
 };
 
@@ -114,16 +128,18 @@
     std::int64_t cpu = 0, memory = 0;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(service), visit(level), visit(cpu), visit(memory); }
+    void describe(Visitor& visit) {
+        visit(service), visit(level), visit(cpu), visit(memory);
+    }
 };
 
 struct Snapshot {
     std::uint64_t epoch = 0;
-    Micros wall = 0;           // the owner's wall clock
-    Micros confirmed_ago = 0;  // when a majority last followed this owner
-    std::string config;        // the operators' configuration in force
-    Micros fresh = 0;          // a worker heard longer ago gets no start
-    Micros lapse = 0;          // how long after the last news of a worker its runs are surely over
+    Micros wall = 0;                    // the owner's wall clock
+    Micros confirmed_ago = 0;           // when a majority last followed this owner
+    std::string config;                 // the operators' configuration in force
+    Micros fresh = 0;                   // a worker heard longer ago gets no start
+    Micros lapse = 0;                   // how long after the last news of a worker its runs are surely over
     std::vector<PlannerField> planner;  // the daemons' own weights and ratios
     std::vector<SnapshotWorker> workers;
     std::vector<SnapshotJob> jobs;
@@ -131,7 +147,8 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(epoch), visit(wall), visit(confirmed_ago), visit(config), visit(fresh), visit(lapse), visit(planner), visit(workers), visit(jobs), visit(demand);
+        visit(epoch), visit(wall), visit(confirmed_ago), visit(config), visit(fresh), visit(lapse), visit(planner),
+            visit(workers), visit(jobs), visit(demand);
     }
 };
 
@@ -152,7 +169,9 @@
 inline std::vector<std::string> snapshot_lines(const std::string& bytes, Micros number, size_t bytes_each = 1500) {
     std::vector<std::string> lines;
     size_t parts = (bytes.size() + bytes_each - 1) / bytes_each;
-    for (size_t part = 0; part < parts; ++part) lines.push_back(fmt::format("{} {} {} {}", number, part, parts, boost::algorithm::hex(bytes.substr(part * bytes_each, bytes_each))));
+    for (size_t part = 0; part < parts; ++part)
+        lines.push_back(fmt::format("{} {} {} {}", number, part, parts,
+                                    boost::algorithm::hex(bytes.substr(part * bytes_each, bytes_each))));
     return lines;
 }
 
@@ -165,12 +184,15 @@
     if (!snapshot.config.empty()) {
         Findings inner;
         parse_config(snapshot.config, inner);
-        for (const Finding& finding : inner.list()) findings.add("config." + finding.place, finding.text);
+        for (const Finding& finding : inner.list())
+            findings.add("config." + finding.place, finding.text);
     }
     PlannerSettings planner;
     for (size_t place = 0; place < snapshot.planner.size(); ++place)
-        if (!set_planner_field(planner, snapshot.planner[place].name, double(snapshot.planner[place].thousandths) / 1000))
-            findings.add(fmt::format("planner[{}]", place), fmt::format("'{}' is unknown", snapshot.planner[place].name));
+        if (!set_planner_field(planner, snapshot.planner[place].name,
+                               double(snapshot.planner[place].thousandths) / 1000))
+            findings.add(fmt::format("planner[{}]", place),
+                         fmt::format("'{}' is unknown", snapshot.planner[place].name));
     planner.check(findings);
     not_negative("lapse", snapshot.lapse);
     std::map<std::string, size_t> jobs, lives;
@@ -178,7 +200,8 @@
         const SnapshotJob& job = snapshot.jobs[place];
         std::string where = fmt::format("jobs[{}]", place);
         if (!valid_job_id(job.id)) findings.add(where + ".id", "must be 16 hex digits");
-        if (auto [other, fresh] = jobs.emplace(job.id, place); !fresh) findings.add(where + ".id", fmt::format("is that of jobs[{}]", other->second));
+        if (auto [other, fresh] = jobs.emplace(job.id, place); !fresh)
+            findings.add(where + ".id", fmt::format("is that of jobs[{}]", other->second));
         not_negative(where + ".target", job.target);
         not_negative(where + ".interval", job.interval);
         if (job.repeats > 1000000) findings.add(where + ".repeats", "is out of range");
@@ -187,26 +210,33 @@
             const SnapshotStep& each = job.steps[step];
             std::string at = fmt::format("{}.steps[{}]", where, step);
             if (each.wanted.count < 1 || each.wanted.count > 10000) findings.add(at + ".count", "is out of range");
-            not_negative(at + ".cpu", each.wanted.cpu), not_negative(at + ".memory", each.wanted.memory), not_negative(at + ".gpu", each.wanted.gpu);
-            if (each.expected < 0 || each.expected > seconds(1000000)) findings.add(at + ".expected", "is out of range");
+            not_negative(at + ".cpu", each.wanted.cpu), not_negative(at + ".memory", each.wanted.memory),
+                not_negative(at + ".gpu", each.wanted.gpu);
+            if (each.expected < 0 || each.expected > seconds(1000000))
+                findings.add(at + ".expected", "is out of range");
             for (std::uint32_t earlier : each.wanted.depends)
                 if (earlier >= step) findings.add(at + ".depends_on", "must name earlier steps only");
         }
         for (size_t place = 0; place < job.failed.size(); ++place) {
             const SnapshotFailed& each = job.failed[place];
-            if (each.step >= job.steps.size() || each.index >= job.steps[each.step].wanted.count) findings.add(fmt::format("{}.failed[{}]", where, place), "names none of its tasks");
+            if (each.step >= job.steps.size() || each.index >= job.steps[each.step].wanted.count)
+                findings.add(fmt::format("{}.failed[{}]", where, place), "names none of its tasks");
         }
         for (size_t time = 0; time < job.times.size(); ++time) {
             const SnapshotTime& each = job.times[time];
             std::string at = fmt::format("{}.times[{}]", where, time);
             if (each.steps.size() != job.steps.size()) {
-                findings.add(at + ".steps", fmt::format("holds {}, the job has {}", each.steps.size(), job.steps.size()));
+                findings.add(at + ".steps",
+                             fmt::format("holds {}, the job has {}", each.steps.size(), job.steps.size()));
                 continue;
             }
             for (size_t step = 0; step < each.steps.size(); ++step) {
                 std::uint64_t tasks = 0;
-                for (const SnapshotTasks& range : each.steps[step]) tasks += range.count;
-                if (tasks != job.steps[step].wanted.count) findings.add(fmt::format("{}.steps[{}]", at, step), fmt::format("holds {} tasks, the step has {}", tasks, job.steps[step].wanted.count));
+                for (const SnapshotTasks& range : each.steps[step])
+                    tasks += range.count;
+                if (tasks != job.steps[step].wanted.count)
+                    findings.add(fmt::format("{}.steps[{}]", at, step),
+                                 fmt::format("holds {} tasks, the step has {}", tasks, job.steps[step].wanted.count));
             }
         }
     }
@@ -214,40 +244,56 @@
         const SnapshotWorker& worker = snapshot.workers[place];
         std::string where = fmt::format("workers[{}]", place);
         if (worker.life.empty()) findings.add(where + ".life", "must not be empty");
-        if (auto [other, fresh] = lives.emplace(worker.life, place); !fresh) findings.add(where + ".life", fmt::format("is that of workers[{}]", other->second));
-        not_negative(where + ".cpu", worker.cpu), not_negative(where + ".memory", worker.memory), not_negative(where + ".gpu", worker.gpu);
-        if (worker.pace_thousandths < 1 || worker.pace_thousandths > 1000000) findings.add(where + ".pace", "is out of range");
+        if (auto [other, fresh] = lives.emplace(worker.life, place); !fresh)
+            findings.add(where + ".life", fmt::format("is that of workers[{}]", other->second));
+        not_negative(where + ".cpu", worker.cpu), not_negative(where + ".memory", worker.memory),
+            not_negative(where + ".gpu", worker.gpu);
+        if (worker.pace_thousandths < 1 || worker.pace_thousandths > 1000000)
+            findings.add(where + ".pace", "is out of range");
         for (size_t run = 0; run < worker.runs.size(); ++run) {
             const SnapshotRun& each = worker.runs[run];
             std::string at = fmt::format("{}.runs[{}]", where, run);
-            not_negative(at + ".cpu", each.cpu), not_negative(at + ".memory", each.memory), not_negative(at + ".gpu", each.gpu);
-            if (each.state < SnapshotRunState::intended || each.state > SnapshotRunState::stopping) findings.add(at + ".state", "is unknown");
+            not_negative(at + ".cpu", each.cpu), not_negative(at + ".memory", each.memory),
+                not_negative(at + ".gpu", each.gpu);
+            if (each.state < SnapshotRunState::intended || each.state > SnapshotRunState::stopping)
+                findings.add(at + ".state", "is unknown");
             if (each.percent < 0 || each.percent > 100) findings.add(at + ".percent", "must lie between 0 and 100");
             auto job = jobs.find(each.job);
             if (job == jobs.end()) continue;  // the room of an ended job's run
             const SnapshotJob& owner = snapshot.jobs[job->second];
-            if (each.step >= owner.steps.size()) findings.add(at + ".step", "is none of its job's");
-            else if (each.index >= owner.steps[each.step].wanted.count) findings.add(at + ".index", "is none of its step's");
+            if (each.step >= owner.steps.size())
+                findings.add(at + ".step", "is none of its job's");
+            else if (each.index >= owner.steps[each.step].wanted.count)
+                findings.add(at + ".index", "is none of its step's");
         }
     }
 }
 
 // Reads a snapshot and checks it whole.
-// Example: Findings findings; auto snapshot = unpack_snapshot(bytes, "today.snapshot", findings); if (!findings.empty()) exit with 2
+// Example: Findings findings; auto snapshot = unpack_snapshot(bytes, "today.snapshot", findings); if
+// (!findings.empty()) exit with 2
 inline std::optional<Snapshot> unpack_snapshot(std::string_view bytes, const std::string& name, Findings& findings) {
     size_t at = 0;
-    struct Free { void operator()(cbor_item_t* item) const { cbor_decref(&item); } };
+    struct Free {
+        void operator()(cbor_item_t* item) const { cbor_decref(&item); }
+    };
     using Item = std::unique_ptr<cbor_item_t, Free>;
     auto next = [&]() -> Item {
         cbor_load_result result{};
         Item item(cbor_load(reinterpret_cast<const unsigned char*>(bytes.data()) + at, bytes.size() - at, &result));
-        if (!item) findings.add(fmt::format("{}:byte {}", name, at + result.error.position), result.error.code == CBOR_ERR_NOTENOUGHDATA || result.error.code == CBOR_ERR_NODATA ? "is cut short" : "is no snapshot");
+        if (!item)
+            findings.add(fmt::format("{}:byte {}", name, at + result.error.position),
+                         result.error.code == CBOR_ERR_NOTENOUGHDATA || result.error.code == CBOR_ERR_NODATA
+                             ? "is cut short"
+                             : "is no snapshot");
         at += result.read;
         return item;
     };
     Item mark = next();
     if (!mark) return std::nullopt;
-    if (!cbor_isa_bytestring(mark.get()) || std::string_view(reinterpret_cast<char*>(cbor_bytestring_handle(mark.get())), cbor_bytestring_length(mark.get())) != snapshot_mark) {
+    if (!cbor_isa_bytestring(mark.get()) ||
+        std::string_view(reinterpret_cast<char*>(cbor_bytestring_handle(mark.get())),
+                         cbor_bytestring_length(mark.get())) != snapshot_mark) {
         findings.add(name + ":byte 0", "is no snapshot");
         return std::nullopt;
     }
@@ -255,7 +301,11 @@
     Item format = next();
     if (!format) return std::nullopt;
     if (!cbor_isa_uint(format.get()) || cbor_get_int(format.get()) != snapshot_format) {
-        findings.add(fmt::format("{}:byte {}", name, format_at), fmt::format("is of format {}, this program reads format {}", cbor_isa_uint(format.get()) ? fmt::format("{}", cbor_get_int(format.get())) : "unknown", snapshot_format));
+        findings.add(
+            fmt::format("{}:byte {}", name, format_at),
+            fmt::format("is of format {}, this program reads format {}",
+                        cbor_isa_uint(format.get()) ? fmt::format("{}", cbor_get_int(format.get())) : "unknown",
+                        snapshot_format));
         return std::nullopt;
     }
     size_t body_at = at;
@@ -264,12 +314,16 @@
     CborReader reader(bytes.substr(body_at, at - body_at));
     Snapshot snapshot;
     reader.read(snapshot);
-    if (!reader.sound) findings.add(fmt::format("{}:byte {}", name, body_at), fmt::format("has other fields than format {}", snapshot_format));
-    if (at != bytes.size()) findings.add(fmt::format("{}:byte {}", name, at), fmt::format("{} bytes too many", bytes.size() - at));
+    if (!reader.sound)
+        findings.add(fmt::format("{}:byte {}", name, body_at),
+                     fmt::format("has other fields than format {}", snapshot_format));
+    if (at != bytes.size())
+        findings.add(fmt::format("{}:byte {}", name, at), fmt::format("{} bytes too many", bytes.size() - at));
     if (reader.sound) {
         Findings inner;
         check_snapshot(snapshot, inner);
-        for (const Finding& finding : inner.list()) findings.add(name + ":" + finding.place, finding.text);
+        for (const Finding& finding : inner.list())
+            findings.add(name + ":" + finding.place, finding.text);
     }
     if (!findings.empty()) return std::nullopt;
     return snapshot;
--- a/source/shared/http/listener.hpp
+++ b/source/shared/http/listener.hpp
@@ -29,7 +29,8 @@
 class Reply {
 public:
     Reply() = default;
-    Reply(std::shared_ptr<Session> session, std::uint64_t number, bool closing) : session_(std::move(session)), number_(number), closing_(closing), open_(true) {}
+    Reply(std::shared_ptr<Session> session, std::uint64_t number, bool closing)
+        : session_(std::move(session)), number_(number), closing_(closing), open_(true) {}
     Reply(Reply&& other) noexcept { *this = std::move(other); }
     Reply& operator=(Reply&& other) noexcept {
         session_ = std::move(other.session_);
@@ -90,7 +91,8 @@
 public:
     enum class State { reading, waiting, writing, closed };
 
-    Session(boost::asio::ip::tcp::socket socket, std::shared_ptr<ListenerShared> shared) : stream_(std::move(socket)), shared_(std::move(shared)) {
+    Session(boost::asio::ip::tcp::socket socket, std::shared_ptr<ListenerShared> shared)
+        : stream_(std::move(socket)), shared_(std::move(shared)) {
         boost::system::error_code ignored;
         stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
         unsigned int patience_ms = 5000;
@@ -102,7 +104,8 @@
         parser_->header_limit(std::uint32_t(shared_->limits.head_bytes));
         parser_->body_limit(shared_->limits.body_bytes);
         begun_ = buffer_.size() > 0;
-        stream_.expires_after(std::chrono::microseconds(begun_ || number_ == 0 ? shared_->limits.head_wait : shared_->limits.idle_wait));
+        stream_.expires_after(
+            std::chrono::microseconds(begun_ || number_ == 0 ? shared_->limits.head_wait : shared_->limits.idle_wait));
         read_some();
     }
     boost::asio::any_io_executor executor() { return stream_.get_executor(); }
@@ -113,10 +116,11 @@
         answer_ = std::move(bytes);
         keep = keep && keep_;
         stream_.expires_after(std::chrono::seconds(10));
-        boost::asio::async_write(stream_, boost::asio::buffer(answer_), [self = shared_from_this(), keep](boost::system::error_code error, size_t) {
-            if (error || !keep) return self->close();
-            self->read_next();
-        });
+        boost::asio::async_write(stream_, boost::asio::buffer(answer_),
+                                 [self = shared_from_this(), keep](boost::system::error_code error, size_t) {
+                                     if (error || !keep) return self->close();
+                                     self->read_next();
+                                 });
     }
 
 private:
@@ -128,13 +132,18 @@
         stream_.close();
     }
     void read_some() {
-        boost::beast::http::async_read_some(stream_, buffer_, *parser_, [self = shared_from_this()](boost::system::error_code error, size_t) { self->take_some(error); });
+        boost::beast::http::async_read_some(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](boost::system::error_code error, size_t) { self->take_some(error); });
     }
     void take_some(boost::system::error_code error) {
         namespace http = boost::beast::http;
         if (error == http::error::header_limit) return refuse(431);
         if (error == http::error::body_limit) return refuse(413);
-        if (error && error != http::error::need_more && error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message) return refuse(400);
+        if (error && error != http::error::need_more &&
+            error.category() == http::make_error_code(http::error::bad_method).category() &&
+            error != http::error::end_of_stream && error != http::error::partial_message)
+            return refuse(400);
         if (error && error != http::error::need_more) return close();
         if (parser_->is_done()) return hand_over();
         if (!begun_) {
@@ -144,10 +153,11 @@
         if (parser_->is_header_done() && !continued_ && parser_->get()[http::field::expect] == "100-continue") {
             continued_ = true;
             answer_ = "HTTP/1.1 100 Continue\r\n\r\n";
-            return boost::asio::async_write(stream_, boost::asio::buffer(answer_), [self = shared_from_this()](boost::system::error_code failed, size_t) {
-                if (failed) return self->close();
-                self->read_some();
-            });
+            return boost::asio::async_write(stream_, boost::asio::buffer(answer_),
+                                            [self = shared_from_this()](boost::system::error_code failed, size_t) {
+                                                if (failed) return self->close();
+                                                self->read_some();
+                                            });
         }
         read_some();
     }
@@ -170,7 +180,8 @@
         request.method = std::string(message.method_string());
         request.path = std::string(message.target());
         request.head_bytes = request.method.size() + request.path.size() + 12;
-        for (const auto& field : message) request.head_bytes += field.name_string().size() + field.value().size() + 4;
+        for (const auto& field : message)
+            request.head_bytes += field.name_string().size() + field.value().size() + 4;
         if (size_t mark = request.path.find('?'); mark != std::string::npos) request.path.resize(mark);
         request.host = std::string(message[http::field::host]);
         if (size_t port = request.host.rfind(':'); port != std::string::npos) request.host.resize(port);
@@ -195,20 +206,31 @@
 inline void Reply::send(const Response& response) {
     if (!std::exchange(open_, false)) return;
     std::shared_ptr<Session> session = std::move(session_);
-    std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", response.code, std::string_view(boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(unsigned(response.code)))));
+    std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", response.code,
+                                    std::string_view(boost::beast::http::obsolete_reason(
+                                        boost::beast::http::int_to_status(unsigned(response.code)))));
     switch (response.form) {
-        case Response::Form::json: bytes += "Content-Type: application/json\r\n"; break;
-        case Response::Form::cbor: bytes += "Content-Type: application/octet-stream\r\n"; break;
-        case Response::Form::text: bytes += "Content-Type: text/plain\r\n"; break;
-        case Response::Form::none: break;
+        case Response::Form::json:
+            bytes += "Content-Type: application/json\r\n";
+            break;
+        case Response::Form::cbor:
+            bytes += "Content-Type: application/octet-stream\r\n";
+            break;
+        case Response::Form::text:
+            bytes += "Content-Type: text/plain\r\n";
+            break;
+        case Response::Form::none:
+            break;
     }
-    if (response.retry_after_s > 0) fmt::format_to(std::back_inserter(bytes), "Retry-After: {}\r\n", response.retry_after_s);
+    if (response.retry_after_s > 0)
+        fmt::format_to(std::back_inserter(bytes), "Retry-After: {}\r\n", response.retry_after_s);
     if (!response.location.empty()) fmt::format_to(std::back_inserter(bytes), "Location: {}\r\n", response.location);
     if (closing_) bytes += "Connection: close\r\n";
     fmt::format_to(std::back_inserter(bytes), "Content-Length: {}\r\n\r\n", response.body.size());
     bytes += response.body;
     auto executor = session->executor();
-    boost::asio::dispatch(executor, [session = std::move(session), number = number_, bytes = std::move(bytes), keep = !closing_]() mutable { session->write(number, std::move(bytes), keep); });
+    boost::asio::dispatch(executor, [session = std::move(session), number = number_, bytes = std::move(bytes),
+                                     keep = !closing_]() mutable { session->write(number, std::move(bytes), keep); });
 }
 
 class Listener {
@@ -218,13 +240,15 @@
 
     // Throws std::exception when the address can't be had.
     // Example: Listener listener("10.0.0.4:8161", limits, [](Request request) { ... });
-    Listener(const std::string& address, const Limits& limits, Take take) : shared_(std::make_shared<ListenerShared>()), accepting_(std::make_shared<Accepting>(connection_thread())) {
+    Listener(const std::string& address, const Limits& limits, Take take)
+        : shared_(std::make_shared<ListenerShared>()), accepting_(std::make_shared<Accepting>(connection_thread())) {
         using boost::asio::ip::tcp;
         shared_->limits = limits;
         shared_->take = std::move(take);
         size_t colon = address.rfind(':');
         if (colon == std::string::npos) throw std::runtime_error("needs the form IP:PORT");
-        tcp::endpoint endpoint(boost::asio::ip::make_address(address.substr(0, colon)), std::uint16_t(std::stoi(address.substr(colon + 1))));
+        tcp::endpoint endpoint(boost::asio::ip::make_address(address.substr(0, colon)),
+                               std::uint16_t(std::stoi(address.substr(colon + 1))));
         accepting_->acceptor.open(endpoint.protocol());
         accepting_->acceptor.set_option(boost::asio::socket_base::reuse_address(true));
         accepting_->acceptor.bind(endpoint);
@@ -244,16 +268,17 @@
         boost::asio::steady_timer pause;
         std::shared_ptr<ListenerShared> shared;
         void next() {
-            acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
-                if (!error) {
-                    std::make_shared<Session>(std::move(socket), self->shared)->read_next();
-                    return self->next();
-                }
-                // Out of descriptors: those that are open go on.
-                counters().add("accepts_failed");
-                self->pause.expires_after(std::chrono::milliseconds(50));
-                self->pause.async_wait([self](boost::system::error_code) { self->next(); });
-            });
+            acceptor.async_accept(
+                [self = shared_from_this()](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+                    if (!error) {
+                        std::make_shared<Session>(std::move(socket), self->shared)->read_next();
+                        return self->next();
+                    }
+                    // Out of descriptors: those that are open go on.
+                    counters().add("accepts_failed");
+                    self->pause.expires_after(std::chrono::milliseconds(50));
+                    self->pause.async_wait([self](boost::system::error_code) { self->next(); });
+                });
         }
     };
     std::shared_ptr<ListenerShared> shared_;
--- a/source/shared/http/loop.hpp
+++ b/source/shared/http/loop.hpp
@@ -115,14 +115,16 @@
             std::lock_guard guard(lock_);
             fresh.swap(asks_);
         }
-        for (auto& [ask, then] : fresh) begin(std::move(ask), std::move(then));
+        for (auto& [ask, then] : fresh)
+            begin(std::move(ask), std::move(then));
     }
     void begin(Ask ask, Then then) {
         auto call = std::make_unique<Call>();
         call->ask = std::move(ask);
         call->then = std::move(then);
         call->kind = call->ask.method + " " + call->ask.url + " " + call->ask.form;
-        for (const std::string& header : call->ask.headers) call->kind += "\n" + header;
+        for (const std::string& header : call->ask.headers)
+            call->kind += "\n" + header;
         auto kept = kept_.find(call->kind);
         if (kept != kept_.end()) {
             call->easy = kept->second.easy;
@@ -133,7 +135,8 @@
         }
         CURL* easy = call->easy;
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, long(call->ask.patience / 1000)));
-        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::max<long>(1, long(std::min<Micros>(call->ask.patience, milliseconds(500)) / 1000)));
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                         std::max<long>(1, long(std::min<Micros>(call->ask.patience, milliseconds(500)) / 1000)));
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call->body);
         curl_easy_setopt(easy, CURLOPT_PRIVATE, call.get());
         if (call->ask.method != "GET" && call->ask.method != "DELETE") {
@@ -161,7 +164,8 @@
         // Some servers close after each answer unless they are asked to stay.
         call.headers = curl_slist_append(call.headers, "Connection: Keep-Alive");
         if (call.ask.method != "POST") curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.ask.method.c_str());
-        for (const std::string& header : call.ask.headers) call.headers = curl_slist_append(call.headers, header.c_str());
+        for (const std::string& header : call.ask.headers)
+            call.headers = curl_slist_append(call.headers, header.c_str());
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.headers);
     }
     void keep(Call& call) {
@@ -188,8 +192,10 @@
             curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &code);
             curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent);
             curl_multi_remove_handle(multi_, call->easy);
-            if (result == CURLE_OK) answer = {Answer::Fate::answered, int(code), std::move(call->body)};
-            else answer.fate = sent == 0 ? Answer::Fate::refused : Answer::Fate::unknown;
+            if (result == CURLE_OK)
+                answer = {Answer::Fate::answered, int(code), std::move(call->body)};
+            else
+                answer.fate = sent == 0 ? Answer::Fate::refused : Answer::Fate::unknown;
             if (result != CURLE_OK) counters().add("sends_without_answer");
             keep(*call);
             if (call->then) call->then(std::move(answer));
--- a/source/shared/http/slab.hpp
+++ b/source/shared/http/slab.hpp
@@ -4,7 +4,8 @@
 namespace calicostall {
 
 // Where transactions wait as continuations: a handle names the place and its use.
-// Example: Slab<Reply>::Handle handle = slab.insert(std::move(reply)); if (auto reply = slab.take(handle)) reply->send(...);
+// Example: Slab<Reply>::Handle handle = slab.insert(std::move(reply)); if (auto reply = slab.take(handle))
+// reply->send(...);
 template <class Continuation>
 class Slab {
 public:
--- a/source/shared/news/locator.hpp
+++ b/source/shared/news/locator.hpp
@@ -20,7 +20,8 @@
         ranks.emplace_back(weight, std::move(other));
     }
     std::sort(ranks.begin(), ranks.end(), std::greater<>());
-    for (size_t place = 0; place < ranks.size(); ++place) others[place] = std::move(ranks[place].second);
+    for (size_t place = 0; place < ranks.size(); ++place)
+        others[place] = std::move(ranks[place].second);
     return others;
 }
 
@@ -36,13 +37,15 @@
     };
     using Changed = std::function<void()>;
 
-    Locator(Settings settings, Loop& loop, Changed changed) : settings_(std::move(settings)), loop_(loop), changed_(std::move(changed)) {
+    Locator(Settings settings, Loop& loop, Changed changed)
+        : settings_(std::move(settings)), loop_(loop), changed_(std::move(changed)) {
         peers_ = settings_.seeds;
         rank();
     }
     void open() {
         watching_.resize(settings_.watched);
-        for (size_t watcher = 0; watcher < settings_.watched; ++watcher) watch(watcher, 0);
+        for (size_t watcher = 0; watcher < settings_.watched; ++watcher)
+            watch(watcher, 0);
     }
     void add_seeds(const std::vector<std::string>& seeds) {
         std::lock_guard guard(lock_);
@@ -93,9 +96,11 @@
         {
             std::lock_guard guard(lock_);
             if (ranked_.empty() || !hurry_.due(steady_now())) return;
-            for (size_t count = 0; count < std::min(settings_.hurried, ranked_.size()); ++count) asked.push_back(ranked_[hurry_next_++ % ranked_.size()]);
+            for (size_t count = 0; count < std::min(settings_.hurried, ranked_.size()); ++count)
+                asked.push_back(ranked_[hurry_next_++ % ranked_.size()]);
         }
-        for (const std::string& address : asked) ask(address, 0, [](bool) {});
+        for (const std::string& address : asked)
+            ask(address, 0, [](bool) {});
     }
 
 private:
@@ -116,7 +121,8 @@
             for (size_t step = 0; step < order.size() && address.empty(); ++step) {
                 const std::string& choice = order[(begin + step) % order.size()];
                 bool taken = false;
-                for (size_t other = 0; other < watching_.size(); ++other) taken = taken || (other != watcher && watching_[other] == choice);
+                for (size_t other = 0; other < watching_.size(); ++other)
+                    taken = taken || (other != watcher && watching_[other] == choice);
                 if (!taken) address = choice;
             }
             watching_[watcher] = address;
@@ -133,12 +139,13 @@
             std::lock_guard guard(lock_);
             ask = {settings_.wants_config ? revision_ : ~std::uint64_t(0), epoch_, core_mark_, wait};
         }
-        loop_.ask({.url = "http://" + address + "/inner/news", .body = pack(ask), .patience = wait + milliseconds(700)}, [this, then](Answer answer) {
-            std::optional<NewsAnswer> news;
-            if (answer.good()) news = unpack<NewsAnswer>(answer.body);
-            if (news) learn(*news);
-            then(bool(news));
-        });
+        loop_.ask({.url = "http://" + address + "/inner/news", .body = pack(ask), .patience = wait + milliseconds(700)},
+                  [this, then](Answer answer) {
+                      std::optional<NewsAnswer> news;
+                      if (answer.good()) news = unpack<NewsAnswer>(answer.body);
+                      if (news) learn(*news);
+                      then(bool(news));
+                  });
     }
     void learn(const NewsAnswer& news) {
         bool changed = false;
--- a/source/shared/record/log.hpp
+++ b/source/shared/record/log.hpp
@@ -8,8 +8,8 @@
 // Example: log_line("owner", "epoch {} taken over", epoch);
 template <class... Arguments>
 void log_line(std::string_view part, fmt::format_string<Arguments...> pattern, Arguments&&... arguments) {
-    std::string line =
-        fmt::format("{:.3f} {} {}\n", double(steady_now()) / 1e6, part, fmt::format(pattern, std::forward<Arguments>(arguments)...));
+    std::string line = fmt::format("{:.3f} {} {}\n", double(steady_now()) / 1e6, part,
+                                   fmt::format(pattern, std::forward<Arguments>(arguments)...));
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
@@ -27,7 +27,8 @@
         if (table_ == shown_) return {};
         shown_ = table_;
         std::string text;
-        for (const auto& [name, count] : table_) text += fmt::format("{}{}={}", text.empty() ? "" : " ", name, count);
+        for (const auto& [name, count] : table_)
+            text += fmt::format("{}{}={}", text.empty() ? "" : " ", name, count);
         return text;
     }
 
--- a/source/shared/settings/config.hpp
+++ b/source/shared/settings/config.hpp
@@ -36,9 +36,12 @@
     }
     void index_hosts() {
         by_host.clear();
-        for (size_t place = 0; place < queues.size(); ++place) by_host[queues[place].host].push_back(place);
+        for (size_t place = 0; place < queues.size(); ++place)
+            by_host[queues[place].host].push_back(place);
         for (auto& [host, places] : by_host)
-            std::stable_sort(places.begin(), places.end(), [this](size_t left, size_t right) { return queues[left].prefix.size() > queues[right].prefix.size(); });
+            std::stable_sort(places.begin(), places.end(), [this](size_t left, size_t right) {
+                return queues[left].prefix.size() > queues[right].prefix.size();
+            });
     }
 
 private:
@@ -74,8 +77,10 @@
             FieldReader inner((*list)[place].as_object(), where, findings);
             std::string name = inner.text("name", true);
             bool guards = inner.flag("guards", false);
-            if (name.empty()) findings.add(where + ".name", "must not be empty");
-            else if (!config.services.emplace(name, guards).second) findings.add(where + ".name", fmt::format("'{}' is there twice", name));
+            if (name.empty())
+                findings.add(where + ".name", "must not be empty");
+            else if (!config.services.emplace(name, guards).second)
+                findings.add(where + ".name", fmt::format("'{}' is there twice", name));
         }
     }
     if (const auto* list = reader.list("routes", true)) {
@@ -99,7 +104,8 @@
             queue.priority = std::int64_t(inner.number("priority", 0));
             queue.attempts_most = std::uint32_t(std::max(1.0, inner.number("max_attempts", 1)));
             queue.extension = inner.number("extension", 1.5);
-            if (!config.services.contains(queue.service)) findings.add(where + ".service", fmt::format("'{}' is unknown", queue.service));
+            if (!config.services.contains(queue.service))
+                findings.add(where + ".service", fmt::format("'{}' is unknown", queue.service));
             auto [other, fresh] = places.try_emplace({queue.host, queue.prefix}, place);
             if (!fresh) findings.add(where, fmt::format("shares host and prefix with routes[{}]", other->second));
             config.queues.push_back(std::move(queue));
--- a/source/shared/settings/settings.hpp
+++ b/source/shared/settings/settings.hpp
@@ -122,14 +122,18 @@
             const auto& value = (*list)[place];
             return value.is_int64() && value.as_int64() > 0 && value.as_int64() < 65536 ? int(value.as_int64()) : 0;
         };
-        if (list->size() != 2 || !port(0) || !port(1) || port(0) > port(1)) findings.add("port_range", "must hold two rising ports");
-        else settings.first_port = port(0), settings.last_port = port(1);
+        if (list->size() != 2 || !port(0) || !port(1) || port(0) > port(1))
+            findings.add("port_range", "must hold two rising ports");
+        else
+            settings.first_port = port(0), settings.last_port = port(1);
     }
     if (const auto* list = reader.list("seeds", true)) {
         for (size_t place = 0; place < list->size(); ++place) {
             std::string where = fmt::format("seeds.{}", place);
-            if (!(*list)[place].is_string()) findings.add(where, "must be a text");
-            else settings.seeds.push_back(checked_address(std::string((*list)[place].as_string()), where, findings));
+            if (!(*list)[place].is_string())
+                findings.add(where, "must be a text");
+            else
+                settings.seeds.push_back(checked_address(std::string((*list)[place].as_string()), where, findings));
         }
         if (list->empty()) findings.add("seeds", "must hold at least one address");
     }
@@ -172,6 +176,8 @@
 }
 
 // Example: address_host("10.0.0.4:8166") == "10.0.0.4"
-inline std::string address_host(const std::string& address) { return address.substr(0, address.rfind(':')); }
+inline std::string address_host(const std::string& address) {
+    return address.substr(0, address.rfind(':'));
+}
 
 }  // namespace calicostall
--- a/source/shared/wire/frames.hpp
+++ b/source/shared/wire/frames.hpp
@@ -12,7 +12,9 @@
     Micros wait = 0;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(config_revision), visit(epoch), visit(core_mark), visit(wait); }
+    void describe(Visitor& visit) {
+        visit(config_revision), visit(epoch), visit(core_mark), visit(wait);
+    }
 };
 
 struct NewsAnswer {
@@ -24,7 +26,9 @@
     std::vector<std::string> peers;  // addresses of the core
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(config_revision), visit(config), visit(epoch), visit(owner), visit(core_mark), visit(peers); }
+    void describe(Visitor& visit) {
+        visit(config_revision), visit(config), visit(epoch), visit(owner), visit(core_mark), visit(peers);
+    }
 };
 
 // A client's or an operator's call on its way to the owner.
@@ -33,7 +37,9 @@
     bool relayed = false;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(method), visit(host), visit(path), visit(body), visit(if_match), visit(relayed); }
+    void describe(Visitor& visit) {
+        visit(method), visit(host), visit(path), visit(body), visit(if_match), visit(relayed);
+    }
 };
 
 // settled: `code` is the answer. elsewhere: surely nothing was done here. doubtful: it may have been done.
@@ -46,7 +52,9 @@
     std::int64_t retry_after_s = 0;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(fate), visit(code), visit(body), visit(retry_after_s); }
+    void describe(Visitor& visit) {
+        visit(fate), visit(code), visit(body), visit(retry_after_s);
+    }
 };
 
 struct WorkerAccount {
@@ -59,7 +67,8 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(life), visit(service), visit(address), visit(zone), visit(cpu), visit(memory), visit(gpu), visit(labels), visit(draining), visit(leaves_in);
+        visit(life), visit(service), visit(address), visit(zone), visit(cpu), visit(memory), visit(gpu), visit(labels),
+            visit(draining), visit(leaves_in);
     }
 };
 
@@ -70,7 +79,9 @@
     std::int64_t percent = 0;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(task), visit(run), visit(saved), visit(percent); }
+    void describe(Visitor& visit) {
+        visit(task), visit(run), visit(saved), visit(percent);
+    }
 };
 
 struct FinishedRun {
@@ -80,7 +91,9 @@
     std::string how, saved;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(number), visit(task), visit(run), visit(how), visit(saved); }
+    void describe(Visitor& visit) {
+        visit(number), visit(task), visit(run), visit(how), visit(saved);
+    }
 };
 
 // What a worker's `/hold` said, asked under `fence`.
@@ -93,7 +106,9 @@
     bool after_gap = false;          // the look before it had no answer: the ends may be older than they seem
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(life), visit(fence), visit(active), visit(finished), visit(stops), visit(after_gap); }
+    void describe(Visitor& visit) {
+        visit(life), visit(fence), visit(active), visit(finished), visit(stops), visit(after_gap);
+    }
 };
 
 enum class OrderKind { start, stop };
@@ -107,7 +122,9 @@
     std::uint64_t spec_place = 0;  // in a SideAnswer: from 1, the place of the spec in `specs`; 0: `spec` holds it
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(number), visit(kind), visit(life), visit(task), visit(run), visit(spec), visit(saved), visit(spec_place); }
+    void describe(Visitor& visit) {
+        visit(number), visit(kind), visit(life), visit(task), visit(run), visit(spec), visit(saved), visit(spec_place);
+    }
 };
 
 // started: the worker has it. turned_away: it will not start by this order, and no earlier try is open.
@@ -123,19 +140,22 @@
     Micros ago = 0;  // how long before the sending of the frame
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(number), visit(fate), visit(task), visit(run), visit(reason), visit(ago); }
+    void describe(Visitor& visit) {
+        visit(number), visit(fate), visit(task), visit(run), visit(reason), visit(ago);
+    }
 };
 
 struct SideAsk {
     std::string node;
     std::uint64_t incarnation = 0;  // this process of the side daemon
-    std::uint64_t number = 0;   // rises with each ask
-    Epoch epoch;                // of the owner whose orders `taken` counts
-    std::uint64_t taken = 0;    // highest order number taken
-    std::uint64_t seen = 0;     // of the ends, as far as it was told
+    std::uint64_t number = 0;       // rises with each ask
+    Epoch epoch;                    // of the owner whose orders `taken` counts
+    std::uint64_t taken = 0;        // highest order number taken
+    std::uint64_t seen = 0;         // of the ends, as far as it was told
     std::optional<WorkerAccount> worker;
-    std::uint64_t account_mark = 0;  // rises with each change of `worker`; alone, it means the account that was told with it
-    Micros leaves_in = -1;           // as in the account, told each time
+    std::uint64_t account_mark =
+        0;                  // rises with each change of `worker`; alone, it means the account that was told with it
+    Micros leaves_in = -1;  // as in the account, told each time
     std::vector<std::string> over;  // lives seen to have ended on this machine
     std::optional<HoldReport> report;
     std::vector<OrderResult> results;
@@ -144,7 +164,9 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(node), visit(incarnation), visit(number), visit(epoch), visit(taken), visit(seen), visit(worker), visit(account_mark), visit(leaves_in), visit(over), visit(report), visit(results), visit(silent), visit(relayed);
+        visit(node), visit(incarnation), visit(number), visit(epoch), visit(taken), visit(seen), visit(worker),
+            visit(account_mark), visit(leaves_in), visit(over), visit(report), visit(results), visit(silent),
+            visit(relayed);
     }
 };
 
@@ -158,12 +180,13 @@
     bool look = false;  // a look at the worker is wanted now
     std::vector<Order> orders;
     std::vector<std::string> specs;  // each once, however many orders share it
-    Micros pause = 0;    // before the next ask
-    bool whole = false;  // nothing of the ask was taken: the account that its mark means is not known here
+    Micros pause = 0;                // before the next ask
+    bool whole = false;              // nothing of the ask was taken: the account that its mark means is not known here
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(served), visit(epoch), visit(allowance), visit(life), visit(era), visit(seen), visit(look), visit(orders), visit(specs), visit(pause), visit(whole);
+        visit(served), visit(epoch), visit(allowance), visit(life), visit(era), visit(seen), visit(look), visit(orders),
+            visit(specs), visit(pause), visit(whole);
     }
     // Siblings share the text of their job: on the way it is written once.
     void gather_specs() {
@@ -198,7 +221,9 @@
     bool leaving = false;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(from), visit(leaving); }
+    void describe(Visitor& visit) {
+        visit(from), visit(leaving);
+    }
 };
 
 struct JoinAsk {
@@ -207,14 +232,18 @@
     bool relayed = false;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(identity), visit(address), visit(control), visit(relayed); }
+    void describe(Visitor& visit) {
+        visit(identity), visit(address), visit(control), visit(relayed);
+    }
 };
 
 struct JoinAnswer {
     bool heard = false;
     using IsFrame = void;
     template <class Visitor>
-    void describe(Visitor& visit) { visit(heard); }
+    void describe(Visitor& visit) {
+        visit(heard);
+    }
 };
 
 }  // namespace calicostall
