--- a/source/side.hpp
+++ b/source/side.hpp
@@ -16,13 +16,13 @@
     Micros ask_patience = milliseconds(1700);
     Micros order_patience = milliseconds(200);
     Micros look_wait = milliseconds(700);
-    Micros look_slack = milliseconds(250);      // beyond the wait, until a look counts as unanswered
+    Micros look_slack = milliseconds(250);  // beyond the wait, until a look counts as unanswered
     // After a call without an answer looks are short for a while: a lost one hides the ends that came meanwhile.
     Micros wary_for = seconds(6), wary_wait = milliseconds(200), wary_slack = milliseconds(150);
-    size_t silent_after = 3;                    // looks without an answer in a row
-    Micros gather = milliseconds(15);   // between the end that a look showed and the next look
+    size_t silent_after = 3;           // looks without an answer in a row
+    Micros gather = milliseconds(15);  // between the end that a look showed and the next look
     Micros unseen_wait = milliseconds(300);
-    size_t attempts_most = 4;              // of one start without an answer
+    size_t attempts_most = 4;  // of one start without an answer
 };
 
 class Side {
@@ -30,7 +30,8 @@
     Side(SideSettings settings, Loop& loop)
         : settings_(std::move(settings)),
           loop_(loop),
-          locator_({settings_.machine.node, Front::replicas(settings_.machine), 2, seconds(5), false}, loop, [this] { take_news(); }) {
+          locator_({settings_.machine.node, Front::replicas(settings_.machine), 2, seconds(5), false}, loop,
+                   [this] { take_news(); }) {
         std::random_device device;
         incarnation_ = (std::uint64_t(device()) << 31 | device()) | 1;
     }
@@ -38,11 +39,13 @@
     Findings open() {
         Findings findings;
         if (!settings_.machine.control.empty()) try {
-            control_ = std::make_unique<Listener>(settings_.machine.control, Listener::Limits{.body_bytes = 4 << 20}, [this](Request request) { take(std::move(request)); });
-            control_->open();
-        } catch (const std::exception& error) {
-            findings.add("bind_addrs.control", fmt::format("{}: {}", settings_.machine.control, error.what()));
-        }
+                control_ =
+                    std::make_unique<Listener>(settings_.machine.control, Listener::Limits{.body_bytes = 4 << 20},
+                                               [this](Request request) { take(std::move(request)); });
+                control_->open();
+            } catch (const std::exception& error) {
+                findings.add("bind_addrs.control", fmt::format("{}: {}", settings_.machine.control, error.what()));
+            }
         locator_.open();
         loop_.after(milliseconds(100), [this] { tick(); });
         return findings;
@@ -68,8 +71,8 @@
     using RunKey = std::pair<std::string, std::uint32_t>;
     struct Pending {
         Order order;
-        size_t sends = 0;       // of this order
-        bool open = false;      // a send got no answer: it may be done yet
+        size_t sends = 0;   // of this order
+        bool open = false;  // a send got no answer: it may be done yet
         bool flying = false;
         Micros next_at = 0;
     };
@@ -110,13 +113,15 @@
         }
         {
             std::lock_guard guard(lock_);
-            if (std::find(over_.begin(), over_.end(), life) != over_.end() || (worker_ && worker_->life == life && sequence < beat_sequence_)) {
+            if (std::find(over_.begin(), over_.end(), life) != over_.end() ||
+                (worker_ && worker_->life == life && sequence < beat_sequence_)) {
                 counters().add("beats_late");
             } else {
                 bool fresh = !worker_ || worker_->life != life;
                 if (fresh) begin_life(life);
                 if (clock > 0) note_clock(clock, now);
-                if (leaves >= 0 && whole.as_object().contains("leaves_at_ms")) account.leaves_in = Micros(leaves * 1000);
+                if (leaves >= 0 && whole.as_object().contains("leaves_at_ms"))
+                    account.leaves_in = Micros(leaves * 1000);
                 bool news = fresh || account.draining != worker_->draining;
                 leaves_at_ = account.leaves_in < 0 ? -1 : now + account.leaves_in;
                 if (!same_account(*worker_, account)) ++account_mark_;
@@ -231,7 +236,8 @@
         ask.over.assign(over_.begin(), over_.end());
         ask.report = report_;
         ask.results = results_;
-        for (OrderResult& result : ask.results) result.ago = now - result.ago;  // kept as a moment, sent as an age
+        for (OrderResult& result : ask.results)
+            result.ago = now - result.ago;  // kept as a moment, sent as an age
         std::uint64_t report_mark = report_mark_;
         size_t results_sent = results_.size();
         std::uint64_t results_mark = results_dropped_ + results_sent;
@@ -252,21 +258,24 @@
                       }
                       Micros moment = steady_now();
                       if (!frame || !frame->served) {
-                          // An owner that has just been elected answers so for a moment; silence is a reason to go elsewhere.
+                          // An owner that has just been elected answers so for a moment; silence is a reason to go
+                          // elsewhere.
                           bool heard = frame.has_value();
                           ++ask_tries_;
                           if (!heard || ask_tries_ % 8 == 0) ++ask_choice_;
                           counters().add("asks_unserved");
                           locator_.hurry();
                           account_told_ = 0;
-                          pacer_.answered(moment, milliseconds(std::min<std::int64_t>(20 * std::int64_t(ask_tries_), 300)));
+                          pacer_.answered(moment,
+                                          milliseconds(std::min<std::int64_t>(20 * std::int64_t(ask_tries_), 300)));
                           return ask_owner(report_ || !results_.empty() ? Haste::pressing : Haste::resting);
                       }
                       ask_tries_ = ask_choice_ = 0;
                       pacer_.answered(moment, std::clamp<Micros>(frame->pause, 0, seconds(1)));
                       account_told_ = account_mark;
                       if (report_mark == report_mark_) report_.reset();
-                      while (results_dropped_ < results_mark && !results_.empty()) results_.erase(results_.begin()), ++results_dropped_;
+                      while (results_dropped_ < results_mark && !results_.empty())
+                          results_.erase(results_.begin()), ++results_dropped_;
                       take_answer(number, now, *frame);
                       ask_owner(ask_wanted_);
                   });
@@ -358,7 +367,8 @@
             add_result(order, open ? OrderFate::doubtful : OrderFate::turned_away, "draining");
         }
         if (looking_ || now < next_look_) return;
-        if (active_ > 0 || any_open()) look(highest_end_ > seen_ && now - ended_at_ < settings_.unseen_wait ? -1 : settings_.look_wait);
+        if (active_ > 0 || any_open())
+            look(highest_end_ > seen_ && now - ended_at_ < settings_.unseen_wait ? -1 : settings_.look_wait);
     }
     bool any_open() const {
         return std::any_of(pending_.begin(), pending_.end(), [](const auto& each) { return each.second.sends > 0; });
@@ -366,13 +376,21 @@
     void send_start(const RunKey& key, Pending& pending, Micros now) {
         pending.flying = true;
         ++pending.sends;
-        boost::json::object body{{"task", pending.order.task}, {"run_id", pending.order.run}, {"job_spec", pending.order.spec}, {"until_ms", until_ms(now)}, {"fence", epoch_.value}};
+        boost::json::object body{{"task", pending.order.task},
+                                 {"run_id", pending.order.run},
+                                 {"job_spec", pending.order.spec},
+                                 {"until_ms", until_ms(now)},
+                                 {"fence", epoch_.value}};
         if (!pending.order.saved.empty()) body["checkpoint"] = pending.order.saved;
         std::string life = worker_->life;
         Epoch epoch = epoch_;
         std::uint64_t era = era_;
         counters().add("starts_sent");
-        loop_.ask({.url = "http://" + worker_->address + "/run-start", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = settings_.order_patience},
+        loop_.ask({.url = "http://" + worker_->address + "/run-start",
+                   .body = boost::json::serialize(body),
+                   .form = "application/json",
+                   .headers = {"X-Expected-Worker: " + life},
+                   .patience = settings_.order_patience},
                   [this, key, life, epoch, era](Answer answer) {
                       std::lock_guard guard(lock_);
                       if (!worker_ || worker_->life != life) return;
@@ -412,7 +430,8 @@
                       Order order = mine.order;
                       bool open = mine.open;
                       pending_.erase(found);
-                      add_result(order, open ? OrderFate::doubtful : OrderFate::turned_away, reason.empty() ? fmt::format("{}", answer.code) : reason);
+                      add_result(order, open ? OrderFate::doubtful : OrderFate::turned_away,
+                                 reason.empty() ? fmt::format("{}", answer.code) : reason);
                   });
     }
     void send_stop(const RunKey& key, Pending& pending) {
@@ -422,7 +441,11 @@
         std::string life = worker_->life;
         Epoch epoch = epoch_;
         counters().add("stops_sent");
-        loop_.ask({.url = "http://" + worker_->address + "/run-stop", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = settings_.order_patience},
+        loop_.ask({.url = "http://" + worker_->address + "/run-stop",
+                   .body = boost::json::serialize(body),
+                   .form = "application/json",
+                   .headers = {"X-Expected-Worker: " + life},
+                   .patience = settings_.order_patience},
                   [this, key, life, epoch](Answer answer) {
                       std::lock_guard guard(lock_);
                       if (!worker_ || worker_->life != life || epoch != epoch_) return;
@@ -445,7 +468,8 @@
         boost::json::value whole = boost::json::parse(answer.body, error);
         if (error || !whole.is_object()) return {};
         const auto& object = whole.as_object();
-        if (const auto* clock = object.if_contains("clock_ms"); clock && clock->is_number()) note_clock(Micros(clock->to_number<double>() * 1000), now);
+        if (const auto* clock = object.if_contains("clock_ms"); clock && clock->is_number())
+            note_clock(Micros(clock->to_number<double>() * 1000), now);
         const auto* reason = object.if_contains("reason");
         return reason && reason->is_string() ? std::string(reason->as_string()) : std::string();
     }
@@ -472,44 +496,50 @@
         Epoch epoch = epoch_;
         std::vector<std::string> stopped = stopped_;
         counters().add("looks");
-        loop_.ask({.url = "http://" + worker_->address + "/hold", .body = boost::json::serialize(body), .form = "application/json", .headers = {"X-Expected-Worker: " + life}, .patience = wait + (now < wary_until_ ? settings_.wary_slack : settings_.look_slack)},
-                  [this, life, epoch, is_short, stopped](Answer answer) {
-                      std::lock_guard guard(lock_);
-                      (is_short ? looking_short_ : looking_) = false;
-                      if (!worker_ || worker_->life != life) return;
-                      Micros moment = steady_now();
-                      bool read = answer.good() && take_look(answer, epoch, stopped, moment);
-                      if (!read) {
-                          counters().add("looks_without_answer");
-                          next_look_ = moment + milliseconds(20);
-                          after_gap_ = true;
-                          if (answer.fate != Answer::Fate::answered) wary_until_ = moment + settings_.wary_for;
-                          if (answer.fate != Answer::Fate::answered && ++look_errors_ >= settings_.silent_after && !silent_) {
-                              silent_ = true;
-                              log_line("side", "worker {} does not answer", life);
-                              ask_owner(Haste::urgent);
-                          }
-                          if (silent_) next_look_ = moment + milliseconds(300);
-                      } else {
-                          look_errors_ = 0;
-                          if (silent_) {
-                              silent_ = false;
-                              ask_owner(Haste::urgent);
-                          }
-                      }
-                      if (look_again_ && read) {
-                          look_again_ = false;
-                          look(0);
-                      }
-                      work(moment);
-                  });
+        loop_.ask(
+            {.url = "http://" + worker_->address + "/hold",
+             .body = boost::json::serialize(body),
+             .form = "application/json",
+             .headers = {"X-Expected-Worker: " + life},
+             .patience = wait + (now < wary_until_ ? settings_.wary_slack : settings_.look_slack)},
+            [this, life, epoch, is_short, stopped](Answer answer) {
+                std::lock_guard guard(lock_);
+                (is_short ? looking_short_ : looking_) = false;
+                if (!worker_ || worker_->life != life) return;
+                Micros moment = steady_now();
+                bool read = answer.good() && take_look(answer, epoch, stopped, moment);
+                if (!read) {
+                    counters().add("looks_without_answer");
+                    next_look_ = moment + milliseconds(20);
+                    after_gap_ = true;
+                    if (answer.fate != Answer::Fate::answered) wary_until_ = moment + settings_.wary_for;
+                    if (answer.fate != Answer::Fate::answered && ++look_errors_ >= settings_.silent_after && !silent_) {
+                        silent_ = true;
+                        log_line("side", "worker {} does not answer", life);
+                        ask_owner(Haste::urgent);
+                    }
+                    if (silent_) next_look_ = moment + milliseconds(300);
+                } else {
+                    look_errors_ = 0;
+                    if (silent_) {
+                        silent_ = false;
+                        ask_owner(Haste::urgent);
+                    }
+                }
+                if (look_again_ && read) {
+                    look_again_ = false;
+                    look(0);
+                }
+                work(moment);
+            });
     }
     bool take_look(const Answer& answer, Epoch epoch, const std::vector<std::string>& stopped, Micros now) {
         boost::system::error_code error;
         boost::json::value whole = boost::json::parse(answer.body, error);
         if (error || !whole.is_object()) return false;
         const auto& object = whole.as_object();
-        if (const auto* clock = object.if_contains("clock_ms"); clock && clock->is_number()) note_clock(Micros(clock->to_number<double>() * 1000), now);
+        if (const auto* clock = object.if_contains("clock_ms"); clock && clock->is_number())
+            note_clock(Micros(clock->to_number<double>() * 1000), now);
         HoldReport report;
         report.life = worker_->life;
         report.fence = epoch;
@@ -520,14 +550,18 @@
             if (!each.is_array() || each.as_array().size() < 4) return false;
             const auto& row = each.as_array();
             if (!row[0].is_string() || !row[1].is_number()) return false;
-            report.active.push_back({std::string(row[0].as_string()), row[1].to_number<std::uint32_t>(), row[2].is_string() ? std::string(row[2].as_string()) : "", row[3].is_number() ? std::int64_t(row[3].to_number<double>()) : 0});
+            report.active.push_back({std::string(row[0].as_string()), row[1].to_number<std::uint32_t>(),
+                                     row[2].is_string() ? std::string(row[2].as_string()) : "",
+                                     row[3].is_number() ? std::int64_t(row[3].to_number<double>()) : 0});
         }
         std::uint64_t highest = highest_end_;
         for (const auto& each : finished->as_array()) {
             if (!each.is_array() || each.as_array().size() < 5) return false;
             const auto& row = each.as_array();
             if (!row[0].is_number() || !row[1].is_string() || !row[2].is_number() || !row[3].is_string()) return false;
-            report.finished.push_back({row[0].to_number<std::uint64_t>(), std::string(row[1].as_string()), row[2].to_number<std::uint32_t>(), std::string(row[3].as_string()), row[4].is_string() ? std::string(row[4].as_string()) : ""});
+            report.finished.push_back({row[0].to_number<std::uint64_t>(), std::string(row[1].as_string()),
+                                       row[2].to_number<std::uint32_t>(), std::string(row[3].as_string()),
+                                       row[4].is_string() ? std::string(row[4].as_string()) : ""});
             highest = std::max(highest, report.finished.back().number);
         }
         bool ends = highest > highest_end_ || !report.finished.empty();
@@ -543,11 +577,15 @@
         report.stops = stopped;
         report.after_gap = after_gap_ || (report_ && report_->after_gap);
         after_gap_ = false;
-        std::erase_if(stopped_, [&](const std::string& each) { return std::find(stopped.begin(), stopped.end(), each) != stopped.end(); });
+        std::erase_if(stopped_, [&](const std::string& each) {
+            return std::find(stopped.begin(), stopped.end(), each) != stopped.end();
+        });
         if (report_) report.stops.insert(report.stops.end(), report_->stops.begin(), report_->stops.end());
         report_ = std::move(report);
         ++report_mark_;
-        ask_owner(first ? Haste::urgent : ends || !report_->stops.empty() || now - reported_at_ > milliseconds(900) ? Haste::pressing : Haste::resting);
+        ask_owner(first                                                                       ? Haste::urgent
+                  : ends || !report_->stops.empty() || now - reported_at_ > milliseconds(900) ? Haste::pressing
+                                                                                              : Haste::resting);
         reported_at_ = now;
         return true;
     }
--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -1,5 +1,5 @@
-// A control daemon without sockets: its processor, disk and links are simulated; detector, record and scheduler are the real ones.
-// Joining, the core's changes and the election follow control.hpp step by step.
+// A control daemon without sockets: its processor, disk and links are simulated; detector, record and scheduler are the
+// real ones. Joining, the core's changes and the election follow control.hpp step by step.
 #pragma once
 #include "cluster/world.hpp"
 
@@ -9,7 +9,8 @@
     size_t daemons = 3, workers = 4, others = 0, losses = 1;
     size_t core_most = 9;
     Micros gone_after = seconds(2), given_up_after = seconds(12), replacing = seconds(10);  // as in control.hpp
-    // The slow processor: work is counted by `meter`, and this much of it takes a microsecond. Without a meter work takes no time.
+    // The slow processor: work is counted by `meter`, and this much of it takes a microsecond. Without a meter work
+    // takes no time.
     std::uint64_t (*meter)() = nullptr;
     double work_a_micro = 0;
     Micros message_cost = 0;
@@ -22,10 +23,11 @@
     Oracle& oracle;
     std::vector<std::unique_ptr<Daemon>>& all;
     const Options& options;
-    size_t place;                        // the machine; its address is "d<place>"
-    Identity identity;                   // of the disk
+    size_t place;                             // the machine; its address is "d<place>"
+    Identity identity;                        // of the disk
     std::map<std::string, std::string> disk;  // its entries by name
-    bool up = true, cut = false, mute = false, deaf = false, parted = false, removed = false;  // parted: from its peers only
+    bool up = true, cut = false, mute = false, deaf = false, parted = false,
+         removed = false;  // parted: from its peers only
     Micros slow_disk_until = 0, troubled_until = 0;
     std::uint64_t incarnation = 0;
     std::uint64_t work_done = 0, turns = 0;
@@ -33,17 +35,21 @@
 
     struct Ledger {
         Daemon* daemon;
-        void propose(const std::string& key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> told) {
+        void propose(const std::string& key, std::optional<std::string> fixed, Patch patch,
+                     std::function<void(bool)> told) {
             bool of_job = key.starts_with("job/");
             if (key == "config") daemon->world.moment("config proposed");
             if (of_job) daemon->world.moment("proposed");
-            daemon->live->owner.propose(key, std::move(fixed), std::move(patch), [told = std::move(told), of_job, daemon = daemon](bool committed) {
-                if (of_job && committed) daemon->world.moment("committed");
-                if (told) told(committed);
-            });
+            daemon->live->owner.propose(key, std::move(fixed), std::move(patch),
+                                        [told = std::move(told), of_job, daemon = daemon](bool committed) {
+                                            if (of_job && committed) daemon->world.moment("committed");
+                                            if (told) told(committed);
+                                        });
             if (of_job) daemon->world.moment("sent");
         }
-        void confirm(const std::string& key, std::function<void(bool)> told) { daemon->live->owner.confirm(key, std::move(told)); }
+        void confirm(const std::string& key, std::function<void(bool)> told) {
+            daemon->live->owner.confirm(key, std::move(told));
+        }
         void bury(const std::string& key) { daemon->live->owner.bury(key); }
     };
     struct Live {
@@ -54,25 +60,35 @@
         Scheduler<Ledger> scheduler;
         Core core;
         std::optional<std::pair<Epoch, Version>> core_version;
-        std::optional<size_t> place;      // in the core
-        struct Joiner { Member member; Micros heard_at = 0; };
+        std::optional<size_t> place;  // in the core
+        struct Joiner {
+            Member member;
+            Micros heard_at = 0;
+        };
         std::map<Identity, Joiner> joiners;
         bool core_changing = false;
         Epoch scheduler_epoch, highest, known_epoch;
         std::string known_owner;
-        Micros next_takeover = 0, probed = 0, joined_at = 0, next_join = 0, next_follow = 0, catching_up_until = 0, majority_at = 0, acting_since = 0;
+        Micros next_takeover = 0, probed = 0, joined_at = 0, next_join = 0, next_follow = 0, catching_up_until = 0,
+               majority_at = 0, acting_since = 0;
         Live(Daemon* daemon, Micros now)
-            : detector(daemon->options.detector, 0, 1, now), owner({}, daemon->identity), ledger{daemon}, scheduler(daemon->options.scheduler, ledger), majority_at(now) {
+            : detector(daemon->options.detector, 0, 1, now),
+              owner({}, daemon->identity),
+              ledger{daemon},
+              scheduler(daemon->options.scheduler, ledger),
+              majority_at(now) {
             owner.unpack_core = [](const std::string& packed) { return unpack<Core>(packed); };
             bool sound = true;
-            for (const auto& [name, bytes] : daemon->disk) sound = replica.load(name, bytes) && sound;
+            for (const auto& [name, bytes] : daemon->disk)
+                sound = replica.load(name, bytes) && sound;
             daemon->world.check(replica.finish_load() && sound, "a disk cannot be read");
             replica.identity = daemon->identity;
         }
     };
     std::unique_ptr<Live> live;
 
-    Daemon(World& world, Oracle& oracle, std::vector<std::unique_ptr<Daemon>>& all, const Options& options, size_t place, Identity identity, const std::optional<Core>& founded)
+    Daemon(World& world, Oracle& oracle, std::vector<std::unique_ptr<Daemon>>& all, const Options& options,
+           size_t place, Identity identity, const std::optional<Core>& founded)
         : world(world), oracle(oracle), all(all), options(options), place(place), identity(identity) {
         if (founded) apply(Replica{}.found("core", Register{Epoch{0}, Version{1}, {}, pack(*founded), {}}));
         begin(founded.has_value());
@@ -101,7 +117,9 @@
     // Stands still: what arrives waits, and old timers fire on waking.
     void freeze(Micros length) { busy_until = std::max(busy_until, world.now) + length; }
     bool acting() const { return up && live->owner.acting() && live->scheduler_epoch == live->owner.epoch(); }
-    bool whole() const { return up && !cut && !mute && !deaf && !parted && world.now >= troubled_until && live->place.has_value(); }
+    bool whole() const {
+        return up && !cut && !mute && !deaf && !parted && world.now >= troubled_until && live->place.has_value();
+    }
 
     // --- processor: one thing after the other; what it sends leaves when its work is done ---
 
@@ -119,7 +137,10 @@
         const std::uint64_t life = incarnation;
         while (up && incarnation == life && !inbox.empty()) {
             if (world.now < busy_until) {
-                if (!waking) waking = true, world.after(busy_until - world.now, [this, life] { if (incarnation == life) waking = false, serve_inbox(); });
+                if (!waking)
+                    waking = true, world.after(busy_until - world.now, [this, life] {
+                        if (incarnation == life) waking = false, serve_inbox();
+                    });
                 break;
             }
             auto act = std::move(inbox.front());
@@ -130,13 +151,18 @@
             if (options.meter) {
                 std::uint64_t work = options.meter() - before;
                 work_done += work;
-                busy_until = std::max(busy_until, world.now) + options.message_cost + Micros(double(work) / options.work_a_micro);
+                busy_until = std::max(busy_until, world.now) + options.message_cost +
+                             Micros(double(work) / options.work_a_micro);
             }
             std::vector<std::function<void()>> leaving;
             leaving.swap(outbox);
             for (auto& send : leaving) {
-                if (busy_until <= world.now) send();
-                else world.after(busy_until - world.now, [this, life, send = std::move(send)] { if (up && incarnation == life) send(); });
+                if (busy_until <= world.now)
+                    send();
+                else
+                    world.after(busy_until - world.now, [this, life, send = std::move(send)] {
+                        if (up && incarnation == life) send();
+                    });
             }
         }
         running = false;
@@ -155,8 +181,10 @@
                 other.enter(to_life, [act, &other] { act(other); });
             });
         };
-        if (running) outbox.push_back(send);
-        else send();
+        if (running)
+            outbox.push_back(send);
+        else
+            send();
     }
     std::optional<size_t> machine_at(const std::string& address) const {
         if (address.size() < 2) return std::nullopt;
@@ -166,7 +194,10 @@
 
     // --- disk: one sync takes all that waits ---
 
-    struct Write { Change change; std::function<void()> then; };
+    struct Write {
+        Change change;
+        std::function<void()> then;
+    };
     std::vector<Write> disk_queue;
     bool disk_busy = false;
     Micros disk_since = 0;
@@ -180,19 +211,24 @@
         disk_since = world.now;
         std::vector<Write> batch;
         batch.swap(disk_queue);
-        Micros takes = world.now < slow_disk_until ? world.dice.between(ms(50), ms(900)) : world.dice.between(ms(1), ms(6));
+        Micros takes =
+            world.now < slow_disk_until ? world.dice.between(ms(50), ms(900)) : world.dice.between(ms(1), ms(6));
         world.after(takes, [this, batch = std::move(batch), life = incarnation] {
             if (!up || incarnation != life) return;
-            for (const Write& write : batch) apply(write.change);
+            for (const Write& write : batch)
+                apply(write.change);
             disk_busy = false;
             if (!disk_queue.empty()) sync();
-            for (const Write& write : batch) enter(life, write.then);
+            for (const Write& write : batch)
+                enter(life, write.then);
         });
     }
     void apply(const Change& change) {
         for (const auto& [name, bytes] : change.entries) {
-            if (bytes) disk[name] = *bytes;
-            else disk.erase(name);
+            if (bytes)
+                disk[name] = *bytes;
+            else
+                disk.erase(name);
         }
     }
 
@@ -207,13 +243,16 @@
         if (!core) return;
         my.core_version = std::pair(found->second.epoch, found->second.version);
         std::optional<Identity> trusted;
-        if (my.place && my.detector.trusted() < my.core.members.size()) trusted = my.core.members[my.detector.trusted()].identity;
+        if (my.place && my.detector.trusted() < my.core.members.size())
+            trusted = my.core.members[my.detector.trusted()].identity;
         bool same = my.core.members.size() == core->members.size();
-        for (size_t each = 0; same && each < core->members.size(); ++each) same = my.core.members[each].identity == core->members[each].identity;
+        for (size_t each = 0; same && each < core->members.size(); ++each)
+            same = my.core.members[each].identity == core->members[each].identity;
         my.core = std::move(*core);
         my.place = my.core.place_of(my.replica.identity);
         if (same || !my.place) return;
-        my.detector.reorder(*my.place, my.core.members.size(), trusted ? my.core.place_of(*trusted).value_or(0) : 0, world.now);
+        my.detector.reorder(*my.place, my.core.members.size(), trusted ? my.core.place_of(*trusted).value_or(0) : 0,
+                            world.now);
     }
     // One outside the core, or one that nobody grants an epoch for long, asks the others what the core is.
     void follow_core() {
@@ -225,10 +264,12 @@
             if (seed == place) continue;
             reach(seed, [this](Daemon& other) {
                 if (!other.live->core_version) return;
-                other.reach(place, [mark = other.live->core_version->second.value, core = other.live->core, epoch = other.live->known_epoch, owner = other.live->known_owner](Daemon& self) {
+                other.reach(place, [mark = other.live->core_version->second.value, core = other.live->core,
+                                    epoch = other.live->known_epoch, owner = other.live->known_owner](Daemon& self) {
                     Live& mine = *self.live;
                     if (epoch.value) self.note_owner(epoch, owner);
-                    bool there = std::any_of(core.members.begin(), core.members.end(), [&](const Member& member) { return member.address == self.address(); });
+                    bool there = std::any_of(core.members.begin(), core.members.end(),
+                                             [&](const Member& member) { return member.address == self.address(); });
                     if (!mine.place || there || !mine.core_version || mark <= mine.core_version->second.value) return;
                     mine.place.reset();
                     mine.owner.give_up();
@@ -295,14 +336,17 @@
         Micros patience = replaced ? options.gone_after : options.given_up_after;
         for (const Member& member : core.members) {
             if (member.identity == my.replica.identity) continue;
-            bool same_place = std::any_of(my.joiners.begin(), my.joiners.end(), [&](const auto& each) { return each.second.member.address == member.address; });
+            bool same_place = std::any_of(my.joiners.begin(), my.joiners.end(), [&](const auto& each) {
+                return each.second.member.address == member.address;
+            });
             bool gone = same_place || (my.owner.is_gone(member.identity) && since > ms(500));
             bool silent = since > patience && !my.owner.heard_since(member.identity, now - patience);
             if (!gone && !silent) continue;
             if (core.members.size() <= 3 && my.joiners.empty()) continue;
             size_t heard = 0;
             for (const Member& other : core.members)
-                heard += other.identity != member.identity && (other.identity == my.replica.identity || my.owner.heard_since(other.identity, now - seconds(1)));
+                heard += other.identity != member.identity && (other.identity == my.replica.identity ||
+                                                               my.owner.heard_since(other.identity, now - seconds(1)));
             if (heard >= (core.members.size() - 1) / 2 + 1) return &member;
         }
         return nullptr;
@@ -310,7 +354,9 @@
     void change_core(Core core) {
         core.size_wanted = core.members.size();
         live->core_changing = true;
-        live->owner.set_core(core, pack(core), [this, life = incarnation](bool) { if (incarnation == life && live) live->core_changing = false; });
+        live->owner.set_core(core, pack(core), [this, life = incarnation](bool) {
+            if (incarnation == life && live) live->core_changing = false;
+        });
     }
 
     // --- the turn ---
@@ -327,13 +373,16 @@
         learn_core();
         ask_to_join();
         if (my.place) elect();
-        for (Errand& errand : my.owner.pump(world.now)) carry(std::move(errand));
+        for (Errand& errand : my.owner.pump(world.now))
+            carry(std::move(errand));
         if (acting()) {
             tend_core();
             my.scheduler.tick(world.now, world.now, my.owner.confirmed_at());
-            if (world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100)) my.probed = world.now, my.owner.probe();
+            if (world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100))
+                my.probed = world.now, my.owner.probe();
         }
-        for (Errand& errand : my.owner.pump(world.now)) carry(std::move(errand));
+        for (Errand& errand : my.owner.pump(world.now))
+            carry(std::move(errand));
     }
     void elect() {
         Live& my = *live;
@@ -341,7 +390,8 @@
         bool stalled = disk_busy && now - disk_since > ms(600);
         if (my.owner.state() == Owner::State::handing || my.owner.acting()) my.catching_up_until = 0;
         bool catching_up = now < my.catching_up_until;
-        if (!my.detector.trusts_itself() || my.core.members.size() < 2 || my.owner.reaches_majority(now - ms(500))) my.majority_at = now;
+        if (!my.detector.trusts_itself() || my.core.members.size() < 2 || my.owner.reaches_majority(now - ms(500)))
+            my.majority_at = now;
         bool alone = now - my.majority_at > seconds(1);
         my.detector.set_silent(stalled || catching_up || alone);
         for (size_t to : my.detector.tick(now))
@@ -352,11 +402,14 @@
                     if (from && other.live->place) other.live->detector.alive(*from, other.world.now);
                     if (before != other.live->detector.trusted()) other.turn();
                 });
-        if (my.detector.trusts_itself() && !stalled && my.owner.state() == Owner::State::idle && now >= my.next_takeover) {
+        if (my.detector.trusts_itself() && !stalled && my.owner.state() == Owner::State::idle &&
+            now >= my.next_takeover) {
             my.next_takeover = now + ms(150);
             my.owner.take_over(my.core, std::max(my.replica.promised, my.highest), my.replica.registers);
         }
-        if ((!my.detector.trusts_itself() || stalled || (alone && my.owner.acting())) && my.owner.state() != Owner::State::idle) my.owner.give_up();
+        if ((!my.detector.trusts_itself() || stalled || (alone && my.owner.acting())) &&
+            my.owner.state() != Owner::State::idle)
+            my.owner.give_up();
         if (my.owner.outbid_by) my.highest = std::max(my.highest, *my.owner.outbid_by), my.owner.outbid_by.reset();
         if (my.owner.acting() && my.scheduler_epoch != my.owner.epoch()) {
             my.scheduler_epoch = my.owner.epoch();
@@ -364,14 +417,16 @@
             my.core_changing = false;
             my.joined_at = 0;
             my.scheduler.begin(my.owner.epoch(), my.owner.registers(), now);
-            if (!my.owner.core().members.empty() && my.owner.registers().count("core") == 0) my.owner.set_core(my.owner.core(), pack(my.owner.core()), nullptr);
+            if (!my.owner.core().members.empty() && my.owner.registers().count("core") == 0)
+                my.owner.set_core(my.owner.core(), pack(my.owner.core()), nullptr);
             note_owner(my.owner.epoch(), address());
             owned.push_back(my.owner.epoch().value);
             world.moment("took over");
         }
-        if (!my.owner.acting() && my.scheduler_epoch.value) my.scheduler_epoch = Epoch{}, my.scheduler.end_ownership(), my.joiners.clear();
+        if (!my.owner.acting() && my.scheduler_epoch.value)
+            my.scheduler_epoch = Epoch{}, my.scheduler.end_ownership(), my.joiners.clear();
     }
-    std::vector<std::uint64_t> owned;    // epochs that this machine acted under
+    std::vector<std::uint64_t> owned;  // epochs that this machine acted under
     void note_owner(Epoch epoch, const std::string& from) {
         live->highest = std::max(live->highest, epoch);
         if (epoch < live->known_epoch) return;
@@ -392,8 +447,10 @@
             enter(life, [this, ticket, answered, prepare] {
                 if (*answered) return;
                 *answered = true;
-                if (prepare) live->owner.take(ticket, static_cast<const PrepareAnswer*>(nullptr), world.now);
-                else live->owner.take(ticket, static_cast<const WriteAnswer*>(nullptr), world.now);
+                if (prepare)
+                    live->owner.take(ticket, static_cast<const PrepareAnswer*>(nullptr), world.now);
+                else
+                    live->owner.take(ticket, static_cast<const WriteAnswer*>(nullptr), world.now);
             });
         });
         if (!machine) return;
@@ -406,20 +463,28 @@
                     self.live->owner.take(ticket, &frame, self.world.now);
                     if (self.options.meter) self.turn();
                 };
-                if (&other == this) land(other);
-                else other.reach(place, land);
+                if (&other == this)
+                    land(other);
+                else
+                    other.reach(place, land);
             };
-            if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask)) other.serve_prepare(*prepare, back);
-            else other.serve_write(over_the_wire(options, std::get<WriteAsk>(errand.ask)), back);
+            if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask))
+                other.serve_prepare(*prepare, back);
+            else
+                other.serve_write(over_the_wire(options, std::get<WriteAsk>(errand.ask)), back);
         };
-        if (*machine == place) serve(*this);
-        else reach(*machine, serve);
+        if (*machine == place)
+            serve(*this);
+        else
+            reach(*machine, serve);
     }
     template <class Back>
     void serve_prepare(const PrepareAsk& ask, Back back) {
         bool trusted = live->place && live->core.place_of(ask.from) == std::optional(live->detector.trusted());
         auto [answer, change] = live->replica.prepare(ask, trusted);
-        if (answer.verdict == Verdict::granted && ask.from != live->replica.identity && live->owner.state() != Owner::State::idle) live->owner.give_up();
+        if (answer.verdict == Verdict::granted && ask.from != live->replica.identity &&
+            live->owner.state() != Owner::State::idle)
+            live->owner.give_up();
         persist(std::move(change), [back, answer = std::move(answer)] { back(answer); });
     }
     template <class Back>
@@ -430,8 +495,10 @@
             const Member* from = live->core.find(ask.from);
             if (from) note_owner(ask.epoch, from->address);
             Micros& until = live->catching_up_until;
-            if (ask.from != live->replica.identity && ask.level) until = 0;
-            else if (ask.from != live->replica.identity && until != 0) until = std::max(until, world.now + ms(1200));
+            if (ask.from != live->replica.identity && ask.level)
+                until = 0;
+            else if (ask.from != live->replica.identity && until != 0)
+                until = std::max(until, world.now + ms(1200));
         }
         persist(std::move(change), [back, answer = std::move(answer)] { back(answer); });
     }
@@ -446,8 +513,10 @@
     void serve_call(const CallAsk& ask, std::function<void(CallFate, Response)> told) {
         if (acting()) {
             if (ask.path == "/config" && ask.host.empty()) {
-                if (ask.method == "PUT") live->scheduler.put_config(ask, told);
-                else live->scheduler.get_config(told);
+                if (ask.method == "PUT")
+                    live->scheduler.put_config(ask, told);
+                else
+                    live->scheduler.get_config(told);
             } else {
                 live->scheduler.call(ask, world.now, world.now, told);
             }
@@ -465,7 +534,9 @@
             *open = false;
             told(fate, std::move(response));
         };
-        world.after(seconds(2), [this, once, life = incarnation] { enter(life, [once] { once(CallFate::doubtful, Response::plain(504)); }); });
+        world.after(seconds(2), [this, once, life = incarnation] {
+            enter(life, [once] { once(CallFate::doubtful, Response::plain(504)); });
+        });
         reach(*owner, [this, onward, once](Daemon& other) {
             other.serve_call(onward, [this, &other, once](CallFate fate, Response response) {
                 other.reach(place, [once, fate, response](Daemon&) { once(fate, response); });
--- a/tests/cluster/meter.cpp
+++ b/tests/cluster/meter.cpp
@@ -1,9 +1,14 @@
-// Counts the basic blocks that the instrumented test has gone through: the work of the code itself, the same in each run.
+// Counts the basic blocks that the instrumented test has gone through: the work of the code itself, the same in each
+// run.
 #include <cstdint>
 
 namespace calicostall::tests {
 std::uint64_t blocks = 0;
-std::uint64_t blocks_done() { return blocks; }
+std::uint64_t blocks_done() {
+    return blocks;
+}
 }  // namespace calicostall::tests
 
-extern "C" void __sanitizer_cov_trace_pc() { ++calicostall::tests::blocks; }
+extern "C" void __sanitizer_cov_trace_pc() {
+    ++calicostall::tests::blocks;
+}
--- a/tests/cluster/run.hpp
+++ b/tests/cluster/run.hpp
@@ -11,8 +11,26 @@
     Micros at = 0, length = 0;
 };
 
-enum Trouble { kill_daemon, cut_daemon, rebirth, cut_side, kill_all, wipe_daemon, replace_daemon, mute_daemon, deafen_daemon, freeze_daemon, slow_disk, part_daemon,
-               slow_worker, stuck_worker, silent_worker, flapping_worker, draining_worker, trouble_count };
+enum Trouble {
+    kill_daemon,
+    cut_daemon,
+    rebirth,
+    cut_side,
+    kill_all,
+    wipe_daemon,
+    replace_daemon,
+    mute_daemon,
+    deafen_daemon,
+    freeze_daemon,
+    slow_disk,
+    part_daemon,
+    slow_worker,
+    stuck_worker,
+    silent_worker,
+    flapping_worker,
+    draining_worker,
+    trouble_count
+};
 
 // A side as the frames require it: stateless but for what the owner said last.
 struct SideDouble {
@@ -39,8 +57,10 @@
             seen = era = 0;
             allowed_until = 0;
         }
-        if (!cut && flying < 2) ask();
-        else if (!cut && daemons[target]->removed) target = (target + 1) % daemons.size();
+        if (!cut && flying < 2)
+            ask();
+        else if (!cut && daemons[target]->removed)
+            target = (target + 1) % daemons.size();
         work();
         world.after(world.dice.between(ms(30), ms(60)), [this] { tick(); });
     }
@@ -52,14 +72,25 @@
         ask.epoch = epoch;
         ask.taken = taken;
         ask.seen = seen;
-        ask.worker = WorkerAccount{worker.life, worker.service, "", "", worker.cpu, 100000, 0, worker.labels, worker.draining_since >= 0, worker.draining_since < 0 ? -1 : std::max<Micros>(0, worker.draining_since + seconds(8) - world.now)};
+        ask.worker = WorkerAccount{
+            worker.life,
+            worker.service,
+            "",
+            "",
+            worker.cpu,
+            100000,
+            0,
+            worker.labels,
+            worker.draining_since >= 0,
+            worker.draining_since < 0 ? -1 : std::max<Micros>(0, worker.draining_since + seconds(8) - world.now)};
         ask.over = over;
         if (worker.hold(allowed_until, epoch, seen)) {
             silences = 0;
             HoldReport report;
             report.life = worker.life;
             report.fence = epoch;
-            for (auto& [task, run] : worker.runs) report.active.push_back({task, run.run, run.saved, run.percent(world.now)});
+            for (auto& [task, run] : worker.runs)
+                report.active.push_back({task, run.run, run.saved, run.percent(world.now)});
             report.finished = worker.finished;
             report.stops = stops;
             ask.report = report;
@@ -68,7 +99,8 @@
         }
         ask.results = results;
         Daemon& daemon = *daemons[target];
-        if (daemon.cut || daemon.mute || daemon.deaf || !daemon.up || (!daemon.acting() && world.now >= daemon.busy_until)) {
+        if (daemon.cut || daemon.mute || daemon.deaf || !daemon.up ||
+            (!daemon.acting() && world.now >= daemon.busy_until)) {
             target = (target + 1) % daemons.size();
             return;
         }
@@ -82,29 +114,43 @@
         };
         world.after(ms(1700), [close] { close(false); });
         auto blocked = [this, &daemon] { return cut || daemon.cut || daemon.mute || daemon.deaf; };
-        world.after(world.dice.between(ms(1), ms(8)), [this, &daemon, ask, asked_at = world.now, close, blocked, results_sent = results.size(), stops_sent = stops.size()] {
+        world.after(world.dice.between(ms(1), ms(8)), [this, &daemon, ask, asked_at = world.now, close, blocked,
+                                                       results_sent = results.size(), stops_sent = stops.size()] {
             if (blocked()) return;
-            daemon.enter(daemon.incarnation, [this, &daemon, ask = Daemon::over_the_wire(daemon.options, ask), asked_at, close, blocked, results_sent, stops_sent] {
+            daemon.enter(daemon.incarnation, [this, &daemon, ask = Daemon::over_the_wire(daemon.options, ask), asked_at,
+                                              close, blocked, results_sent, stops_sent] {
                 if (!daemon.acting()) return close(false);
-                world.moment(ask.report && !ask.report->finished.empty() ? "end reported" : ask.results.empty() ? "side heard" : "result heard");
+                world.moment(ask.report && !ask.report->finished.empty() ? "end reported"
+                             : ask.results.empty()                       ? "side heard"
+                                                                         : "result heard");
                 daemon.live->scheduler.take_side(ask, world.now, world.now);
                 daemon.turn();
-                world.after(world.dice.between(ms(5), ms(30)), [this, &daemon, ask, asked_at, close, blocked, results_sent, stops_sent] {
-                    daemon.enter(daemon.incarnation, [this, &daemon, ask, asked_at, close, blocked, results_sent, stops_sent] {
-                        if (blocked()) return;
-                        if (!daemon.acting()) return close(false);
-                        SideAnswer answer = Daemon::over_the_wire(daemon.options, daemon.live->scheduler.answer_side(ask.node, daemon.live->owner.confirmed_at(), world.now));
-                        if (!answer.orders.empty()) world.moment("ordered");
-                        // A slow answer may come long after newer things; it is bound to the asking all the same.
-                        Micros delay = world.dice.roll(40) == 0 ? world.dice.between(ms(500), seconds(4)) : world.dice.between(ms(1), ms(8));
-                        world.after(std::max<Micros>(0, daemon.busy_until - world.now) + delay, [this, asked = ask.number, asked_at, answer, close, life = ask.worker->life, results_sent, stops_sent] {
-                            close(true);
-                            if (life != worker.life) return;
-                            if (results_sent <= results.size()) results.erase(results.begin(), results.begin() + std::ptrdiff_t(results_sent));
-                            if (stops_sent <= stops.size()) stops.erase(stops.begin(), stops.begin() + std::ptrdiff_t(stops_sent));
-                            take(asked, asked_at, answer);
+                world.after(world.dice.between(ms(5), ms(30)), [this, &daemon, ask, asked_at, close, blocked,
+                                                                results_sent, stops_sent] {
+                    daemon.enter(
+                        daemon.incarnation, [this, &daemon, ask, asked_at, close, blocked, results_sent, stops_sent] {
+                            if (blocked()) return;
+                            if (!daemon.acting()) return close(false);
+                            SideAnswer answer = Daemon::over_the_wire(
+                                daemon.options, daemon.live->scheduler.answer_side(
+                                                    ask.node, daemon.live->owner.confirmed_at(), world.now));
+                            if (!answer.orders.empty()) world.moment("ordered");
+                            // A slow answer may come long after newer things; it is bound to the asking all the same.
+                            Micros delay = world.dice.roll(40) == 0 ? world.dice.between(ms(500), seconds(4))
+                                                                    : world.dice.between(ms(1), ms(8));
+                            world.after(std::max<Micros>(0, daemon.busy_until - world.now) + delay,
+                                        [this, asked = ask.number, asked_at, answer, close, life = ask.worker->life,
+                                         results_sent, stops_sent] {
+                                            close(true);
+                                            if (life != worker.life) return;
+                                            if (results_sent <= results.size())
+                                                results.erase(results.begin(),
+                                                              results.begin() + std::ptrdiff_t(results_sent));
+                                            if (stops_sent <= stops.size())
+                                                stops.erase(stops.begin(), stops.begin() + std::ptrdiff_t(stops_sent));
+                                            take(asked, asked_at, answer);
+                                        });
                         });
-                    });
                 });
             });
         });
@@ -132,7 +178,8 @@
                 starts[{order.task, order.run}] = order;
             } else {
                 starts.erase({order.task, order.run});
-                if (worker.stop(order.task, order.run, epoch)) stops.push_back(fmt::format("{} {}", order.task, order.run));
+                if (worker.stop(order.task, order.run, epoch))
+                    stops.push_back(fmt::format("{} {}", order.task, order.run));
             }
         }
     }
@@ -141,7 +188,8 @@
         std::vector<std::pair<std::string, std::uint32_t>> over_now;
         for (auto& [key, order] : starts) {
             if (worker.draining_since >= 0) {
-                results.push_back({order.number, open.contains(key) ? OrderFate::doubtful : OrderFate::turned_away, order.task, order.run, "draining", 0});
+                results.push_back({order.number, open.contains(key) ? OrderFate::doubtful : OrderFate::turned_away,
+                                   order.task, order.run, "draining", 0});
                 over_now.push_back(key);
                 continue;
             }
@@ -149,17 +197,20 @@
             if (world.dice.roll(25) == 0) {
                 // No answer, and carried out later.
                 open.insert(key);
-                world.after(world.dice.between(seconds(2), seconds(12)), [this, order = order, until = allowed_until, under = epoch, life = worker.life] {
-                    if (worker.life == life) worker.start(order, until, under, true);
-                });
+                world.after(world.dice.between(seconds(2), seconds(12)),
+                            [this, order = order, until = allowed_until, under = epoch, life = worker.life] {
+                                if (worker.life == life) worker.start(order, until, under, true);
+                            });
                 continue;
             }
             std::string reason = worker.start(order, allowed_until, epoch);
             if (reason == "late" || reason == "fence") continue;
-            results.push_back({order.number, reason.empty() ? OrderFate::started : OrderFate::turned_away, order.task, order.run, reason, 0});
+            results.push_back({order.number, reason.empty() ? OrderFate::started : OrderFate::turned_away, order.task,
+                               order.run, reason, 0});
             over_now.push_back(key);
         }
-        for (auto& key : over_now) starts.erase(key);
+        for (auto& key : over_now)
+            starts.erase(key);
     }
 };
 
@@ -175,16 +226,18 @@
     size_t replacing = 0;
     std::uint64_t shown_revision = 0, taken_revision = 0, births = 0, fresh_disks = 0;
     Micros troubled_until = 0, faults_until = 0;
-    size_t wide_jobs = 6;                // how many kinds of jobs are drawn from
+    size_t wide_jobs = 6;  // how many kinds of jobs are drawn from
 
     explicit Run(std::uint64_t seed, Options given = {}) : options(std::move(given)) {
         world.dice.state = seed;
         Core core;
-        for (size_t place = 0; place < options.daemons; ++place) core.members.push_back({place + 1, Identity{1000 + place}, fmt::format("d{}", place), ""});
+        for (size_t place = 0; place < options.daemons; ++place)
+            core.members.push_back({place + 1, Identity{1000 + place}, fmt::format("d{}", place), ""});
         core.next_number = options.daemons + 1;
         core.size_wanted = options.daemons;
         for (size_t place = 0; place < options.daemons; ++place) {
-            daemons.push_back(std::make_unique<Daemon>(world, oracle, daemons, options, place, Identity{1000 + place}, core));
+            daemons.push_back(
+                std::make_unique<Daemon>(world, oracle, daemons, options, place, Identity{1000 + place}, core));
         }
         for (size_t number = 0; number < options.workers + options.others; ++number) {
             workers.push_back(std::make_unique<Worker>(world, oracle, number));
@@ -198,15 +251,19 @@
     Daemon* owner() {
         Daemon* best = nullptr;
         for (auto& daemon : daemons)
-            if (daemon->acting() && !daemon->cut && (!best || daemon->live->owner.epoch() > best->live->owner.epoch())) best = daemon.get();
+            if (daemon->acting() && !daemon->cut && (!best || daemon->live->owner.epoch() > best->live->owner.epoch()))
+                best = daemon.get();
         return best;
     }
     std::string config(std::uint64_t revision, const std::string& note = "") const {
         auto route = [](const char* path, const char* service) {
-            return fmt::format(R"({{"host":"{}","path_prefix":"{}","timeout_ms":3000,"service":"{}","priority":0,"max_attempts":3,"extension":2}})", host, path, service);
+            return fmt::format(
+                R"({{"host":"{}","path_prefix":"{}","timeout_ms":3000,"service":"{}","priority":0,"max_attempts":3,"extension":2}})",
+                host, path, service);
         };
-        return fmt::format(R"({{"revision":{},"note":"{}","routes":[{},{}],"services":[{{"name":"svc","guards":false}},{{"name":"other","guards":false}}]}})", revision, note,
-                           route(prefix, "svc"), route(other_prefix, "other"));
+        return fmt::format(
+            R"({{"revision":{},"note":"{}","routes":[{},{}],"services":[{{"name":"svc","guards":false}},{{"name":"other","guards":false}}]}})",
+            revision, note, route(prefix, "svc"), route(other_prefix, "other"));
     }
     // --- two operators on the same versions ---
     struct Change {
@@ -227,7 +284,9 @@
         ++change->tries;
         CallAsk ask{"PUT", "", "/config", change->text, std::to_string(change->base), false};
         auto again = [this, change, resends] {
-            if (resends > 0 && !change->acknowledged) world.after(world.dice.between(ms(50), ms(900)), [this, change, resends] { put_anywhere(change, resends - 1); });
+            if (resends > 0 && !change->acknowledged)
+                world.after(world.dice.between(ms(50), ms(900)),
+                            [this, change, resends] { put_anywhere(change, resends - 1); });
         };
         bool unheard = world.dice.roll(6) == 0;  // the answer is lost on its way to the operator
         daemon.enter(daemon.incarnation, [this, &daemon, ask, change, again, unheard] {
@@ -237,7 +296,9 @@
                     change->acknowledged = true;
                     taken_revision = std::max(taken_revision, change->revision);
                     for (const auto& other : changes)
-                        world.check(other == change || !other->acknowledged || other->base != change->base || other->text == change->text, fmt::format("CONFIG two changes on version {} were acknowledged", change->base));
+                        world.check(other == change || !other->acknowledged || other->base != change->base ||
+                                        other->text == change->text,
+                                    fmt::format("CONFIG two changes on version {} were acknowledged", change->base));
                     return;
                 }
                 if (fate == CallFate::settled) ++change->refusals;
@@ -252,7 +313,8 @@
             if (change->text != text) continue;
             world.check(!change->refused(), fmt::format("CONFIG a refused change {} is in force {}", revision, where));
             for (const auto& other : changes)
-                world.check(other == change || other->base != change->base || !other->acknowledged, fmt::format("CONFIG change {} lost its race and is in force {}", revision, where));
+                world.check(other == change || other->base != change->base || !other->acknowledged,
+                            fmt::format("CONFIG change {} lost its race and is in force {}", revision, where));
             return;
         }
         world.check(changes.empty(), fmt::format("CONFIG nobody sent what is in force {}", where));
@@ -274,27 +336,31 @@
         world.after(world.dice.between(ms(60), ms(140)), [this, number] { hear_news(number); });
     }
     void race(Micros from, Micros to) {
-        for (size_t number = 0; number < fronts.size(); ++number) world.after(from, [this, number] { hear_news(number); });
-        for (Micros at = from; at < to; at += ms(1500)) world.after(at, [this] {
-            std::uint64_t base = shown_revision;
-            for (int side = 0; side < 2; ++side) {
-                auto change = std::make_shared<Change>();
-                change->base = base;
-                change->revision = base + 1 + world.dice.roll(2);
-                change->text = config(change->revision, fmt::format("operator {} at {}", side, world.now));
-                changes.push_back(change);
-                world.after(world.dice.between(0, ms(60)), [this, change] { put_anywhere(change, 4); });
-            }
-        });
+        for (size_t number = 0; number < fronts.size(); ++number)
+            world.after(from, [this, number] { hear_news(number); });
+        for (Micros at = from; at < to; at += ms(1500))
+            world.after(at, [this] {
+                std::uint64_t base = shown_revision;
+                for (int side = 0; side < 2; ++side) {
+                    auto change = std::make_shared<Change>();
+                    change->base = base;
+                    change->revision = base + 1 + world.dice.roll(2);
+                    change->text = config(change->revision, fmt::format("operator {} at {}", side, world.now));
+                    changes.push_back(change);
+                    world.after(world.dice.between(0, ms(60)), [this, change] { put_anywhere(change, 4); });
+                }
+            });
     }
     void put_config(std::uint64_t revision) {
         Daemon* daemon = owner();
         if (!daemon) return;
         CallAsk ask{"PUT", "", "/config", config(revision), std::to_string(taken_revision), false};
-        if (racing && changes.empty()) changes.push_back(std::make_shared<Change>(Change{0, revision, config(revision), 1, 0, false}));
+        if (racing && changes.empty())
+            changes.push_back(std::make_shared<Change>(Change{0, revision, config(revision), 1, 0, false}));
         daemon->enter(daemon->incarnation, [this, daemon, ask, revision] {
             daemon->serve_call(ask, [this, revision](CallFate fate, Response response) {
-                if (fate == CallFate::settled && response.code == 200) taken_revision = std::max(taken_revision, revision);
+                if (fate == CallFate::settled && response.code == 200)
+                    taken_revision = std::max(taken_revision, revision);
             });
         });
     }
@@ -303,33 +369,51 @@
         if (!daemon) return;
         std::uint64_t least = taken_revision, seen = shown_revision;
         daemon->enter(daemon->incarnation, [this, daemon, least, seen] {
-            daemon->serve_call({"GET", "", "/config", "", "", false}, [this, least, seen](CallFate fate, Response response) {
-                if (fate != CallFate::settled || response.code != 200) return;
-                Findings findings;
-                std::uint64_t revision = parse_config(response.body, findings).revision;
-                world.check(revision >= least, fmt::format("CONFIG read {} after {} was acknowledged", revision, least));
-                world.check(revision >= seen, "CONFIG went back");
-                if (!changes.empty()) check_in_force(response.body, revision, "when read");
-                shown_revision = std::max(shown_revision, revision);
-            });
+            daemon->serve_call(
+                {"GET", "", "/config", "", "", false}, [this, least, seen](CallFate fate, Response response) {
+                    if (fate != CallFate::settled || response.code != 200) return;
+                    Findings findings;
+                    std::uint64_t revision = parse_config(response.body, findings).revision;
+                    world.check(revision >= least,
+                                fmt::format("CONFIG read {} after {} was acknowledged", revision, least));
+                    world.check(revision >= seen, "CONFIG went back");
+                    if (!changes.empty()) check_in_force(response.body, revision, "when read");
+                    shown_revision = std::max(shown_revision, revision);
+                });
         });
     }
     // --- clients ---
     std::string draw_body(std::string& path) {
         path = prefix;
         switch (world.dice.roll(wide_jobs)) {
-            case 0: return R"({"job_spec":"x","steps":[{"count":3,"cpu":2000,"estimate_ms":500},{"count":2,"cpu":3000,"estimate_ms":500,"depends_on":[0]}]})";
-            case 1: return R"({"job_spec":"x","steps":[{"count":4,"cpu":3500,"estimate_ms":500,"anti_affinity":2}]})";
-            case 2: return R"({"job_spec":"x","steps":[{"count":1,"cpu":7000,"estimate_ms":900,"requires":"a"}]})";
-            case 4: return R"({"job_spec":"x","steps":[{"count":3,"cpu":2500,"gang":true}]})";
-            case 5: return R"({"job_spec":"x","steps":[{"count":1,"cpu":500},{"count":2,"cpu":1500,"gang":true,"same_rack":true,"depends_on":[0]},{"count":2,"cpu":500,"depends_on":[1]}]})";
-            case 6: return fmt::format(R"({{"job_spec":"t","repeats":3,"first_at_ms":{},"interval_ms":1700,"steps":[{{"count":2,"cpu":700,"estimate_ms":300}}]}})", (world.now + seconds(2)) / 1000);
-            case 7: return R"({"job_spec":"l","steps":[{"count":2,"cpu":600,"long_running":true,"checkpoints":true}]})";
-            case 8: return R"({"job_spec":"d","steps":[{"count":3,"cpu":1200,"estimate_ms":400,"duplicate_ok":true},{"count":1,"cpu":500,"depends_on":[0]}]})";
-            case 9: return R"({"job_spec":"c","steps":[{"count":3,"cpu":1500,"estimate_ms":700,"checkpoints":true}]})";
-            case 10: path = other_prefix; return R"({"job_spec":"r","steps":[{"count":3,"cpu":2500,"estimate_ms":500,"requires":"b"}]})";
-            case 11: path = other_prefix; return R"({"job_spec":"o","steps":[{"count":4,"cpu":1500,"estimate_ms":500,"anti_affinity":1}]})";
-            default: return R"({"job_spec":"x","steps":[{"count":5,"cpu":1000,"estimate_ms":300},{"count":1,"cpu":500,"depends_on":[0]},{"count":2,"cpu":500,"depends_on":[0,1]}]})";
+            case 0:
+                return R"({"job_spec":"x","steps":[{"count":3,"cpu":2000,"estimate_ms":500},{"count":2,"cpu":3000,"estimate_ms":500,"depends_on":[0]}]})";
+            case 1:
+                return R"({"job_spec":"x","steps":[{"count":4,"cpu":3500,"estimate_ms":500,"anti_affinity":2}]})";
+            case 2:
+                return R"({"job_spec":"x","steps":[{"count":1,"cpu":7000,"estimate_ms":900,"requires":"a"}]})";
+            case 4:
+                return R"({"job_spec":"x","steps":[{"count":3,"cpu":2500,"gang":true}]})";
+            case 5:
+                return R"({"job_spec":"x","steps":[{"count":1,"cpu":500},{"count":2,"cpu":1500,"gang":true,"same_rack":true,"depends_on":[0]},{"count":2,"cpu":500,"depends_on":[1]}]})";
+            case 6:
+                return fmt::format(
+                    R"({{"job_spec":"t","repeats":3,"first_at_ms":{},"interval_ms":1700,"steps":[{{"count":2,"cpu":700,"estimate_ms":300}}]}})",
+                    (world.now + seconds(2)) / 1000);
+            case 7:
+                return R"({"job_spec":"l","steps":[{"count":2,"cpu":600,"long_running":true,"checkpoints":true}]})";
+            case 8:
+                return R"({"job_spec":"d","steps":[{"count":3,"cpu":1200,"estimate_ms":400,"duplicate_ok":true},{"count":1,"cpu":500,"depends_on":[0]}]})";
+            case 9:
+                return R"({"job_spec":"c","steps":[{"count":3,"cpu":1500,"estimate_ms":700,"checkpoints":true}]})";
+            case 10:
+                path = other_prefix;
+                return R"({"job_spec":"r","steps":[{"count":3,"cpu":2500,"estimate_ms":500,"requires":"b"}]})";
+            case 11:
+                path = other_prefix;
+                return R"({"job_spec":"o","steps":[{"count":4,"cpu":1500,"estimate_ms":500,"anti_affinity":1}]})";
+            default:
+                return R"({"job_spec":"x","steps":[{"count":5,"cpu":1000,"estimate_ms":300},{"count":1,"cpu":500,"depends_on":[0]},{"count":2,"cpu":500,"depends_on":[0,1]}]})";
         }
     }
     void note_sent(const std::string& id, const std::string& path, const std::string& body) {
@@ -353,19 +437,25 @@
         CallAsk ask{"POST", host, oracle.sent.at(id).fixed.prefix + id, bodies[id], "", false};
         daemon->enter(daemon->incarnation, [this, daemon, ask, id] {
             daemon->serve_call(ask, [this, id](CallFate fate, Response response) {
-                if (fate == CallFate::settled && response.code == 200) accepted.insert(id);
-                else if (fate != CallFate::doubtful) ++oracle.turned_away[id];
+                if (fate == CallFate::settled && response.code == 200)
+                    accepted.insert(id);
+                else if (fate != CallFate::doubtful)
+                    ++oracle.turned_away[id];
             });
         });
     }
     void cancel(const std::string& id, int resends) {
         if (!accepted.contains(id)) return;
-        auto again = [this, id, resends] { if (resends > 0) world.after(ms(700), [this, id, resends] { cancel(id, resends - 1); }); };
+        auto again = [this, id, resends] {
+            if (resends > 0) world.after(ms(700), [this, id, resends] { cancel(id, resends - 1); });
+        };
         Daemon* daemon = owner();
         if (!daemon) return again();
         cancelled.insert(id);
         auto open = std::make_shared<bool>(true);
-        world.after(seconds(2), [open, again] { if (*open) *open = false, again(); });
+        world.after(seconds(2), [open, again] {
+            if (*open) *open = false, again();
+        });
         CallAsk ask{"DELETE", host, oracle.sent.at(id).fixed.prefix + id, "", "", false};
         daemon->enter(daemon->incarnation, [this, daemon, ask, id, again, open] {
             daemon->serve_call(ask, [this, id, again, open](CallFate fate, Response response) {
@@ -376,7 +466,8 @@
                 world.after(seconds(3), [this, id, at = world.now] {
                     if (troubled_until > at - seconds(4)) return;
                     for (const auto& [task, count] : oracle.running)
-                        world.check(count == 0 || !task.starts_with(id) || runs_late(task), "UNASKED still running after the cancelling " + task);
+                        world.check(count == 0 || !task.starts_with(id) || runs_late(task),
+                                    "UNASKED still running after the cancelling " + task);
                 });
             });
         });
@@ -395,7 +486,8 @@
             daemon->serve_call(ask, [this, id, was_accepted, was_done](CallFate fate, Response response) {
                 if (fate != CallFate::settled) return;
                 world.check(!(was_accepted && response.code == 410), "LOST 410 for an accepted job " + id);
-                world.check(cancelled.contains(id) || response.body.find("\"cancelled\"") == std::string::npos, "LOST shown as cancelled without cause " + id);
+                world.check(cancelled.contains(id) || response.body.find("\"cancelled\"") == std::string::npos,
+                            "LOST shown as cancelled without cause " + id);
                 bool done = response.body.find("\"done\"") != std::string::npos;
                 world.check(!was_done || done, "a job shown as done is no longer done " + id);
                 if (!done) return;
@@ -404,15 +496,19 @@
                 for (std::uint64_t time = 0; time < job.times_in_all(); ++time)
                     for (std::uint32_t step = 0; step < job.fixed.spec.steps.size(); ++step)
                         for (std::uint32_t index = 0; index < job.fixed.spec.steps[step].count; ++index)
-                            world.check(oracle.done.contains(RunName{id, time, step, index, 0}.task()), "MIXED shown as done before its tasks " + id);
+                            world.check(oracle.done.contains(RunName{id, time, step, index, 0}.task()),
+                                        "MIXED shown as done before its tasks " + id);
             });
         });
     }
     // --- troubles ---
-    static bool of_daemon(int kind) { return kind == kill_daemon || kind == cut_daemon || (kind >= kill_all && kind <= part_daemon); }
+    static bool of_daemon(int kind) {
+        return kind == kill_daemon || kind == cut_daemon || (kind >= kill_all && kind <= part_daemon);
+    }
     size_t hurt() const {
         size_t count = replacing;  // gone, and the machine in its stead is not there yet
-        for (const auto& daemon : daemons) count += !daemon->removed && !daemon->whole();
+        for (const auto& daemon : daemons)
+            count += !daemon->removed && !daemon->whole();
         return count;
     }
     // At most `losses` daemons are in trouble at once; one that cannot strike now waits.
@@ -434,23 +530,32 @@
             world.after(fault.length, [&worker] { worker.grey = Grey::none; });
         };
         switch (fault.kind) {
-            case rebirth: return worker.begin(++births);
+            case rebirth:
+                return worker.begin(++births);
             case cut_side:
                 side.cut = true;
                 return world.after(fault.length, [&side] { side.cut = false; });
-            case slow_worker: return grey(Grey::slow);
-            case stuck_worker: return grey(Grey::stuck);
-            case silent_worker: return grey(Grey::silent);
+            case slow_worker:
+                return grey(Grey::slow);
+            case stuck_worker:
+                return grey(Grey::stuck);
+            case silent_worker:
+                return grey(Grey::silent);
             case flapping_worker:
-                for (Micros at = 0; at < fault.length; at += ms(900)) world.after(at, [this, &worker] { worker.begin(++births); });
+                for (Micros at = 0; at < fault.length; at += ms(900))
+                    world.after(at, [this, &worker] { worker.begin(++births); });
                 return;
             default:
                 worker.draining_since = world.now;
-                world.after(seconds(8), [this, &worker, life = worker.life] { if (worker.life == life) worker.begin(++births); });
+                world.after(seconds(8), [this, &worker, life = worker.life] {
+                    if (worker.life == life) worker.begin(++births);
+                });
         }
     }
     void strike_daemon(Daemon& daemon, const Fault& fault) {
-        auto back = [&daemon] { if (!daemon.up && !daemon.removed) daemon.begin(); };
+        auto back = [&daemon] {
+            if (!daemon.up && !daemon.removed) daemon.begin();
+        };
         daemon.troubled_until = world.now + fault.length + seconds(2);
         troubled_until = std::max(troubled_until, world.now + fault.length + seconds(4));
         switch (fault.kind) {
@@ -463,13 +568,16 @@
                 return world.after(fault.length, back);
             case replace_daemon: {
                 // The machine is gone for good; an empty one comes at an address that nobody knows yet.
-                if (daemon.place < 3) return strike_daemon(daemon, {wipe_daemon, fault.target, fault.at, fault.length});  // seeds keep their address
+                if (daemon.place < 3)
+                    return strike_daemon(
+                        daemon, {wipe_daemon, fault.target, fault.at, fault.length});  // seeds keep their address
                 daemon.kill();
                 daemon.removed = true;
                 ++replacing;
                 return world.after(fault.length, [this] {
                     --replacing;
-                    daemons.push_back(std::make_unique<Daemon>(world, oracle, daemons, options, daemons.size(), Identity{++fresh_disks << 20}, std::nullopt));
+                    daemons.push_back(std::make_unique<Daemon>(world, oracle, daemons, options, daemons.size(),
+                                                               Identity{++fresh_disks << 20}, std::nullopt));
                 });
             }
             case cut_daemon:
@@ -484,14 +592,18 @@
             case part_daemon:
                 daemon.parted = true;
                 return world.after(fault.length, [&daemon] { daemon.parted = false; });
-            case freeze_daemon: return daemon.freeze(fault.length);
+            case freeze_daemon:
+                return daemon.freeze(fault.length);
             case slow_disk:
                 daemon.slow_disk_until = world.now + fault.length;
                 return;
             default:
                 for (auto& each : daemons)
                     if (each->up) each->kill();
-                world.after(fault.length / 4, [this] { for (auto& each : daemons) if (!each->up && !each->removed) each->begin(); });
+                world.after(fault.length / 4, [this] {
+                    for (auto& each : daemons)
+                        if (!each->up && !each->removed) each->begin();
+                });
         }
     }
     size_t jobs = 40;
@@ -500,24 +612,41 @@
     std::vector<std::string> play(const std::vector<Fault>& faults) {
         const Micros end = world.now + length;
         faults_until = world.now + traffic - seconds(2);
-        for (int tries = 0; tries < 20; ++tries) world.after(ms(400 + 100 * tries), [this] { if (taken_revision == 0) put_config(1); });
+        for (int tries = 0; tries < 20; ++tries)
+            world.after(ms(400 + 100 * tries), [this] {
+                if (taken_revision == 0) put_config(1);
+            });
         for (size_t number = 0; number < jobs; ++number) {
             std::string id = fmt::format("{:016x}", number + 1);
             Micros at = seconds(1) + (traffic - seconds(2)) / Micros(jobs) * Micros(number);
             // Handed in, and handed in again by a client that is unsure.
-            for (int again = 0; again < 6; ++again) world.after(at + ms(900 * again), [this, id, again] { if (again == 0 || !accepted.contains(id)) hand_in(id); });
-            for (int look = 1; at + seconds(2 * look) < length; ++look) world.after(at + seconds(2 * look), [this, id] { if (accepted.contains(id)) show(id); });
+            for (int again = 0; again < 6; ++again)
+                world.after(at + ms(900 * again), [this, id, again] {
+                    if (again == 0 || !accepted.contains(id)) hand_in(id);
+                });
+            for (int look = 1; at + seconds(2 * look) < length; ++look)
+                world.after(at + seconds(2 * look), [this, id] {
+                    if (accepted.contains(id)) show(id);
+                });
             bool drops = wide_jobs > 6 && world.dice.roll(6) == 0;
             if (drops) world.after(at + world.dice.between(ms(100), seconds(6)), [this, id] { cancel(id, 8); });
             // What lasts is called off in the end.
             world.after(traffic + seconds(8), [this, id] {
-                if (accepted.contains(id) && std::any_of(oracle.sent.at(id).fixed.spec.steps.begin(), oracle.sent.at(id).fixed.spec.steps.end(), [](const Step& step) { return step.long_running; })) cancel(id, 20);
+                if (accepted.contains(id) &&
+                    std::any_of(oracle.sent.at(id).fixed.spec.steps.begin(), oracle.sent.at(id).fixed.spec.steps.end(),
+                                [](const Step& step) { return step.long_running; }))
+                    cancel(id, 20);
             });
         }
-        if (racing) race(seconds(4), traffic);
-        else for (std::uint64_t revision = 2; revision < 8; ++revision) world.after(seconds(Micros(4 * revision)), [this, revision] { put_config(revision); });
-        for (int look = 1; seconds(look) < length - seconds(5); ++look) world.after(seconds(look), [this] { read_config(); });
-        for (const Fault& fault : faults) world.after(fault.at, [this, fault] { strike(fault); });
+        if (racing)
+            race(seconds(4), traffic);
+        else
+            for (std::uint64_t revision = 2; revision < 8; ++revision)
+                world.after(seconds(Micros(4 * revision)), [this, revision] { put_config(revision); });
+        for (int look = 1; seconds(look) < length - seconds(5); ++look)
+            world.after(seconds(look), [this] { read_config(); });
+        for (const Fault& fault : faults)
+            world.after(fault.at, [this, fault] { strike(fault); });
         world.run_until(end);
         check_end();
         return world.broken;
@@ -534,13 +663,22 @@
         world.check(unfinished == 0, fmt::format("{} accepted jobs stand still at the end:{}", unfinished, standing));
         world.check(accepted.size() >= jobs / 2, fmt::format("only {} jobs were accepted", accepted.size()));
         for (const std::string& id : oracle.begun)
-            world.check(accepted.contains(id) || oracle.turned_away[id] < oracle.tries[id], "REFUSED a task started, though each try to hand in was turned away " + id);
-        for (const auto& daemon : daemons) world.check(daemon->removed || daemon->whole(), fmt::format("machine {} is no member of the core at the end", daemon->place));
+            world.check(accepted.contains(id) || oracle.turned_away[id] < oracle.tries[id],
+                        "REFUSED a task started, though each try to hand in was turned away " + id);
+        for (const auto& daemon : daemons)
+            world.check(daemon->removed || daemon->whole(),
+                        fmt::format("machine {} is no member of the core at the end", daemon->place));
         if (Daemon* daemon = owner()) {
-            world.check(daemon->live->scheduler.config().revision >= taken_revision, "CONFIG an older version in the end");
+            world.check(daemon->live->scheduler.config().revision >= taken_revision,
+                        "CONFIG an older version in the end");
+            if (racing)
+                for (const Front& front : fronts)
+                    world.check(front.text == daemon->live->scheduler.config().text,
+                                fmt::format("CONFIG a front has {} in the end, {} is in force", front.revision,
+                                            daemon->live->scheduler.config().revision));
             if (racing)
-                for (const Front& front : fronts) world.check(front.text == daemon->live->scheduler.config().text, fmt::format("CONFIG a front has {} in the end, {} is in force", front.revision, daemon->live->scheduler.config().revision));
-            if (racing) check_in_force(daemon->live->scheduler.config().text, daemon->live->scheduler.config().revision, "in the end");
+                check_in_force(daemon->live->scheduler.config().text, daemon->live->scheduler.config().revision,
+                               "in the end");
         }
     }
     std::string describe(const Job& job, Daemon& daemon) {
@@ -548,15 +686,24 @@
         for (const Time& time : job.moving.times)
             for (size_t step = 0; step < time.steps.size(); ++step)
                 for (const Task& task : time.steps[step].tasks) {
-                    text += fmt::format(" {}:{}{}", step, task.done ? "done" : task.placements.empty() ? "waiting" : "placed", task.failures);
+                    text += fmt::format(" {}:{}{}", step,
+                                        task.done                 ? "done"
+                                        : task.placements.empty() ? "waiting"
+                                                                  : "placed",
+                                        task.failures);
                     for (const Placement& placement : task.placements) {
                         const std::string& life = job.moving.workers[placement.worker].life;
                         auto worker = daemon.live->scheduler.workers().find(life);
                         text += fmt::format("({} run {} ", life, placement.run);
-                        if (worker == daemon.live->scheduler.workers().end()) { text += "unknown life)"; continue; }
-                        text += fmt::format("reconciled {} orders {} ", worker->second.reconciled, worker->second.orders.size());
+                        if (worker == daemon.live->scheduler.workers().end()) {
+                            text += "unknown life)";
+                            continue;
+                        }
+                        text += fmt::format("reconciled {} orders {} ", worker->second.reconciled,
+                                            worker->second.orders.size());
                         for (const auto& [name, run] : worker->second.runs)
-                            if (name.job == job.fixed.id && name.step == step && name.run == placement.run) text += fmt::format("state {} stop {};", int(run.state), run.stop_wanted);
+                            if (name.job == job.fixed.id && name.step == step && name.run == placement.run)
+                                text += fmt::format("state {} stop {};", int(run.state), run.stop_wanted);
                         text += ")";
                     }
                 }
@@ -565,7 +712,8 @@
 };
 
 inline bool tell(std::uint64_t seed, const std::vector<std::string>& broken) {
-    for (const std::string& each : broken) fmt::print(stderr, "  seed {}: {}\n", seed, each);
+    for (const std::string& each : broken)
+        fmt::print(stderr, "  seed {}: {}\n", seed, each);
     return broken.empty();
 }
 
--- a/tests/cluster/worker.hpp
+++ b/tests/cluster/worker.hpp
@@ -15,7 +15,7 @@
     Epoch fence;
     Micros hold_until = 0, draining_since = -1;
     Grey grey = Grey::none;
-    Micros least = ms(50), most = ms(1500);         // how long a task takes
+    Micros least = ms(50), most = ms(1500);  // how long a task takes
     bool may_fail = true;
     std::int64_t cpu = 8000, cpu_used = 0;
     struct Run {
@@ -28,10 +28,12 @@
         Micros begun = 0;
         bool checkpoints = false, lasting = false, late = false;
         std::string saved;
-        std::int64_t percent(Micros now) const { return ends_at <= begun ? 0 : std::min<std::int64_t>(99, (now - begun) * 100 / (ends_at - begun)); }
+        std::int64_t percent(Micros now) const {
+            return ends_at <= begun ? 0 : std::min<std::int64_t>(99, (now - begun) * 100 / (ends_at - begun));
+        }
     };
     std::map<std::string, Run> runs;
-    std::map<std::string, std::uint32_t> closed;    // task -> highest run that ended or was stopped here
+    std::map<std::string, std::uint32_t> closed;  // task -> highest run that ended or was stopped here
     std::vector<FinishedRun> finished;
     std::uint64_t last_end = 0, seen = 0, lapsed_to = 0;  // ends up to `lapsed_to` were followed by a lapse
 
@@ -39,7 +41,8 @@
     void begin(std::uint64_t birth) {
         for (auto& [task, run] : runs) {
             oracle.running[task]--;
-            if (!run.gang.empty()) oracle.gangs[{run.gang, run.run}].erase(task), oracle.ended_gangs.insert({run.gang, run.run});
+            if (!run.gang.empty())
+                oracle.gangs[{run.gang, run.run}].erase(task), oracle.ended_gangs.insert({run.gang, run.run});
         }
         life = fmt::format("i-{}-{}", number, birth);
         fence = Epoch{};
@@ -55,8 +58,11 @@
         runs.erase(task);
         if (!run.gang.empty()) {
             oracle.gangs[{run.gang, run.run}].erase(task);
-            if (std::string_view(how) != "done") oracle.ended_gangs.insert({run.gang, run.run});
-            else for (std::uint32_t index = 0; index < run.members; ++index) oracle.done.insert(fmt::format("{}.{}", run.gang, index));
+            if (std::string_view(how) != "done")
+                oracle.ended_gangs.insert({run.gang, run.run});
+            else
+                for (std::uint32_t index = 0; index < run.members; ++index)
+                    oracle.done.insert(fmt::format("{}.{}", run.gang, index));
         }
         cpu_used -= run.cpu;
         oracle.running[task]--;
@@ -71,16 +77,21 @@
             if (grey == Grey::stuck && run.ends_at) run.ends_at = std::max(run.ends_at, world.now + ms(400));
             if (run.checkpoints && run.ends_at && run.percent(world.now) >= 30 && run.saved.empty())
                 run.saved = fmt::format("save-{}-{}", task, run.run), oracle.saved[task].insert(run.saved);
-            if (world.now >= hold_until) ends.emplace_back(task, "lapsed");
-            else if (!run.gang.empty() && oracle.ended_gangs.contains({run.gang, run.run})) ends.emplace_back(task, "broken");
+            if (world.now >= hold_until)
+                ends.emplace_back(task, "lapsed");
+            else if (!run.gang.empty() && oracle.ended_gangs.contains({run.gang, run.run}))
+                ends.emplace_back(task, "broken");
             else if (!run.gang.empty() && run.ends_at == 0) {
                 // A gang works only once every member of this run is present.
-                if (oracle.gangs[{run.gang, run.run}].size() == run.members) run.ends_at = world.now + ms(600);
-                else if (world.now - run.begun > seconds(3)) ends.emplace_back(task, "alone"), ++oracle.alone;
-            }
-            else if (!run.lasting && world.now >= run.ends_at) ends.emplace_back(task, run.fails ? "failed" : "done");
+                if (oracle.gangs[{run.gang, run.run}].size() == run.members)
+                    run.ends_at = world.now + ms(600);
+                else if (world.now - run.begun > seconds(3))
+                    ends.emplace_back(task, "alone"), ++oracle.alone;
+            } else if (!run.lasting && world.now >= run.ends_at)
+                ends.emplace_back(task, run.fails ? "failed" : "done");
         }
-        for (auto& [task, how] : ends) end(task, how);
+        for (auto& [task, how] : ends)
+            end(task, how);
     }
     // `late`: the order was carried out late; rules with a time bound do not apply to it.
     std::string start(const Order& order, Micros until, Epoch under, bool late = false) {
@@ -107,7 +118,17 @@
         oracle.running[order.task]++;
         cpu_used += step.cpu;
         Micros takes = world.dice.between(least, most) * (grey == Grey::slow ? 6 : 1);
-        Run run{order.run, step.gang ? 0 : world.now + takes, may_fail && !step.long_running && world.dice.roll(12) == 0, step.cpu, "", 0, world.now, step.checkpoints, step.long_running, late, ""};
+        Run run{order.run,
+                step.gang ? 0 : world.now + takes,
+                may_fail && !step.long_running && world.dice.roll(12) == 0,
+                step.cpu,
+                "",
+                0,
+                world.now,
+                step.checkpoints,
+                step.long_running,
+                late,
+                ""};
         if (step.gang) {
             run.gang = gang_of(order.task);
             run.members = step.count;
@@ -120,26 +141,37 @@
     void check_start(const Order& order, const RunName& name, const JobSpec& spec, const Step& step, bool late) {
         const std::string& task = order.task;
         world.check(order.spec == spec.text, "UNASKED another job_spec for " + task);
-        world.check(order.saved.empty() || oracle.saved[task].contains(order.saved), "UNASKED a checkpoint that is not the task's " + task);
+        world.check(order.saved.empty() || oracle.saved[task].contains(order.saved),
+                    "UNASKED a checkpoint that is not the task's " + task);
         if (auto at = oracle.cancelled_at.find(name.job); at != oracle.cancelled_at.end() && !late)
-            world.check(world.now <= at->second + oracle.cancel_within, "UNASKED start after the cancelling of " + task);
-        if (draining_since >= 0 && !late) world.check(world.now <= draining_since + oracle.drain_within, "DRAIN start on a draining worker of " + task);
+            world.check(world.now <= at->second + oracle.cancel_within,
+                        "UNASKED start after the cancelling of " + task);
+        if (draining_since >= 0 && !late)
+            world.check(world.now <= draining_since + oracle.drain_within,
+                        "DRAIN start on a draining worker of " + task);
         world.check(service == oracle.sent.at(name.job).fixed.service, "ROUTE start at another service of " + task);
-        world.check(step.needs.empty() || std::find(labels.begin(), labels.end(), step.needs) != labels.end(), "ROUTE start without the label of " + task);
+        world.check(step.needs.empty() || std::find(labels.begin(), labels.end(), step.needs) != labels.end(),
+                    "ROUTE start without the label of " + task);
         if (step.anti_affinity) {
             size_t beside = 0;
-            for (const auto& [other, run] : runs) beside += gang_of(other) == gang_of(task);
+            for (const auto& [other, run] : runs)
+                beside += gang_of(other) == gang_of(task);
             world.check(beside < step.anti_affinity, "ROUTE start beyond anti_affinity of " + task);
         }
-        if (spec.repeats) world.check(world.now >= spec.first_at + Micros(name.time) * spec.interval, "ORDER start ahead of its time of " + task);
+        if (spec.repeats)
+            world.check(world.now >= spec.first_at + Micros(name.time) * spec.interval,
+                        "ORDER start ahead of its time of " + task);
         if (!step.duplicate_ok) {
             world.check(oracle.running[task] == 0, "TWICE two runs at once of " + task);
             world.check(!oracle.noted_done.contains(task), "TWICE start after a noted done of " + task);
         }
-        if (!step.long_running) world.check(oracle.noted_failed[task] < oracle.attempts_most, "BUDGET start beyond max_attempts of " + task);
+        if (!step.long_running)
+            world.check(oracle.noted_failed[task] < oracle.attempts_most,
+                        "BUDGET start beyond max_attempts of " + task);
         for (std::uint32_t earlier : step.depends)
             for (std::uint32_t index = 0; index < spec.steps[earlier].count; ++index)
-                world.check(oracle.done.contains(RunName{name.job, name.time, earlier, index, 0}.task()), "ORDER start before its steps of " + task);
+                world.check(oracle.done.contains(RunName{name.job, name.time, earlier, index, 0}.task()),
+                            "ORDER start before its steps of " + task);
     }
     bool stop(const std::string& task, std::uint32_t run, Epoch under) {
         advance();
--- a/tests/cluster/world.hpp
+++ b/tests/cluster/world.hpp
@@ -1,7 +1,7 @@
 // Simulated time and dice, and the oracle that holds what the workers together know to be true.
 #pragma once
-#include "control/jobs/scheduler.hpp"
 #include "control/detector/detector.hpp"
+#include "control/jobs/scheduler.hpp"
 #include "control/store/owner.hpp"
 #include "control/store/replica.hpp"
 
@@ -9,7 +9,9 @@
 
 namespace calicostall::tests {
 
-constexpr Micros ms(std::int64_t count) { return milliseconds(count); }
+constexpr Micros ms(std::int64_t count) {
+    return milliseconds(count);
+}
 inline const char* const host = "jobs.example";
 inline const char* const prefix = "/q/";
 inline const char* const other_prefix = "/r/";
@@ -28,9 +30,11 @@
     Micros now = seconds(100);
     std::multimap<Micros, std::function<void()>> events;
     Dice dice{1};
-    std::vector<std::string> broken;  // rules, as the oracle saw them
+    std::vector<std::string> broken;             // rules, as the oracle saw them
     std::function<void(const char*)> at_moment;  // told of each moment of a plan's way from intent to noted end
-    void moment(const char* name) { if (at_moment) at_moment(name); }
+    void moment(const char* name) {
+        if (at_moment) at_moment(name);
+    }
     void after(Micros wait, std::function<void()> act) { events.emplace(now + wait, std::move(act)); }
     void check(bool good, const std::string& rule) {
         if (!good && broken.size() < 10) broken.push_back(fmt::format("{:.3f}: {}", double(now) / 1e6, rule));
@@ -49,17 +53,18 @@
 struct Oracle {
     explicit Oracle(World& world) : world(world) {}
     World& world;
-    std::map<std::string, int> running;             // task -> runs on workers that are up
-    std::set<std::string> done, noted_done;         // tasks
+    std::map<std::string, int> running;      // task -> runs on workers that are up
+    std::set<std::string> done, noted_done;  // tasks
     std::map<std::string, std::uint32_t> noted_failed;
-    std::map<std::pair<std::string, std::uint32_t>, std::set<std::string>> gangs;  // "ID.K.STEP" and run -> members present
-    std::set<std::pair<std::string, std::uint32_t>> ended_gangs;                    // a member of this run ended other than done
-    std::map<std::string, std::set<std::string>> saved;  // task -> checkpoints that its runs wrote
-    std::map<std::string, Micros> cancelled_at;     // job -> when its cancelling was acknowledged
-    std::map<std::string, size_t> tries, turned_away;  // of handing a job in
-    std::set<std::string> begun;                    // jobs of which a task started
+    std::map<std::pair<std::string, std::uint32_t>, std::set<std::string>>
+        gangs;                                                    // "ID.K.STEP" and run -> members present
+    std::set<std::pair<std::string, std::uint32_t>> ended_gangs;  // a member of this run ended other than done
+    std::map<std::string, std::set<std::string>> saved;           // task -> checkpoints that its runs wrote
+    std::map<std::string, Micros> cancelled_at;                   // job -> when its cancelling was acknowledged
+    std::map<std::string, size_t> tries, turned_away;             // of handing a job in
+    std::set<std::string> begun;                                  // jobs of which a task started
     size_t alone = 0, starts = 0;
-    std::map<std::string, Job> sent;                // jobs as clients sent them, by ID
+    std::map<std::string, Job> sent;  // jobs as clients sent them, by ID
     std::uint32_t attempts_most = 3;
     Micros cancel_within = seconds(5), drain_within = seconds(5);
 };
--- a/tests/detector.cpp
+++ b/tests/detector.cpp
@@ -9,11 +9,16 @@
 
 namespace {
 
-constexpr Micros ms(std::int64_t count) { return milliseconds(count); }
+constexpr Micros ms(std::int64_t count) {
+    return milliseconds(count);
+}
 
 // Task 1: who beats to whom, by place and trust.
 void table_task_one() {
-    struct Row { size_t self, count; std::vector<size_t> beaten; };
+    struct Row {
+        size_t self, count;
+        std::vector<size_t> beaten;
+    };
     for (const Row& row : {Row{0, 3, {1, 2}}, Row{0, 1, {}}, Row{1, 3, {}}, Row{2, 3, {}}, Row{0, 5, {1, 2, 3, 4}}}) {
         Detector detector({}, row.self, row.count, 0);
         EXPECT(detector.tick(0) == row.beaten);
@@ -30,7 +35,10 @@
 // Task 2: without a heartbeat trust moves to the next index after each timeout, never past the daemon itself.
 void table_task_two() {
     Detector detector({}, 2, 4, 0);
-    struct Row { Micros at; size_t trusted; };
+    struct Row {
+        Micros at;
+        size_t trusted;
+    };
     for (const Row& row : {Row{ms(999), 0}, Row{ms(1000), 1}, Row{ms(1999), 1}, Row{ms(2000), 2}, Row{ms(9000), 2}}) {
         detector.tick(row.at);
         EXPECT_SAID(detector.trusted() == row.trusted, fmt::format("at {} trusts {}", row.at, detector.trusted()));
@@ -103,11 +111,13 @@
         const std::vector<bool> down = *rc::gen::container<std::vector<bool>>(count, rc::gen::arbitrary<bool>());
         const std::vector<int> delays = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 4000));
         std::vector<bool> correct(count);
-        for (size_t place = 0; place < count; ++place) correct[place] = !down[place];
+        for (size_t place = 0; place < count; ++place)
+            correct[place] = !down[place];
         correct[count - 1] = true;
         size_t lowest = size_t(std::find(correct.begin(), correct.end(), true) - correct.begin());
         std::vector<Detector> daemons;
-        for (size_t place = 0; place < count; ++place) daemons.emplace_back(DetectorSettings{}, place, count, 0);
+        for (size_t place = 0; place < count; ++place)
+            daemons.emplace_back(DetectorSettings{}, place, count, 0);
         std::multimap<Micros, std::pair<size_t, size_t>> wire;
         size_t sent = 0, sent_by_others = 0, drawn = 0;
         const Micros unstable = seconds(10), settled = seconds(40), end = seconds(50);
@@ -136,30 +146,44 @@
 
 // Self-suspicion by lateness: what is told of the timers, and whether and for how long the owner stands back.
 void table_suspicion() {
-    struct Row { const char* what; Micros late, every; int times; Micros acting_since; bool stands_back; };
-    for (const Row& row : {Row{"in time", ms(20), ms(100), 100, 0, false}, Row{"late for long", ms(400), ms(500), 5, 0, true},
-                           Row{"late but too short", ms(400), ms(100), 14, 0, false}, Row{"a single long freeze", seconds(4), ms(100), 1, 0, false},
-                           Row{"a young takeover", ms(400), ms(500), 5, seconds(9), false}, Row{"between the bounds", ms(200), ms(500), 20, 0, false}}) {
+    struct Row {
+        const char* what;
+        Micros late, every;
+        int times;
+        Micros acting_since;
+        bool stands_back;
+    };
+    for (const Row& row :
+         {Row{"in time", ms(20), ms(100), 100, 0, false}, Row{"late for long", ms(400), ms(500), 5, 0, true},
+          Row{"late but too short", ms(400), ms(100), 14, 0, false},
+          Row{"a single long freeze", seconds(4), ms(100), 1, 0, false},
+          Row{"a young takeover", ms(400), ms(500), 5, seconds(9), false},
+          Row{"between the bounds", ms(200), ms(500), 20, 0, false}}) {
         SelfSuspicion suspicion({});
         bool begins = false;
         Micros now = seconds(10);
-        for (int time = 0; time < row.times; ++time) begins = suspicion.fired(row.late, row.acting_since, now += row.every) || begins;
+        for (int time = 0; time < row.times; ++time)
+            begins = suspicion.fired(row.late, row.acting_since, now += row.every) || begins;
         EXPECT_SAID(begins == row.stands_back && suspicion.stands_back(now) == row.stands_back, row.what);
     }
-    // Each time it stands back for twice as long; a time between in time keeps it from counting on; calm resets the pause.
+    // Each time it stands back for twice as long; a time between in time keeps it from counting on; calm resets the
+    // pause.
     SelfSuspicion suspicion({});
     Micros now = seconds(100);
     auto until_it_stands_back = [&] {
         for (int time = 0; time < 50; ++time)
             if (suspicion.fired(ms(400), 0, now += ms(500))) break;
         Micros begun = now;
-        while (suspicion.stands_back(now)) now += ms(100);
+        while (suspicion.stands_back(now))
+            now += ms(100);
         return now - begun;
     };
     EXPECT(until_it_stands_back() == seconds(3));
-    for (int time = 0; time < 40; ++time) EXPECT(!suspicion.fired(time % 4 == 3 ? ms(10) : ms(400), 0, now += ms(500)));
+    for (int time = 0; time < 40; ++time)
+        EXPECT(!suspicion.fired(time % 4 == 3 ? ms(10) : ms(400), 0, now += ms(500)));
     EXPECT(until_it_stands_back() == seconds(6));
-    for (int time = 0; time < 400; ++time) suspicion.fired(ms(5), 0, now += ms(100));
+    for (int time = 0; time < 400; ++time)
+        suspicion.fired(ms(5), 0, now += ms(100));
     EXPECT(until_it_stands_back() == seconds(3));
     EXPECT(!suspicion.fired(ms(900), std::nullopt, now));
 }
--- a/tests/forecast.cpp
+++ b/tests/forecast.cpp
@@ -8,14 +8,16 @@
 
 namespace {
 
-QueueSpan span(std::int64_t number, const std::string& queue, std::int64_t priority, double arrived, double waited, double fleet = 10) {
+QueueSpan span(std::int64_t number, const std::string& queue, std::int64_t priority, double arrived, double waited,
+               double fleet = 10) {
     return {number, seconds(60), queue, priority, arrived * 60, arrived * 60, waited, fleet, true};
 }
 History history_of(const std::vector<QueueSpan>& spans) {
     History history;
     Findings findings;
     std::string text;
-    for (const QueueSpan& each : spans) text += "12.0 history " + each.line() + "\n";
+    for (const QueueSpan& each : spans)
+        text += "12.0 history " + each.line() + "\n";
     read_history(text, "one.log", history, findings);
     EXPECT_SAID(findings.empty(), findings.text());
     return history;
@@ -24,13 +26,18 @@
 void reading() {
     History history;
     Findings findings;
-    read_history("1.0 counters calls=3\n2.0 history " + span(5, "a/q/", 0, 2, 0).line() + "\n", "one.log", history, findings);
+    read_history("1.0 counters calls=3\n2.0 history " + span(5, "a/q/", 0, 2, 0).line() + "\n", "one.log", history,
+                 findings);
     read_history("3.0 history " + span(5, "a/q/", 0, 1, 7).line() + "\n", "two.log", history, findings);
     EXPECT(findings.empty() && history.queues.size() == 1);
     EXPECT(std::abs(history.queues.at("a/q/").spans.at(5).arrived - 180) < 1e-6);
     EXPECT(history.queues.at("a/q/").spans.at(5).waited == 7);
-    struct Row { std::string line; std::string place; };
-    for (const Row& row : {Row{"history {", "bad.log:1"}, Row{"history {\"span\":1}", "bad.log:1"}, Row{"ok\nhistory {\"span\":-1,\"length_ms\":5}", "bad.log:2"}}) {
+    struct Row {
+        std::string line;
+        std::string place;
+    };
+    for (const Row& row : {Row{"history {", "bad.log:1"}, Row{"history {\"span\":1}", "bad.log:1"},
+                           Row{"ok\nhistory {\"span\":-1,\"length_ms\":5}", "bad.log:2"}}) {
         Findings wrong;
         read_history(row.line, "bad.log", history, wrong);
         EXPECT(!wrong.empty() && wrong.list().front().place == row.place);
@@ -43,7 +50,8 @@
 // A steady demand below the fleet: no warning, no event, and the forecast is the demand.
 void steady() {
     std::vector<QueueSpan> spans;
-    for (int number = 0; number < 40; ++number) spans.push_back(span(number, "urgent", 0, 3, 0)), spans.push_back(span(number, "later", 2, 2, 0));
+    for (int number = 0; number < 40; ++number)
+        spans.push_back(span(number, "urgent", 0, 3, 0)), spans.push_back(span(number, "later", 2, 2, 0));
     History history = history_of(spans);
     Forecast forecast = forecast_demand(history, 40, {});
     EXPECT(!forecast.warns && forecast.queues.size() == 2);
@@ -71,7 +79,8 @@
 // A jump that nothing announced cannot be warned of: the check must say that it was missed.
 void sudden() {
     std::vector<QueueSpan> spans;
-    for (int number = 0; number < 30; ++number) spans.push_back(span(number, "urgent", 0, number == 20 ? 20 : 2, number == 20 ? 50 : 0));
+    for (int number = 0; number < 30; ++number)
+        spans.push_back(span(number, "urgent", 0, number == 20 ? 20 : 2, number == 20 ? 50 : 0));
     Backtest test = check_past(history_of(spans), {});
     EXPECT(test.events.size() == 1 && test.missed() == 1);
 }
@@ -91,7 +100,8 @@
     EXPECT(test.events.size() == 5 && test.missed() == 0);
     // Work that can wait does not count as urgent, however long it waits.
     std::vector<QueueSpan> patient = {span(0, "urgent", 0, 1, 0)};
-    for (int number = 0; number < 20; ++number) patient.push_back(span(number, "later", 2, 1, 500));
+    for (int number = 0; number < 20; ++number)
+        patient.push_back(span(number, "later", 2, 1, 500));
     EXPECT(check_past(history_of(patient), {}).events.empty());
 }
 
--- a/tests/listener.cpp
+++ b/tests/listener.cpp
@@ -1,9 +1,9 @@
 // Answers and connections: an answer reaches the client that asked, or nobody. Loopback only, bounded in count.
 #include <arpa/inet.h>
-#include <csignal>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <csignal>
 
 #include "check.hpp"
 #include "shared/http/listener.hpp"
@@ -54,7 +54,8 @@
     explicit Server(const Listener::Limits& limits) {
         for (port = 39500; port < 39600; ++port) {
             try {
-                listener = std::make_unique<Listener>(fmt::format("127.0.0.1:{}", port), limits, [this](Request request) { take(std::move(request)); });
+                listener = std::make_unique<Listener>(fmt::format("127.0.0.1:{}", port), limits,
+                                                      [this](Request request) { take(std::move(request)); });
                 listener->open();
                 break;
             } catch (const std::exception&) {
@@ -94,7 +95,9 @@
     }
 };
 
-std::string ask(const std::string& path) { return fmt::format("GET {} HTTP/1.1\r\nHost: x\r\n\r\n", path); }
+std::string ask(const std::string& path) {
+    return fmt::format("GET {} HTTP/1.1\r\nHost: x\r\n\r\n", path);
+}
 
 // Clients that give up at about the moment of their answer, and others that take the numbers of their descriptors.
 // (Seen to fail with Pistache 0.0.5 as the listener: some answers of each run reached another client.)
@@ -113,12 +116,15 @@
                 std::string got;
                 if (poll(&readable, 1, int(dice() % 4)) > 0) got = connection.hear_until(">");
                 if (got.empty()) continue;
-                if (got.find("<" + path + "|x|>") != std::string::npos) ++right;
-                else ++wrong;
+                if (got.find("<" + path + "|x|>") != std::string::npos)
+                    ++right;
+                else
+                    ++wrong;
             }
         });
     }
-    for (std::thread& each : clients) each.join();
+    for (std::thread& each : clients)
+        each.join();
     EXPECT(wrong == 0);
     EXPECT(right > 500);
 }
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -14,7 +14,8 @@
     std::deque<std::function<void(bool)>> open;
     size_t proposals = 0;
     std::map<std::string, Register> registers;
-    void propose(const std::string& key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> told) {
+    void propose(const std::string& key, std::optional<std::string> fixed, Patch patch,
+                 std::function<void(bool)> told) {
         ++proposals;
         if (fixed) registers[key].fixed = *fixed;
         registers[key].moving = std::move(patch.moving);
@@ -56,10 +57,13 @@
             R"({"host":"jobs.example","path_prefix":"/a/","service":"svc","priority":0,"max_attempts":3,"extension":1.5,"target_ms":300},)"
             R"({"host":"jobs.example","path_prefix":"/b/","service":"svc","priority":2,"max_attempts":3,"extension":1.5,"target_ms":1000}]})";
         scheduler.begin(Epoch{7}, registers, now);
-        for (size_t number = 0; number < count; ++number) workers.push_back({fmt::format("i-{}-0", number), fmt::format("side-{}", number)});
-        for (Worker& worker : workers) report(worker), report(worker);
+        for (size_t number = 0; number < count; ++number)
+            workers.push_back({fmt::format("i-{}-0", number), fmt::format("side-{}", number)});
+        for (Worker& worker : workers)
+            report(worker), report(worker);
         now += seconds(7);
-        for (Worker& worker : workers) report(worker);
+        for (Worker& worker : workers)
+            report(worker);
         turn();
     }
     void turn() {
@@ -76,18 +80,21 @@
         ask.number = ++worker.number;
         ask.epoch = Epoch{epoch};
         ask.taken = worker.taken;
-        ask.worker = WorkerAccount{worker.life, "svc", "", "", 16000, 64000, 0, {"a", "r" + worker.node.substr(5, 1)}, worker.draining, -1};
+        ask.worker = WorkerAccount{
+            worker.life, "svc", "", "", 16000, 64000, 0, {"a", "r" + worker.node.substr(5, 1)}, worker.draining, -1};
         HoldReport look;
         look.life = worker.life;
         look.fence = Epoch{epoch};
-        for (auto& [task, run] : worker.active) look.active.push_back({task, run, "", 50});
+        for (auto& [task, run] : worker.active)
+            look.active.push_back({task, run, "", 50});
         look.finished.assign(worker.finished.begin(), worker.finished.end());
         look.stops = worker.stops;
         ask.report = look;
         scheduler.take_side(ask, now, now);
         worker.stops.clear();
         SideAnswer answer = scheduler.answer_side(worker.node, now, now);
-        while (!worker.finished.empty() && worker.finished.front().number <= answer.seen) worker.finished.pop_front();
+        while (!worker.finished.empty() && worker.finished.front().number <= answer.seen)
+            worker.finished.pop_front();
         for (const Order& order : answer.orders) {
             if (order.number <= worker.taken) continue;
             worker.taken = order.number;
@@ -95,7 +102,8 @@
                 worker.active[order.task] = order.run;
                 continue;
             }
-            if (auto there = worker.active.find(order.task); there != worker.active.end() && there->second == order.run) end(worker, order.task, "stopped");
+            if (auto there = worker.active.find(order.task); there != worker.active.end() && there->second == order.run)
+                end(worker, order.task, "stopped");
             worker.stops.push_back(fmt::format("{} {}", order.task, order.run));
         }
     }
@@ -108,7 +116,8 @@
     void take_over() {
         ledger.commit();
         scheduler.begin(Epoch{++epoch}, ledger.registers, now);
-        for (Worker& worker : workers) worker.taken = 0;
+        for (Worker& worker : workers)
+            worker.taken = 0;
     }
     std::uint64_t epoch = 7;
     void reborn(Worker& worker) {
@@ -119,12 +128,14 @@
     }
     int post(const std::string& prefix, std::uint64_t id, const std::string& body) {
         int code = 0;
-        scheduler.call({"POST", host, fmt::format("{}{:016x}", prefix, id), body, "", false}, now, now, [&](CallFate, Response response) { code = response.code; });
+        scheduler.call({"POST", host, fmt::format("{}{:016x}", prefix, id), body, "", false}, now, now,
+                       [&](CallFate, Response response) { code = response.code; });
         ledger.commit();
         return code;
     }
     void cancel(const std::string& prefix, std::uint64_t id) {
-        scheduler.call({"DELETE", host, fmt::format("{}{:016x}", prefix, id), "", "", false}, now, now, [](CallFate, Response) {});
+        scheduler.call({"DELETE", host, fmt::format("{}{:016x}", prefix, id), "", "", false}, now, now,
+                       [](CallFate, Response) {});
         ledger.commit();
     }
 };
@@ -137,11 +148,13 @@
     };
     std::map<std::string, std::int64_t> pending, ready, tasks;
     std::set<std::tuple<std::string, std::uint64_t, std::uint32_t>> listed, walked_listed;
-    for (const StepKey& key : state.ready) listed.insert({key.job, key.time, key.step});
+    for (const StepKey& key : state.ready)
+        listed.insert({key.job, key.time, key.step});
     size_t open = 0, runs_of_jobs = 0;
     for (const auto& [id, entry] : state.jobs) {
         runs_of_jobs += entry.runs.size();
-        for (const auto& [name, worker] : entry.runs) same(worker->runs.contains(name), true, "run of the job on its worker " + name.task());
+        for (const auto& [name, worker] : entry.runs)
+            same(worker->runs.contains(name), true, "run of the job on its worker " + name.task());
         if (!entry.committed || entry.job.ended()) {
             same(entry.open, false, "open " + id);
             continue;
@@ -153,7 +166,8 @@
                 size_t waiting = 0, copies = 0, placed = 0, unfinished = 0;
                 for (std::uint32_t index = 0; index < time.steps[step].tasks.size(); ++index) {
                     const Task& task = time.steps[step].tasks[index];
-                    waiting += task.waiting(), placed += !task.placements.empty(), unfinished += !task.done, copies += state.wants_copy(entry, time, step, index);
+                    waiting += task.waiting(), placed += !task.placements.empty(), unfinished += !task.done,
+                        copies += state.wants_copy(entry, time, step, index);
                 }
                 const StepProgress& progress = entry.progress.at(time.number)[step];
                 std::string where = fmt::format("{}.{}.{}", id, time.number, step);
@@ -188,8 +202,11 @@
             of_known_jobs += job != state.jobs.end();
             if (job != state.jobs.end())
                 for (const Time& time : job->second.job.moving.times)
-                    if (time.number == name.time && !job->second.job.wanted(time, name.step, name.index, name.run)) same(run.stop_wanted, true, "stop of a run that nobody wants " + name.task());
-            if (!worker.placeholder) used[worker.account.service][run.priority].cpu += run.cpu, used[worker.account.service][run.priority].runs++;
+                    if (time.number == name.time && !job->second.job.wanted(time, name.step, name.index, name.run))
+                        same(run.stop_wanted, true, "stop of a run that nobody wants " + name.task());
+            if (!worker.placeholder)
+                used[worker.account.service][run.priority].cpu += run.cpu,
+                    used[worker.account.service][run.priority].runs++;
         }
         same(worker.cpu_used, cpu, "room used of " + life);
         if (worker.placeholder) continue;
@@ -228,15 +245,30 @@
             switch (*rc::gen::inRange(0, 12)) {
                 case 0:
                 case 1:
-                case 2: bench.post(next_id % 2 ? "/a/" : "/b/", next_id, bodies[*rc::gen::inRange<size_t>(0, bodies.size())]), ++next_id; break;
-                case 3: bench.cancel("/a/", std::uint64_t(*rc::gen::inRange<int>(1, int(next_id) + 1))); break;
-                case 4: bench.reborn(worker); break;
-                case 5: bench.now += seconds(*rc::gen::inRange(0, 6)); break;
-                case 6: worker.draining = !worker.draining; break;
-                case 7: bench.take_over(); break;
+                case 2:
+                    bench.post(next_id % 2 ? "/a/" : "/b/", next_id,
+                               bodies[*rc::gen::inRange<size_t>(0, bodies.size())]),
+                        ++next_id;
+                    break;
+                case 3:
+                    bench.cancel("/a/", std::uint64_t(*rc::gen::inRange<int>(1, int(next_id) + 1)));
+                    break;
+                case 4:
+                    bench.reborn(worker);
+                    break;
+                case 5:
+                    bench.now += seconds(*rc::gen::inRange(0, 6));
+                    break;
+                case 6:
+                    worker.draining = !worker.draining;
+                    break;
+                case 7:
+                    bench.take_over();
+                    break;
                 default:
                     if (!worker.active.empty()) {
-                        auto which = std::next(worker.active.begin(), std::ptrdiff_t(*rc::gen::inRange<size_t>(0, worker.active.size())));
+                        auto which = std::next(worker.active.begin(),
+                                               std::ptrdiff_t(*rc::gen::inRange<size_t>(0, worker.active.size())));
                         bench.end(worker, which->first, *rc::gen::inRange(0, 5) ? "done" : "failed");
                     }
             }
@@ -254,11 +286,13 @@
     SchedulerSettings settings;
     settings.tasks_most = 1000000, settings.settle = seconds(10000);
     Bench bench(worker_count, settings);
-    for (std::uint64_t id = 1; id <= jobs; ++id) bench.post("/a/", id, R"({"job_spec":"x","steps":[{"count":8,"cpu":16000,"estimate_ms":600000}]})");
+    for (std::uint64_t id = 1; id <= jobs; ++id)
+        bench.post("/a/", id, R"({"job_spec":"x","steps":[{"count":8,"cpu":16000,"estimate_ms":600000}]})");
     for (int round = 0; round < 40; ++round) {
         bench.now += milliseconds(20);
         bench.turn();
-        for (auto& worker : bench.workers) bench.report(worker);
+        for (auto& worker : bench.workers)
+            bench.report(worker);
     }
     auto& worker = bench.workers[0];
     if (worker.active.empty()) return 0;
@@ -272,12 +306,17 @@
 void cost_stays() {
     std::uint64_t small = cost_of_an_end(10, 4), large = cost_of_an_end(600, 60);
     EXPECT(small > 0);
-    EXPECT_SAID(large <= small + 2, fmt::format("an end costs {} operations among 10 jobs, {} among 600", small, large));
+    EXPECT_SAID(large <= small + 2,
+                fmt::format("an end costs {} operations among 10 jobs, {} among 600", small, large));
     // A plan stays within its budget, whatever waits.
     SchedulerSettings settings;
-    settings.planner.looks_most = 100, settings.planner.evaluations_most = 400, settings.tasks_most = 1000000, settings.settle = seconds(10000);
+    settings.planner.looks_most = 100, settings.planner.evaluations_most = 400, settings.tasks_most = 1000000,
+    settings.settle = seconds(10000);
     Bench bench(3, settings);
-    for (std::uint64_t id = 1; id <= 2000; ++id) bench.post("/a/", id, fmt::format(R"({{"job_spec":"x","steps":[{{"count":2,"cpu":{},"estimate_ms":600000}}]}})", 15000 - id));
+    for (std::uint64_t id = 1; id <= 2000; ++id)
+        bench.post(
+            "/a/", id,
+            fmt::format(R"({{"job_spec":"x","steps":[{{"count":2,"cpu":{},"estimate_ms":600000}}]}})", 15000 - id));
     for (int round = 0; round < 30; ++round) {
         bench.now += milliseconds(3);
         std::uint64_t before = bench.scheduler.state().operations;
@@ -291,7 +330,8 @@
     bool started = false;
     for (int round = 0; round < 400 && !started; ++round) {
         bench.now += milliseconds(3);
-        for (auto& worker : bench.workers) bench.report(worker);
+        for (auto& worker : bench.workers)
+            bench.report(worker);
         bench.turn();
         started = bench.scheduler.find_job("000000000000270f")->moving.begun;
     }
@@ -306,27 +346,32 @@
     struct Row {
         const char* name;
         std::int64_t priority;
-        double own_s, before_s, after_s;  // waiting work, in seconds of the whole room: own queue, more and less urgent ones
+        double own_s, before_s,
+            after_s;  // waiting work, in seconds of the whole room: own queue, more and less urgent ones
         Micros lag;
         bool lasting;
         size_t jobs;
         Admitted expected;
     };
     // Aim 1 s, chain 0.4 s: a wait of up to 1.6 s; the room is taken to be filled by eight tenths.
-    for (const Row& row : std::vector<Row>{{"idle", 1, 0, 0, 0, 0, false, 0, Admitted::yes},
-                                           {"some wait", 1, 0.5, 0.5, 0, 0, false, 10, Admitted::yes},
-                                           {"own backlog too long", 1, 1.5, 0, 0, 0, false, 10, Admitted::no_room},
-                                           {"more urgent backlog too long", 1, 0.1, 1.5, 0, 0, false, 10, Admitted::no_room},
-                                           {"less urgent backlog keeps nobody out", 1, 0.1, 0, 90, 0, false, 10, Admitted::yes},
-                                           {"nothing of its own waits", 1, 0, 90, 0, 0, false, 10, Admitted::yes},
-                                           {"lasting", 1, 90, 0, 0, 0, true, 10, Admitted::yes},
-                                           {"owner behind", 1, 0, 0, 0, seconds(2), false, 10, Admitted::behind},
-                                           {"too many jobs", 1, 0, 0, 0, 0, false, 20000, Admitted::full}}) {
+    for (const Row& row :
+         std::vector<Row>{{"idle", 1, 0, 0, 0, 0, false, 0, Admitted::yes},
+                          {"some wait", 1, 0.5, 0.5, 0, 0, false, 10, Admitted::yes},
+                          {"own backlog too long", 1, 1.5, 0, 0, 0, false, 10, Admitted::no_room},
+                          {"more urgent backlog too long", 1, 0.1, 1.5, 0, 0, false, 10, Admitted::no_room},
+                          {"less urgent backlog keeps nobody out", 1, 0.1, 0, 90, 0, false, 10, Admitted::yes},
+                          {"nothing of its own waits", 1, 0, 90, 0, 0, false, 10, Admitted::yes},
+                          {"lasting", 1, 90, 0, 0, 0, true, 10, Admitted::yes},
+                          {"owner behind", 1, 0, 0, 0, seconds(2), false, 10, Admitted::behind},
+                          {"too many jobs", 1, 0, 0, 0, 0, false, 20000, Admitted::full}}) {
         Admission admission(settings);
         if (row.lag) admission.lag.note_tick(seconds(10), seconds(10) + row.lag);
         Backlog backlog;
-        auto fill = [&](const char* queue, std::int64_t priority, double work) { backlog[queue] = {"svc", priority, 1, 1, work > 0 ? 1 : 0, work * double(load.whole_cpu), 0}; };
-        fill("own", row.priority, row.own_s), fill("urgent", row.priority - 1, row.before_s), fill("patient", row.priority + 1, row.after_s);
+        auto fill = [&](const char* queue, std::int64_t priority, double work) {
+            backlog[queue] = {"svc", priority, 1, 1, work > 0 ? 1 : 0, work * double(load.whole_cpu), 0};
+        };
+        fill("own", row.priority, row.own_s), fill("urgent", row.priority - 1, row.before_s),
+            fill("patient", row.priority + 1, row.after_s);
         NewJob job{"own", "svc", row.priority, milliseconds(400), seconds(1), row.lasting};
         EXPECT_SAID(admission.admit(job, row.jobs, load, backlog, seconds(20)) == row.expected, row.name);
     }
@@ -334,12 +379,20 @@
     bool good = rc::check("admission rises with the room", [&] {
         Admission admission(settings);
         Backlog backlog;
-        backlog["own"] = {"svc", 0, 1, 1, 5, double(*rc::gen::inRange(1, 1000000)), double(*rc::gen::inRange(1, 1000000))};
+        backlog["own"] = {
+            "svc", 0, 1, 1, 5, double(*rc::gen::inRange(1, 1000000)), double(*rc::gen::inRange(1, 1000000))};
         Load small, large;
         small.whole_cpu = *rc::gen::inRange(1, 100000), small.whole_memory = *rc::gen::inRange(1, 100000);
-        large.whole_cpu = small.whole_cpu + *rc::gen::inRange(0, 100000), large.whole_memory = small.whole_memory + *rc::gen::inRange(0, 100000);
-        NewJob job{"own", "svc", 0, *rc::gen::inRange<Micros>(1, seconds(5)), *rc::gen::inRange<Micros>(seconds(5), seconds(9)), false};
-        if (admission.admit(job, 1, small, backlog, seconds(20)) == Admitted::yes) RC_ASSERT(admission.admit(job, 1, large, backlog, seconds(20)) == Admitted::yes);
+        large.whole_cpu = small.whole_cpu + *rc::gen::inRange(0, 100000),
+        large.whole_memory = small.whole_memory + *rc::gen::inRange(0, 100000);
+        NewJob job{"own",
+                   "svc",
+                   0,
+                   *rc::gen::inRange<Micros>(1, seconds(5)),
+                   *rc::gen::inRange<Micros>(seconds(5), seconds(9)),
+                   false};
+        if (admission.admit(job, 1, small, backlog, seconds(20)) == Admitted::yes)
+            RC_ASSERT(admission.admit(job, 1, large, backlog, seconds(20)) == Admitted::yes);
     });
     property("admission rises with the room", good);
 }
@@ -347,20 +400,23 @@
 void trust_table() {
     struct Row {
         const char* name;
-        std::vector<bool> bad;       // ends of the worker
+        std::vector<bool> bad;        // ends of the worker
         std::vector<bool> elsewhere;  // ends of the others, ten for each
         double least, most;
     };
-    for (const Row& row : std::vector<Row>{{"new", {}, {}, 0.9, 1.0},
-                                           {"sound", std::vector<bool>(20, false), std::vector<bool>(20, false), 0.99, 1.0},
-                                           {"one failure", {false, false, true, false}, std::vector<bool>(20, false), 0.9, 1.0},
-                                           {"fails everything", std::vector<bool>(10, true), std::vector<bool>(20, false), 0.0, 0.1},
-                                           {"jobs fail everywhere", std::vector<bool>(10, true), std::vector<bool>(40, true), 0.3, 1.0}}) {
+    for (const Row& row : std::vector<Row>{
+             {"new", {}, {}, 0.9, 1.0},
+             {"sound", std::vector<bool>(20, false), std::vector<bool>(20, false), 0.99, 1.0},
+             {"one failure", {false, false, true, false}, std::vector<bool>(20, false), 0.9, 1.0},
+             {"fails everything", std::vector<bool>(10, true), std::vector<bool>(20, false), 0.0, 0.1},
+             {"jobs fail everywhere", std::vector<bool>(10, true), std::vector<bool>(40, true), 0.3, 1.0}}) {
         Conducts conducts;
         Micros now = seconds(100);
         for (bool bad : row.elsewhere)
-            for (int other = 0; other < 10; ++other) conducts.note(fmt::format("other{}", other), bad, 0.2, now);
-        for (bool bad : row.bad) conducts.note("this", bad, 0.2, now);
+            for (int other = 0; other < 10; ++other)
+                conducts.note(fmt::format("other{}", other), bad, 0.2, now);
+        for (bool bad : row.bad)
+            conducts.note("this", bad, 0.2, now);
         double trust = conducts.trust("this", now);
         EXPECT_SAID(trust >= row.least && trust <= row.most, fmt::format("{}: {:.2f}", row.name, trust));
         // Trust never falls while nothing is known, and comes back.
@@ -378,9 +434,12 @@
     for (int lapse = 0; lapse < 5; ++lapse) {
         flapping.note_lapse(now);
         Micros pause = 0;
-        while (flapping.paused(now + pause)) pause += milliseconds(100);
-        if (lapse == 0) EXPECT(pause == 0);
-        else EXPECT_SAID(pause > last, fmt::format("pause {} after {}", pause, last));
+        while (flapping.paused(now + pause))
+            pause += milliseconds(100);
+        if (lapse == 0)
+            EXPECT(pause == 0);
+        else
+            EXPECT_SAID(pause > last, fmt::format("pause {} after {}", pause, last));
         last = pause;
         now += seconds(1);
     }
@@ -395,7 +454,8 @@
         for (int round = 0; round < 4; ++round) {
             bench.now += milliseconds(10);
             bench.turn();
-            for (auto& worker : bench.workers) bench.report(worker);
+            for (auto& worker : bench.workers)
+                bench.report(worker);
         }
         for (auto& worker : bench.workers) {
             if (worker.active.empty()) continue;
@@ -414,7 +474,8 @@
     for (int round = 0; round < 4; ++round) {
         bench.now += milliseconds(10);
         bench.turn();
-        for (auto& worker : bench.workers) bench.report(worker);
+        for (auto& worker : bench.workers)
+            bench.report(worker);
     }
     auto& worker = bench.workers[0].active.empty() ? bench.workers[1] : bench.workers[0];
     EXPECT(worker.active.size() == 1);
@@ -422,13 +483,16 @@
     for (int round = 0; round < 50; ++round) {
         bench.now += milliseconds(50);
         SideAsk ask;
-        ask.node = worker.node, ask.incarnation = 1, ask.number = ++worker.number, ask.epoch = Epoch{7}, ask.taken = worker.taken;
-        ask.worker = WorkerAccount{worker.life, "svc", "", "", 16000, 64000, 0, {"a", "r" + worker.node.substr(5, 1)}, false, -1};
+        ask.node = worker.node, ask.incarnation = 1, ask.number = ++worker.number, ask.epoch = Epoch{7},
+        ask.taken = worker.taken;
+        ask.worker = WorkerAccount{worker.life, "svc", "", "", 16000, 64000, 0, {"a", "r" + worker.node.substr(5, 1)},
+                                   false,       -1};
         bench.scheduler.take_side(ask, bench.now, bench.now);
         bench.scheduler.answer_side(worker.node, bench.now, bench.now);
         bench.turn();
     }
-    for (const auto& [name, run] : bench.scheduler.workers().at(worker.life).runs) EXPECT_SAID(!run.stop_wanted, "stopped unseen " + name.task());
+    for (const auto& [name, run] : bench.scheduler.workers().at(worker.life).runs)
+        EXPECT_SAID(!run.stop_wanted, "stopped unseen " + name.task());
 }
 
 // Holds that lapse because the owner had no majority don't speak against the workers; those of silent ones do.
@@ -451,7 +515,8 @@
             for (int round = 0; round < 60; ++round) {
                 bench.now += milliseconds(100);
                 SideAsk ask;
-                ask.node = worker.node, ask.incarnation = 1, ask.number = ++worker.number, ask.epoch = Epoch{7}, ask.taken = worker.taken, ask.silent = silent;
+                ask.node = worker.node, ask.incarnation = 1, ask.number = ++worker.number, ask.epoch = Epoch{7},
+                ask.taken = worker.taken, ask.silent = silent;
                 ask.worker = WorkerAccount{worker.life, "svc", "", "", 16000, 64000, 0, {"a", "r0"}, false, -1};
                 bench.scheduler.take_side(ask, bench.now, bench.now);
                 bench.scheduler.answer_side(worker.node, silent ? bench.now : confirmed, bench.now);
@@ -463,7 +528,8 @@
             bench.ledger.commit();
         }
         EXPECT_SAID(lapses >= 2, fmt::format("{} lapses", lapses));
-        EXPECT_SAID(paused == silent, silent ? "a silent worker that lapses again and again is paused" : "the owner's own lapses pause nobody");
+        EXPECT_SAID(paused == silent, silent ? "a silent worker that lapses again and again is paused"
+                                             : "the owner's own lapses pause nobody");
     }
 }
 
--- a/tests/store.cpp
+++ b/tests/store.cpp
@@ -12,7 +12,8 @@
 
 Core core_of(size_t count) {
     Core core;
-    for (size_t number = 1; number <= count; ++number) core.members.push_back({number, Identity{100 + number}, fmt::format("d{}", number), ""});
+    for (size_t number = 1; number <= count; ++number)
+        core.members.push_back({number, Identity{100 + number}, fmt::format("d{}", number), ""});
     core.next_number = count + 1;
     core.size_wanted = count;
     return core;
@@ -26,30 +27,45 @@
 WriteAsk write(Identity to, std::uint64_t epoch, std::vector<WriteEntry> entries, bool complete = false) {
     return {Identity{101}, to, Epoch{epoch}, complete, true, std::move(entries), {}, false, {}};
 }
-WriteEntry entry(const std::string& key, std::uint64_t epoch, std::uint64_t version, const std::string& value, std::uint64_t base = 0, std::vector<Part> parts = {}) {
-    return {key, base ? Carries::changes : Carries::all, Epoch{epoch}, Version{version}, Version{base}, base ? "" : "fixed", value, std::move(parts), false};
+WriteEntry entry(const std::string& key, std::uint64_t epoch, std::uint64_t version, const std::string& value,
+                 std::uint64_t base = 0, std::vector<Part> parts = {}) {
+    return {key,           base ? Carries::changes : Carries::all,
+            Epoch{epoch},  Version{version},
+            Version{base}, base ? "" : "fixed",
+            value,         std::move(parts),
+            false};
 }
 // What lies on a simulated disk, and a replica that opened it.
 using Entries = std::map<std::string, std::string>;
 void persist(Entries& entries, const Change& change) {
     for (const auto& [name, bytes] : change.entries) {
-        if (bytes) entries[name] = *bytes;
-        else entries.erase(name);
+        if (bytes)
+            entries[name] = *bytes;
+        else
+            entries.erase(name);
     }
 }
 Replica reopened(const Entries& entries, Identity identity) {
     Replica replica;
     replica.identity = identity;
     bool sound = true;
-    for (const auto& [name, bytes] : entries) sound = replica.load(name, bytes) && sound;
+    for (const auto& [name, bytes] : entries)
+        sound = replica.load(name, bytes) && sound;
     EXPECT(replica.finish_load() && sound);
     return replica;
 }
 
 void prepare_table() {
-    struct Row { std::uint64_t promised, asked; bool trusted; std::uint64_t to; Verdict verdict; std::uint64_t after; };
-    for (const Row& row : {Row{0, 65, true, 102, Verdict::granted, 65}, Row{65, 65, true, 102, Verdict::granted, 65}, Row{66, 65, true, 102, Verdict::outdated, 66},
-                           Row{0, 65, false, 102, Verdict::untrusted, 0}, Row{0, 65, true, 999, Verdict::stranger, 0}}) {
+    struct Row {
+        std::uint64_t promised, asked;
+        bool trusted;
+        std::uint64_t to;
+        Verdict verdict;
+        std::uint64_t after;
+    };
+    for (const Row& row : {Row{0, 65, true, 102, Verdict::granted, 65}, Row{65, 65, true, 102, Verdict::granted, 65},
+                           Row{66, 65, true, 102, Verdict::outdated, 66}, Row{0, 65, false, 102, Verdict::untrusted, 0},
+                           Row{0, 65, true, 999, Verdict::stranger, 0}}) {
         Replica replica = replica_of(2, core_of(3));
         replica.promised = Epoch{row.promised};
         auto [answer, change] = replica.prepare({Identity{101}, Identity{row.to}, Epoch{row.asked}}, row.trusted);
@@ -59,20 +75,35 @@
         // A sounding promises nothing; a late one needs no trust and tells no contents.
         Replica sounded = replica_of(2, core_of(3));
         sounded.promised = Epoch{row.promised};
-        Verdict verdict = sounded.prepare({Identity{101}, Identity{row.to}, Epoch{row.asked}, PrepareKind::sounding}, row.trusted).first.verdict;
-        EXPECT(verdict == (row.verdict == Verdict::granted ? Verdict::ready : row.verdict) && sounded.promised.value == row.promised);
-        auto late = sounded.prepare({Identity{101}, Identity{row.to}, Epoch{row.asked}, PrepareKind::late}, row.trusted).first;
+        Verdict verdict =
+            sounded.prepare({Identity{101}, Identity{row.to}, Epoch{row.asked}, PrepareKind::sounding}, row.trusted)
+                .first.verdict;
+        EXPECT(verdict == (row.verdict == Verdict::granted ? Verdict::ready : row.verdict) &&
+               sounded.promised.value == row.promised);
+        auto late =
+            sounded.prepare({Identity{101}, Identity{row.to}, Epoch{row.asked}, PrepareKind::late}, row.trusted).first;
         EXPECT((late.verdict == Verdict::granted) == (row.to == 102 && row.asked >= row.promised));
-        for (const KeyedRegister& each : late.registers) EXPECT(each.value.moving.empty());
+        for (const KeyedRegister& each : late.registers)
+            EXPECT(each.value.moving.empty());
     }
     // Only what the asker lacks or has otherwise is answered, and what it has and the replica lacks.
     Replica replica = replica_of(2, core_of(3));
-    for (const char* key : {"a", "b", "d"}) replica.registers[key] = Register{Epoch{65}, Version{2}, "f", key, {}};
-    Holdings known{{{"a", Epoch{65}, Version{2}}, {"b", Epoch{65}, Version{1}}, {"c", Epoch{65}, Version{1}}, {"core", Epoch{0}, Version{1}}, {"e", Epoch{1}, Version{1}}}};
-    auto answer = replica.prepare({Identity{101}, Identity{102}, Epoch{70}, PrepareKind::grant, pack(known)}, true).first;
-    EXPECT(answer.registers.size() == 2 && answer.registers[0].key == "b" && answer.registers[1].key == "d" && answer.registers[1].value.moving == "d");
+    for (const char* key : {"a", "b", "d"})
+        replica.registers[key] = Register{Epoch{65}, Version{2}, "f", key, {}};
+    Holdings known{{{"a", Epoch{65}, Version{2}},
+                    {"b", Epoch{65}, Version{1}},
+                    {"c", Epoch{65}, Version{1}},
+                    {"core", Epoch{0}, Version{1}},
+                    {"e", Epoch{1}, Version{1}}}};
+    auto answer =
+        replica.prepare({Identity{101}, Identity{102}, Epoch{70}, PrepareKind::grant, pack(known)}, true).first;
+    EXPECT(answer.registers.size() == 2 && answer.registers[0].key == "b" && answer.registers[1].key == "d" &&
+           answer.registers[1].value.moving == "d");
     EXPECT((answer.lacking == std::vector<std::string>{"c", "e"}));
-    EXPECT(replica.prepare({Identity{101}, Identity{102}, Epoch{71}, PrepareKind::grant, "noise"}, true).first.verdict == Verdict::error && replica.promised.value == 70);
+    EXPECT(
+        replica.prepare({Identity{101}, Identity{102}, Epoch{71}, PrepareKind::grant, "noise"}, true).first.verdict ==
+            Verdict::error &&
+        replica.promised.value == 70);
 }
 void write_table() {
     Replica replica = replica_of(2, core_of(3));
@@ -87,13 +118,17 @@
     // Changes without what they build on are lacking, never half a value: no such key, another version, another epoch.
     auto lacking = replica.write(write(to, 65, {entry("b", 65, 2, "x", 1)})).first;
     EXPECT(lacking.lacking == std::vector<std::string>{"b"} && !replica.registers.contains("b"));
-    EXPECT(replica.write(write(to, 65, {entry("a", 65, 5, "five", 4)})).first.lacking.size() == 1 && replica.registers["a"].moving == "three");
-    EXPECT(replica.write(write(to, 65, {entry("a", 65, 4, "four", 3, {{7, "seven"}, {8, "eight"}})})).first.lacking.empty());
-    EXPECT(replica.registers["a"].fixed == "fixed" && replica.registers["a"].moving == "four" && replica.registers["a"].parts.size() == 2);
+    EXPECT(replica.write(write(to, 65, {entry("a", 65, 5, "five", 4)})).first.lacking.size() == 1 &&
+           replica.registers["a"].moving == "three");
+    EXPECT(replica.write(write(to, 65, {entry("a", 65, 4, "four", 3, {{7, "seven"}, {8, "eight"}})}))
+               .first.lacking.empty());
+    EXPECT(replica.registers["a"].fixed == "fixed" && replica.registers["a"].moving == "four" &&
+           replica.registers["a"].parts.size() == 2);
     EXPECT(replica.write(write(to, 65, {entry("a", 65, 5, "four", 4, {{7, ""}, {9, "nine"}})})).first.lacking.empty());
     EXPECT((replica.registers["a"].parts == std::map<std::uint64_t, std::string>{{8, "eight"}, {9, "nine"}}));
     // What it has already, or a later version of, is neither lacking nor taken twice.
-    EXPECT(replica.write(write(to, 65, {entry("a", 65, 5, "again", 4)})).first.lacking.empty() && replica.registers["a"].moving == "four");
+    EXPECT(replica.write(write(to, 65, {entry("a", 65, 5, "again", 4)})).first.lacking.empty() &&
+           replica.registers["a"].moving == "four");
     EXPECT(replica.write(write(to, 70, {entry("a", 70, 6, "six", 5)})).first.lacking.size() == 1);
     // An adoption renews all but what is excepted, and does so once.
     replica.registers["other"] = Register{Epoch{66}, Version{5}, "f", "excepted", {}};
@@ -101,11 +136,13 @@
     adopt.adopt = true;
     adopt.excepted = {"other"};
     replica.write(adopt);
-    EXPECT(replica.registers["a"].epoch.value == 70 && replica.registers["other"].epoch.value == 66 && replica.adopted.value == 70);
+    EXPECT(replica.registers["a"].epoch.value == 70 && replica.registers["other"].epoch.value == 66 &&
+           replica.adopted.value == 70);
     adopt.excepted.clear();
     replica.write(adopt);
     EXPECT(replica.registers["other"].epoch.value == 66);
-    EXPECT(replica.write({Identity{101}, Identity{5}, Epoch{99}, false, true, {}, {}, false, {}}).first.verdict == Verdict::stranger);
+    EXPECT(replica.write({Identity{101}, Identity{5}, Epoch{99}, false, true, {}, {}, false, {}}).first.verdict ==
+           Verdict::stranger);
     // A key is forgotten up to the version that was told, not one written since.
     WriteAsk purge = write(to, 70, {entry("b", 70, 3, "new")});
     purge.purges = {{"b", Version{2}}};
@@ -129,7 +166,8 @@
     Micros now = seconds(1);
     size_t messages = 0, bytes = 0, entries = 0;
     Bench(size_t count, size_t self) : owner({}, Identity{100 + self}), up(count + 2, true), trusting(count + 2, true) {
-        for (size_t number = 1; number <= count; ++number) replicas.push_back(replica_of(number, core_of(count)));
+        for (size_t number = 1; number <= count; ++number)
+            replicas.push_back(replica_of(number, core_of(count)));
         owner.unpack_core = [](const std::string& packed) { return unpack<Core>(packed); };
     }
     void run(int rounds = 12) {
@@ -142,8 +180,10 @@
                 for (size_t each = 0; each < replicas.size(); ++each)
                     if (replicas[each].identity == errand.to.identity) replica = &replicas[each], place = each;
                 bool answers = replica && up[place];
-                if (auto* ask = std::get_if<WriteAsk>(&errand.ask)) bytes += pack(*ask).size(), entries += ask->entries.size();
-                else bytes += pack(std::get<PrepareAsk>(errand.ask)).size();
+                if (auto* ask = std::get_if<WriteAsk>(&errand.ask))
+                    bytes += pack(*ask).size(), entries += ask->entries.size();
+                else
+                    bytes += pack(std::get<PrepareAsk>(errand.ask)).size();
                 if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask)) {
                     if (answers) {
                         auto answer = replica->prepare(*prepare, trusting[place]).first;
@@ -191,24 +231,28 @@
     bench.owner.take_over(core_of(3), Epoch{0});
     bench.run();
     EXPECT(bench.owner.state() == Owner::State::preparing);
-    for (const Replica& replica : bench.replicas) EXPECT(replica.promised.value == 0);
+    for (const Replica& replica : bench.replicas)
+        EXPECT(replica.promised.value == 0);
 }
 void undecided_value_does_not_come_back() {
     // An old owner left v2 on disk 1 only. A later owner acts on disks 2 and 3; a third one reads 1 and 2.
     Bench bench(3, 2);
-    for (Replica& replica : bench.replicas) replica.registers["a"] = Register{Epoch{65}, Version{1}, "fixed", "one"};
+    for (Replica& replica : bench.replicas)
+        replica.registers["a"] = Register{Epoch{65}, Version{1}, "fixed", "one"};
     bench.replicas[0].registers["a"] = Register{Epoch{65}, Version{2}, "fixed", "undecided"};
     bench.replicas[0].registers["lone"] = Register{Epoch{65}, Version{1}, "fixed", "undecided"};
     bench.up[0] = false;
     bench.owner.take_over(core_of(3), Epoch{65});
     bench.run();
-    EXPECT(bench.owner.acting() && bench.owner.registers().at("a").moving == "one" && !bench.owner.registers().contains("lone"));
+    EXPECT(bench.owner.acting() && bench.owner.registers().at("a").moving == "one" &&
+           !bench.owner.registers().contains("lone"));
     Bench third(3, 2);
     third.replicas = bench.replicas;
     third.up[2] = false;
     third.owner.take_over(core_of(3), Epoch{200});
     third.run();
-    EXPECT(third.owner.acting() && third.owner.registers().at("a").moving == "one" && !third.owner.registers().contains("lone"));
+    EXPECT(third.owner.acting() && third.owner.registers().at("a").moving == "one" &&
+           !third.owner.registers().contains("lone"));
     EXPECT(third.replicas[0].registers["a"].moving == "one");
     EXPECT(!third.replicas[0].registers.contains("lone"));
 }
@@ -269,7 +313,8 @@
     bench.up[2] = true;
     bench.run();
     EXPECT(!bench.owner.registers().contains("job/1"));
-    for (const Replica& replica : bench.replicas) EXPECT(!replica.registers.contains("job/1"));
+    for (const Replica& replica : bench.replicas)
+        EXPECT(!replica.registers.contains("job/1"));
 }
 // Parts reach every replica, also one that missed some, and a lost answer or a refused base heals by itself.
 void parts_travel() {
@@ -286,23 +331,28 @@
     bench.run();
     for (const Replica& replica : bench.replicas) {
         EXPECT(replica.registers.at("job/1") == bench.owner.registers().at("job/1"));
-        EXPECT((replica.registers.at("job/1").parts == std::map<std::uint64_t, std::string>{{2, "two again"}, {3, "three"}}));
+        EXPECT((replica.registers.at("job/1").parts ==
+                std::map<std::uint64_t, std::string>{{2, "two again"}, {3, "three"}}));
     }
     bench.owner.propose("job/1", std::nullopt, Patch("ended", {}, true), nullptr);
     bench.run();
-    for (const Replica& replica : bench.replicas) EXPECT(replica.registers.at("job/1").parts.empty() && replica.registers.at("job/1").fixed == "f");
+    for (const Replica& replica : bench.replicas)
+        EXPECT(replica.registers.at("job/1").parts.empty() && replica.registers.at("job/1").fixed == "f");
 }
 // A takeover writes nothing again that the replicas hold alike, whatever the number of keys.
 void takeover_costs_no_contents() {
     Bench bench(5, 1);
     for (Replica& replica : bench.replicas)
-        for (int number = 0; number < 500; ++number) replica.registers[fmt::format("job/{}", number)] = Register{Epoch{65}, Version{3}, "f", std::string(1000, 'x'), {}};
+        for (int number = 0; number < 500; ++number)
+            replica.registers[fmt::format("job/{}", number)] =
+                Register{Epoch{65}, Version{3}, "f", std::string(1000, 'x'), {}};
     bench.replicas[4].registers["job/7"].version = Version{2};
     bench.owner.take_over(core_of(5), Epoch{65}, bench.replicas[0].registers);
     bench.run();
     EXPECT(bench.owner.acting() && bench.bytes < 400000 && bench.entries <= 1);
     for (const Replica& replica : bench.replicas)
-        for (const auto& [key, value] : replica.registers) EXPECT(value == bench.owner.registers().at(key));
+        for (const auto& [key, value] : replica.registers)
+            EXPECT(value == bench.owner.registers().at(key));
 }
 // Cores of three to eight, with as many lost at once as a majority bears: decided values stay, one loss more stops it.
 void every_size_bears_its_losses() {
@@ -311,7 +361,8 @@
         Bench bench(count, 1);
         bench.owner.take_over(core_of(count), Epoch{0}, bench.replicas[0].registers);
         bench.run();
-        for (size_t lost = 0; lost < bears; ++lost) bench.up[count - 1 - lost] = false;
+        for (size_t lost = 0; lost < bears; ++lost)
+            bench.up[count - 1 - lost] = false;
         int told = 0;
         bench.owner.propose("a", "f", "v", [&](bool committed) { told += committed; });
         bench.run();
@@ -319,10 +370,12 @@
         // Those that held it: one of them and the ones that missed it elect the next.
         Bench next(count, 2);
         next.replicas = bench.replicas;
-        for (size_t lost = 0; lost < bears; ++lost) next.up[lost == 0 ? 0 : lost + 1] = false;
+        for (size_t lost = 0; lost < bears; ++lost)
+            next.up[lost == 0 ? 0 : lost + 1] = false;
         next.owner.take_over(core_of(count), Epoch{200}, next.replicas[1].registers);
         next.run();
-        EXPECT(next.owner.acting() && next.owner.registers().contains("a") && next.owner.registers().at("a").moving == "v");
+        EXPECT(next.owner.acting() && next.owner.registers().contains("a") &&
+               next.owner.registers().at("a").moving == "v");
         bench.up[count - 1 - bears] = false;
         bench.owner.propose("a", std::nullopt, "w", [&](bool committed) { told += committed ? 10 : 0; });
         bench.run();
@@ -334,7 +387,8 @@
     Bench bench(4, 1);
     bench.owner.take_over(core_of(4), Epoch{0}, bench.replicas[0].registers);
     bench.run();
-    for (const char* key : {"gone", "kept", "changed"}) bench.owner.propose(key, "f", Patch("v", {{1, "one"}}), nullptr);
+    for (const char* key : {"gone", "kept", "changed"})
+        bench.owner.propose(key, "f", Patch("v", {{1, "one"}}), nullptr);
     bench.run();
     bench.up[3] = false;
     Core smaller = bench.owner.core();
@@ -352,36 +406,49 @@
     // The same key anew goes above what was forgotten.
     bench.owner.propose("gone", "g", "again", nullptr);
     bench.run();
-    for (const Replica& replica : bench.replicas) EXPECT(replica.registers.at("gone").fixed == "g" && replica.registers.at("gone").moving == "again");
+    for (const Replica& replica : bench.replicas)
+        EXPECT(replica.registers.at("gone").fixed == "g" && replica.registers.at("gone").moving == "again");
 }
 void frames_are_refused_whole() {
     WriteAsk ask = write(Identity{102}, 65, {entry("a", 65, 1, "x")}, true);
     std::string bytes = pack(ask);
     EXPECT(unpack<WriteAsk>(bytes) && unpack<WriteAsk>(bytes)->entries.front().moving == "x");
-    for (size_t length = 0; length < bytes.size(); ++length) EXPECT(!unpack<WriteAsk>(bytes.substr(0, length)));
+    for (size_t length = 0; length < bytes.size(); ++length)
+        EXPECT(!unpack<WriteAsk>(bytes.substr(0, length)));
     EXPECT(!unpack<WriteAsk>(bytes + "x"));
     std::string other = bytes;
     other[0] = 2;  // another format
     EXPECT(!unpack<WriteAsk>(other));
-    PrepareAnswer answer{Verdict::granted, Epoch{1}, Epoch{1}, 5, {{"a", Register{Epoch{1}, Version{2}, "f", "m", {{7, "seven"}, {9, "nine"}}}}}, {"b"}};
+    PrepareAnswer answer{Verdict::granted,
+                         Epoch{1},
+                         Epoch{1},
+                         5,
+                         {{"a", Register{Epoch{1}, Version{2}, "f", "m", {{7, "seven"}, {9, "nine"}}}}},
+                         {"b"}};
     std::string packed = pack(answer);
-    EXPECT(unpack<PrepareAnswer>(packed) && unpack<PrepareAnswer>(packed)->registers.front().value == answer.registers.front().value);
-    for (size_t length = 0; length < packed.size(); ++length) EXPECT(!unpack<PrepareAnswer>(packed.substr(0, length)));
-    property("noise never reads as a frame by accident of a crash", rc::check([](const std::string& noise) { (void)unpack<WriteAsk>(noise), (void)unpack<PrepareAnswer>(noise); }));
+    EXPECT(unpack<PrepareAnswer>(packed) &&
+           unpack<PrepareAnswer>(packed)->registers.front().value == answer.registers.front().value);
+    for (size_t length = 0; length < packed.size(); ++length)
+        EXPECT(!unpack<PrepareAnswer>(packed.substr(0, length)));
+    property("noise never reads as a frame by accident of a crash", rc::check([](const std::string& noise) {
+                 (void)unpack<WriteAsk>(noise), (void)unpack<PrepareAnswer>(noise);
+             }));
 }
 
 // A number below `bound`, spread alike in early and late cases.
-int draw(int bound) { return *rc::gen::resize(100, rc::gen::inRange(0, bound)); }
-// Owners one after another over three to five replicas: messages are lost, answers are lost, disks lag behind memory and
-// processes die between any two steps, each replica coming back from what lay on its disk. Whatever was told as committed
-// is there under every later owner, and what a later owner did not find never comes back.
+int draw(int bound) {
+    return *rc::gen::resize(100, rc::gen::inRange(0, bound));
+}
+// Owners one after another over three to five replicas: messages are lost, answers are lost, disks lag behind memory
+// and processes die between any two steps, each replica coming back from what lay on its disk. Whatever was told as
+// committed is there under every later owner, and what a later owner did not find never comes back.
 struct Story {
     struct Disk {
         Entries entries;
         Replica replica;
     };
     std::vector<Disk> disks;
-    std::map<std::string, std::string> decided;       // what was told as committed, as text
+    std::map<std::string, std::string> decided;         // what was told as committed, as text
     std::map<std::string, std::set<std::string>> dead;  // contents that an owner has acted without
     std::map<std::string, std::set<std::string>> tried;
     std::uint64_t highest = 0, serial = 0;
@@ -389,19 +456,22 @@
         for (size_t number = 1; number <= count; ++number) {
             Disk& disk = disks.emplace_back();
             disk.replica.identity = Identity{100 + number};
-            persist(disk.entries, disk.replica.found("core", Register{Epoch{0}, Version{1}, {}, pack(core_of(count)), {}}));
+            persist(disk.entries,
+                    disk.replica.found("core", Register{Epoch{0}, Version{1}, {}, pack(core_of(count)), {}}));
         }
     }
     static std::string text(const Register& value) {
         std::string text = value.moving;
-        for (const auto& [number, bytes] : value.parts) text += fmt::format("|{}:{}", number, bytes);
+        for (const auto& [number, bytes] : value.parts)
+            text += fmt::format("|{}:{}", number, bytes);
         return text;
     }
     void crash(size_t place) {
         Disk& disk = disks[place];
         Replica again = reopened(disk.entries, disk.replica.identity);
         RC_ASSERT(again.registers == disk.replica.registers);
-        RC_ASSERT(std::tie(again.promised, again.synced, again.adopted) == std::tie(disk.replica.promised, disk.replica.synced, disk.replica.adopted));
+        RC_ASSERT(std::tie(again.promised, again.synced, again.adopted) ==
+                  std::tie(disk.replica.promised, disk.replica.synced, disk.replica.adopted));
         disk.replica = std::move(again);
     }
     void reign(size_t self) {
@@ -410,7 +480,8 @@
         Owner owner(settings, Identity{101 + self});
         std::vector<bool> away(disks.size());
         auto draw_away = [&] {
-            for (size_t place = 0; place < away.size(); ++place) away[place] = place != self && draw(5) < 2;
+            for (size_t place = 0; place < away.size(); ++place)
+                away[place] = place != self && draw(5) < 2;
         };
         draw_away();
         owner.unpack_core = [](const std::string& packed) { return unpack<Core>(packed); };
@@ -424,16 +495,19 @@
             if (draw(12) == 0) draw_away();
             if (owner.acting() && !begun) {
                 begun = true;
-                for (const auto& [key, value] : owner.registers()) RC_ASSERT(!dead[key].contains(text(value)));
+                for (const auto& [key, value] : owner.registers())
+                    RC_ASSERT(!dead[key].contains(text(value)));
                 for (const auto& [key, content] : decided) {
                     RC_ASSERT(owner.registers().contains(key));
                     // A later try of the same key that was never told may have been decided as well.
-                    RC_ASSERT(text(owner.registers().at(key)) == content || tried[key].contains(text(owner.registers().at(key))));
+                    RC_ASSERT(text(owner.registers().at(key)) == content ||
+                              tried[key].contains(text(owner.registers().at(key))));
                 }
                 for (auto& [key, contents] : tried) {
                     auto found = owner.registers().find(key);
                     for (const std::string& content : contents)
-                        if (found == owner.registers().end() || text(found->second) != content) dead[key].insert(content);
+                        if (found == owner.registers().end() || text(found->second) != content)
+                            dead[key].insert(content);
                     contents.clear();
                     if (found != owner.registers().end()) decided[key] = text(found->second);
                 }
@@ -445,7 +519,8 @@
                 if (draw(3) != 0) parts.push_back({std::uint64_t(draw(3)), fmt::format("p{}", ++serial)});
                 if (draw(4) == 0) parts.push_back({std::uint64_t(draw(3)), ""});
                 bool all = draw(6) == 0;
-                owner.propose(key, fresh ? std::optional<std::string>("fixed") : std::nullopt, Patch(fmt::format("m{}", ++serial), parts, all), nullptr);
+                owner.propose(key, fresh ? std::optional<std::string>("fixed") : std::nullopt,
+                              Patch(fmt::format("m{}", ++serial), parts, all), nullptr);
                 std::string content = text(owner.registers().at(key));
                 tried[key].insert(content);
                 owner.confirm(key, [this, key, content](bool committed) {
@@ -480,10 +555,11 @@
 };
 void nothing_decided_is_lost() {
     property("owners after owners, with crashes between any two steps", rc::check([] {
-        Story story(size_t(3 + draw(3)));
-        int reigns = 2 + draw(14);
-        for (int reign = 0; reign < reigns; ++reign) story.reign(size_t(draw(int(story.disks.size()))));
-    }));
+                 Story story(size_t(3 + draw(3)));
+                 int reigns = 2 + draw(14);
+                 for (int reign = 0; reign < reigns; ++reign)
+                     story.reign(size_t(draw(int(story.disks.size()))));
+             }));
 }
 
 }  // namespace
--- a/tests/takeover.cpp
+++ b/tests/takeover.cpp
@@ -6,11 +6,14 @@
 
 namespace {
 
-const std::vector<const char*> moments = {"proposed", "sent", "committed", "ordered", "started", "result heard", "side heard", "end reported", "end noted", "took over"};
-const std::vector<int> losses = {kill_daemon, cut_daemon, part_daemon, mute_daemon, freeze_daemon, wipe_daemon, kill_all};
+const std::vector<const char*> moments = {"proposed",     "sent",       "committed",    "ordered",   "started",
+                                          "result heard", "side heard", "end reported", "end noted", "took over"};
+const std::vector<int> losses = {kill_daemon,   cut_daemon,  part_daemon, mute_daemon,
+                                 freeze_daemon, wipe_daemon, kill_all};
 
 // The owner is lost at the `nth` time that `moment` comes, and its successor too where `again` is set.
-std::vector<std::string> lose_at(std::uint64_t seed, const char* moment, size_t nth, int kind, bool again, Micros wait) {
+std::vector<std::string> lose_at(std::uint64_t seed, const char* moment, size_t nth, int kind, bool again,
+                                 Micros wait) {
     Options options;
     options.daemons = again ? 5 : 3;
     options.losses = again ? 2 : 1;
@@ -27,11 +30,13 @@
         ++struck;
         run.world.after(wait, [&run, kind] {
             Daemon* owner = run.owner();
-            if (owner && run.hurt() < (kind == kill_all ? 1 : run.options.losses)) run.strike_daemon(*owner, {kind, 0, 0, seconds(3)});
+            if (owner && run.hurt() < (kind == kill_all ? 1 : run.options.losses))
+                run.strike_daemon(*owner, {kind, 0, 0, seconds(3)});
         });
     };
     std::vector<std::string> broken = run.play({});
-    if (struck == 0 && std::string_view(moment) != "took over") broken.push_back(fmt::format("the moment '{}' never came", moment));
+    if (struck == 0 && std::string_view(moment) != "took over")
+        broken.push_back(fmt::format("the moment '{}' never came", moment));
     return broken;
 }
 
@@ -43,7 +48,8 @@
         for (size_t nth : {1, 2, 5, 12, 20})
             for (int kind : losses) {
                 const std::uint64_t seed = 1000 * nth + std::uint64_t(kind);
-                EXPECT_SAID(tell(seed, lose_at(seed, moment, nth, kind, false, 0)), fmt::format("trouble {} at time {} of '{}'", kind, nth, moment));
+                EXPECT_SAID(tell(seed, lose_at(seed, moment, nth, kind, false, 0)),
+                            fmt::format("trouble {} at time {} of '{}'", kind, nth, moment));
             }
     bool good = rc::check("nothing is placed twice wherever one owner, or two in turn, are lost", [] {
         const std::uint64_t seed = *rc::gen::inRange<std::uint64_t>(1, 1u << 30);
