Store: owner and replica as a library, standard names, API of drain, levelness and settled membership

Cause: the store was one header-only unit with names of its own, and its callers had no way to ask whether a change of membership is settled, whether a member is level, or to hand the ownership back in order.

Errand is OutgoingMessage, pump is messages_due, bury is remove with tombstones, sounding is pre_vote, handing is transferring, outbid is superseded. New: membership_settled, level, level_without, begin_drain, cancel_drain, draining, drained, take_over with the present owner, set_core refuses while a change is open; promises note to whom they were given (m/promised_to). Terms, commits of membership and the order of batches are as before.

--- a/source/control.hpp
+++ b/source/control.hpp
@@ -131,7 +131,7 @@
             control->owner_.confirm(key, std::move(told));
             control->turn_wanted_ = true;
         }
-        void bury(const std::string& key) { control->owner_.bury(key); }
+        void bury(const std::string& key) { control->owner_.remove(key); }
     };
     struct SideWait {
         Reply reply;
@@ -282,7 +282,7 @@
             }
             ++joiner;
         }
-        if (core_changing_) return;
+        if (!owner_.membership_settled()) return;
         Core core = owner_.core();
         if (const Member* victim = lost_member(core, now)) {
             log_line("control", "member {} at {} leaves the core", victim->number, victim->address);
@@ -325,8 +325,7 @@
     }
     void change_core(Core core) {
         core.size_wanted = core.members.size();
-        core_changing_ = true;
-        owner_.set_core(core, pack(core), [this](bool) { core_changing_ = false; });
+        owner_.set_core(core, pack(core), nullptr);
         turn_wanted_ = true;
     }
 
@@ -375,8 +374,8 @@
         learn_core(now);
         ask_to_join(now);
         if (place_ && !leaving_) elect(now);
-        for (Errand& errand : owner_.pump(now))
-            carry(std::move(errand));
+        for (OutgoingMessage& message : owner_.messages_due(now))
+            carry(std::move(message));
         if (acting()) {
             tend_core(now);
             Micros wall = judge_.wall(wall_now(), now);
@@ -389,8 +388,8 @@
                 owner_.probe();
             }
         }
-        for (Errand& errand : owner_.pump(now))
-            carry(std::move(errand));
+        for (OutgoingMessage& message : owner_.messages_due(now))
+            carry(std::move(message));
         if (now - counted_at_ > settings_.count_every) {
             counted_at_ = now;
             std::string text = counters().changed_text();
@@ -401,7 +400,7 @@
     void elect(Micros now) {
         bool stalled = disk_.stalled_for(now) > milliseconds(600);
         // A majority that grants its epoch shows that nobody else is to be caught up from.
-        if (owner_.state() == Owner::State::handing || owner_.acting()) catching_up_until_ = 0;
+        if (owner_.state() == Owner::State::transferring || owner_.acting()) catching_up_until_ = 0;
         bool catching_up = now < catching_up_until_;
         if (!detector_.trusts_itself() || core_.members.size() < 2 ||
             owner_.reaches_majority(now - settings_.alone_after / 2))
@@ -424,14 +423,13 @@
             log_line("control", "gives way, epoch {}", owner_.epoch().value);
             owner_.give_up();
         }
-        if (owner_.outbid_by) {
-            highest_epoch_ = std::max(highest_epoch_, *owner_.outbid_by);
-            owner_.outbid_by.reset();
+        if (owner_.superseded_by) {
+            highest_epoch_ = std::max(highest_epoch_, *owner_.superseded_by);
+            owner_.superseded_by.reset();
         }
         if (owner_.acting() && scheduler_epoch_ != owner_.epoch()) {
             scheduler_epoch_ = owner_.epoch();
             acting_since_ = now;
-            core_changing_ = false;
             joined_at_ = 0;
             log_line("control", "owner under epoch {}, {} registers", owner_.epoch().value, owner_.registers().size());
             scheduler_.begin(owner_.epoch(), owner_.registers(), now);
@@ -452,7 +450,7 @@
             next = std::min(next, now + (owner_.acting() ? milliseconds(100) : settings_.owner.ask_again));
         if (acting()) next = std::min(next, scheduler_.next_tick(now, judge_.wall(wall_now(), now)));
         if (sides_asked_) next = std::min(next, sides_due_);
-        if (auto pump = owner_.next_pump()) next = std::min(next, *pump);
+        if (auto due = owner_.next_message_at()) next = std::min(next, *due);
         if (turn_wanted_) next = std::min(next, turn_ended_at_ + std::min(turn_took_, settings_.rest_most));
         next = std::max(next, now + 500);
         if (timer_at_ != 0 && timer_at_ <= next + 500 && timer_at_ > now - milliseconds(50)) return;
@@ -485,11 +483,11 @@
     }
     std::string owner_address() const { return known_owner_; }
 
-    // --- errands of the owner ---
+    // --- messages of the owner ---
 
-    void carry(Errand errand) {
-        std::uint64_t ticket = errand.ticket;
-        if (errand.to.identity == replica_.identity) {
+    void carry(OutgoingMessage message) {
+        std::uint64_t ticket = message.ticket;
+        if (message.to.identity == replica_.identity) {
             // The disk's thread only brings the answer: taking it is the loop's work.
             auto take = [this, ticket](auto answer) {
                 loop_.after(0, [this, ticket, answer = std::move(answer)] {
@@ -498,16 +496,16 @@
                     turn();
                 });
             };
-            if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask))
+            if (auto* prepare = std::get_if<PrepareAsk>(&message.ask))
                 serve_prepare(*prepare, take);
             else
-                serve_write(std::get<WriteAsk>(errand.ask), take);
+                serve_write(std::get<WriteAsk>(message.ask), take);
             return;
         }
-        bool preparing = std::holds_alternative<PrepareAsk>(errand.ask);
-        std::string body = preparing ? pack(std::get<PrepareAsk>(errand.ask)) : pack(std::get<WriteAsk>(errand.ask));
+        bool preparing = std::holds_alternative<PrepareAsk>(message.ask);
+        std::string body = preparing ? pack(std::get<PrepareAsk>(message.ask)) : pack(std::get<WriteAsk>(message.ask));
         counters().add("errand_bytes", body.size());
-        std::string address = errand.to.address;
+        std::string address = message.to.address;
         loop_.ask({.url = "http://" + address + (preparing ? "/inner/prepare" : "/inner/write"),
                    .body = std::move(body),
                    .patience = settings_.write_patience},
@@ -876,7 +874,6 @@
     std::unique_ptr<Locator> locator_;  // while outside the core
     std::vector<std::string> followed_core_;
     Micros turn_ended_at_ = 0, turn_took_ = 0;
-    bool core_changing_ = false;
     bool leaving_ = false, turning_ = false, turn_wanted_ = false;
     Micros catching_up_until_ = 0, majority_at_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0,
            counted_at_ = 0, timer_at_ = 0;
--- /dev/null
+++ b/source/control/store/owner.cpp
@@ -0,0 +1,574 @@
+#include "control/store/owner.hpp"
+
+#include "shared/wire/cbor.hpp"
+
+namespace calicostall {
+
+namespace {
+
+// Terms of members are kept apart by this many numbers.
+constexpr std::uint64_t number_room = 64;
+// What an entry and a part take in a message beside their bytes, for the size of a batch.
+constexpr size_t entry_overhead = 32, part_overhead = 12;
+
+}  // namespace
+
+// --- takeover ---
+
+void Owner::take_over(const Core& core, Epoch seen, std::map<std::string, Register> own_registers,
+                      std::optional<Identity> present_owner) {
+    const Member* me = core.find(self_);
+    if (!me) return;
+    give_up();
+    core_ = core;
+    epoch_ = Epoch{(std::max(seen.value, epoch_.value) / number_room + 1) * number_room + me->number % number_room};
+    own_registers_ = std::move(own_registers);
+    Holdings known;
+    for (const auto& [key, value] : own_registers_)
+        known.list.push_back({key, value.epoch, value.version});
+    known_ = pack(known);
+    core_epoch_ = Epoch{};
+    core_version_ = Version{};
+    present_owner_ = present_owner == self_ ? std::nullopt : present_owner;
+    handover_deadline_.reset();
+    ++takeovers_;
+    change_state(State::preparing);
+}
+
+void Owner::give_up() {
+    if (state_ == State::idle) return;
+    change_state(State::idle);
+    confirmed_at_ = -1;
+    core_changing_ = draining_ = false;
+    std::vector<Callback> callbacks;
+    for (Wait& wait : waits_)
+        callbacks.push_back(std::move(wait.callback));
+    waits_.clear();
+    links_.clear();
+    registers_.clear();
+    own_registers_.clear();
+    known_.clear();
+    chosen_.clear();
+    grants_.clear();
+    tombstones_.clear();
+    learners_.clear();
+    floor_version_ = Version{};
+    for (Callback& callback : callbacks)
+        if (callback) callback(false);
+}
+
+void Owner::superseded(Epoch promised) {
+    superseded_by = promised;
+    give_up();
+}
+
+// Whether the present owner is still to be let finish what it has in flight.
+bool Owner::awaits_present_owner(Micros now) {
+    if (!present_owner_) return false;
+    if (!handover_deadline_) handover_deadline_ = now + settings_.handover_patience;
+    if (now >= *handover_deadline_ || !core_.find(*present_owner_)) present_owner_.reset();
+    return present_owner_.has_value();
+}
+
+bool Owner::granted_majority() const {
+    size_t count = 0;
+    for (const Member& member : core_.members)
+        count += grants_.contains(member.identity);
+    return count >= core_.majority() && grants_.contains(self_);
+}
+
+// A grant may show a later core than the one this takeover began with.
+void Owner::adopt_core(const PrepareAnswer& answer) {
+    for (const KeyedRegister& each : answer.registers) {
+        if (each.key != "core" || !unpack_core) continue;
+        std::optional<Core> core = unpack_core(each.value.moving);
+        auto own = own_registers_.find("core");
+        if (own != own_registers_.end() && !each.value.newer_than(own->second)) continue;
+        if (!core || std::tie(each.value.epoch, each.value.version) <= std::tie(core_epoch_, core_version_)) continue;
+        core_epoch_ = each.value.epoch;
+        core_version_ = each.value.version;
+        core_ = *core;
+        if (!core_.find(self_)) return give_up();
+        update_links();
+    }
+}
+
+// What a member holds, from its answer: all of `own_registers_` but for what it named.
+std::map<std::string, Owner::Content> Owner::holdings(const PrepareAnswer& answer) const {
+    std::map<std::string, Content> held;
+    for (const auto& [key, value] : own_registers_)
+        held.emplace_hint(held.end(), key, Content{value.epoch, value.version});
+    for (const std::string& key : answer.lacking)
+        held.erase(key);
+    for (const KeyedRegister& each : answer.registers)
+        held[each.key] = {each.value.epoch, each.value.version};
+    return held;
+}
+
+// Takes the newest value of each key on the majority, but none that an owner since has acted without.
+void Owner::choose_registers() {
+    Epoch floor;
+    for (const auto& [identity, grant] : grants_)
+        floor = std::max(floor, grant.synced);
+    registers_.clear();
+    // What was known is on the majority unless each of them lacks it or has another content.
+    std::map<std::string, size_t> elsewhere;
+    for (const auto& [identity, grant] : grants_) {
+        for (const std::string& key : grant.lacking)
+            elsewhere[key]++;
+        for (const KeyedRegister& each : grant.registers)
+            if (own_registers_.contains(each.key)) elsewhere[each.key]++;
+    }
+    auto weigh = [&](const std::string& key, const Register& value) {
+        if (value.epoch < floor) return;
+        auto [place, fresh] = registers_.try_emplace(key, value);
+        if (!fresh && value.newer_than(place->second)) place->second = value;
+    };
+    for (const auto& [key, value] : own_registers_) {
+        auto found = elsewhere.find(key);
+        if (found == elsewhere.end() || found->second < grants_.size()) weigh(key, value);
+    }
+    for (const auto& [identity, grant] : grants_)
+        for (const KeyedRegister& each : grant.registers)
+            weigh(each.key, each.value);
+    for (auto& [key, value] : registers_) {
+        chosen_[key] = {value.epoch, value.version};
+        value.epoch = epoch_;
+        if (value.empty()) tombstones_.insert(key);
+    }
+}
+
+void Owner::begin_transfer() {
+    choose_registers();
+    std::map<Identity, Link> before;
+    before.swap(links_);
+    update_links();
+    for (auto& [identity, link] : links_) {
+        if (auto old = before.find(identity); old != before.end()) link.heard_at = old->second.heard_at;
+        if (auto grant = grants_.find(identity); grant != grants_.end()) compare(link, grant->second);
+    }
+    // The contents are in `registers_` now; of what was known its epochs and versions are still needed.
+    for (auto& [key, value] : own_registers_)
+        value.fixed.clear(), value.moving.clear(), value.parts.clear();
+    grants_.clear();
+    change_state(State::transferring);
+}
+
+// Learns what the member holds. What equals the chosen value, or the present one, need not be written again.
+void Owner::compare(Link& link, const PrepareAnswer& answer) {
+    std::map<std::string, Content> held = holdings(answer);
+    link.compared = link.adopting = true;
+    for (const auto& [key, content] : held) {
+        auto value = registers_.find(key);
+        if (value == registers_.end()) {
+            link.excepted.push_back(key);
+            // Left over from before a member went: forgotten by all the others since.
+            if (content.first == epoch_) link.purges[key] = content.second;
+            continue;
+        }
+        auto chosen = chosen_.find(key);
+        bool alike =
+            content == Content{epoch_, value->second.version} || (chosen != chosen_.end() && content == chosen->second);
+        if (alike)
+            link.alike[key] = content.second;
+        else
+            link.excepted.push_back(key);
+    }
+    for (const auto& [key, value] : registers_) {
+        auto alike = link.alike.find(key);
+        if (alike == link.alike.end() || alike->second != value.version)
+            link.dirty[key].whole = true;
+        else
+            link.dirty.erase(key);
+    }
+}
+
+bool Owner::synced_majority() const {
+    size_t count = 0;
+    for (const Member& member : core_.members) {
+        auto link = links_.find(member.identity);
+        count += link != links_.end() && link->second.synced;
+    }
+    return count >= core_.majority();
+}
+
+// --- proposals ---
+
+void Owner::propose(const std::string& key, std::optional<std::string> fixed, Patch patch, Callback on_committed) {
+    auto [place, fresh] = registers_.try_emplace(key);
+    Register& value = place->second;
+    tombstones_.erase(key);
+    // A key that was forgotten and comes again goes on above every version that was forgotten.
+    value.version.value = std::max(value.version.value, fresh ? floor_version_.value : 0) + 1;
+    value.epoch = epoch_;
+    if (fixed) value.fixed = std::move(*fixed);
+    value.moving = std::move(patch.moving);
+    value.change(patch.parts, patch.all);
+    for (auto& [identity, link] : links_) {
+        Missing& missing = link.dirty[key];
+        missing.replaces = missing.replaces || patch.all;
+        missing.whole = missing.whole || fixed;
+        for (const Part& part : patch.parts)
+            missing.parts.insert(part.number);
+    }
+    if (on_committed) waits_.push_back({key, value.version, 0, std::move(on_committed)});
+}
+
+void Owner::confirm(const std::string& key, Callback on_committed) {
+    auto found = registers_.find(key);
+    Version version = found == registers_.end() ? Version{} : found->second.version;
+    waits_.push_back({key, version, ++round_wanted_, std::move(on_committed)});
+}
+
+void Owner::remove(const std::string& key) {
+    propose(key, std::string(), Patch({}, {}, true), nullptr);
+    tombstones_.insert(key);
+}
+
+void Owner::settle_tombstone(const std::string& key) {
+    auto found = registers_.find(key);
+    if (found == registers_.end() || holders(key, found->second.version) < core_.members.size()) return;
+    Version version = found->second.version;
+    floor_version_ = std::max(floor_version_, version);
+    tombstones_.erase(key);
+    registers_.erase(found);
+    for (auto& [identity, link] : links_) {
+        link.dirty.erase(key);
+        link.has.erase(key);
+        link.alike.erase(key);
+        link.purges[key] = version;
+    }
+}
+
+// --- membership ---
+
+bool Owner::set_core(const Core& core, const std::string& packed, Callback on_committed) {
+    if (!membership_settled()) return false;
+    core_ = core;
+    core_changing_ = true;
+    update_links();
+    propose("core", std::nullopt, packed, nullptr);
+    waits_.push_back({"core", registers_.at("core").version, 0, std::move(on_committed), true});
+    return true;
+}
+
+bool Owner::membership_settled() const {
+    return acting() && !core_changing_;
+}
+
+bool Owner::level(Identity identity) const {
+    auto link = links_.find(identity);
+    if (link == links_.end()) return false;
+    return link->second.synced && link->second.dirty.empty() && link->second.in_flight.empty();
+}
+
+bool Owner::level_without(Identity identity) const {
+    size_t count = 0;
+    for (const Member& member : core_.members)
+        count += member.identity != identity && level(member.identity);
+    return count >= core_.majority();
+}
+
+void Owner::begin_drain() {
+    draining_ = acting();
+}
+
+void Owner::add_learner(const Member& member) {
+    if (core_.find(member.identity)) return;
+    learners_[member.identity] = member;
+    update_links();
+}
+
+bool Owner::learner_ready(Identity identity) const {
+    auto link = links_.find(identity);
+    return link != links_.end() && link->second.synced;
+}
+
+void Owner::drop_learner(Identity identity) {
+    learners_.erase(identity);
+    update_links();
+}
+
+bool Owner::heard_since(Identity identity, Micros since) const {
+    auto link = links_.find(identity);
+    return link != links_.end() && link->second.heard_at >= since;
+}
+
+bool Owner::is_gone(Identity identity) const {
+    auto link = links_.find(identity);
+    return link != links_.end() && link->second.gone;
+}
+
+bool Owner::reaches_majority(Micros since) const {
+    size_t count = 0;
+    for (const Member& member : core_.members)
+        count += member.identity == self_ || heard_since(member.identity, since);
+    return count >= core_.majority();
+}
+
+void Owner::update_links() {
+    std::map<Identity, Member> wanted;
+    for (const Member& member : core_.members)
+        wanted[member.identity] = member;
+    for (const auto& [identity, member] : learners_)
+        wanted[identity] = member;
+    std::erase_if(links_, [&](const auto& each) { return !wanted.contains(each.first); });
+    for (const auto& [identity, member] : wanted)
+        links_[identity].member = member;
+}
+
+// --- messages ---
+
+std::vector<OutgoingMessage> Owner::messages_due(Micros now) {
+    std::vector<OutgoingMessage> messages;
+    if (state_ == State::idle) return messages;
+    if (links_.empty()) update_links();
+    bool pre_votes_only = state_ == State::preparing && awaits_present_owner(now);
+    for (auto& [identity, link] : links_) {
+        if (link.in_flight_ticket || now < link.not_before) continue;
+        if (state_ == State::preparing) {
+            std::optional<PrepareAsk> ask = next_prepare(identity, link, pre_votes_only);
+            if (ask) messages.push_back(make_message(link, now, std::move(*ask)));
+        } else if (!link.compared) {
+            // One that was not among the majority: what it holds is learnt before it is written to.
+            PrepareAsk ask{self_, identity, epoch_, PrepareKind::late, known_};
+            messages.push_back(make_message(link, now, std::move(ask)));
+        } else {
+            std::optional<WriteAsk> ask = next_write(identity, link);
+            if (ask) messages.push_back(make_message(link, now, std::move(*ask)));
+        }
+    }
+    return messages;
+}
+
+std::optional<Micros> Owner::next_message_at() const {
+    std::optional<Micros> next;
+    for (const auto& [identity, link] : links_)
+        if (!link.in_flight_ticket && (!link.dirty.empty() || link.round < round_wanted_))
+            next = std::min(next.value_or(link.not_before), link.not_before);
+    return next;
+}
+
+std::optional<PrepareAsk> Owner::next_prepare(Identity identity, const Link& link, bool pre_votes_only) const {
+    if (grants_.contains(identity) || learners_.contains(identity)) return std::nullopt;
+    // The own promise is raised last: until the others trust this daemon, the present owner is left alone.
+    if (identity == self_ && grants_.size() + 1 < core_.majority()) return std::nullopt;
+    bool pre_vote = identity != self_ && !link.ready;
+    if (pre_votes_only && !pre_vote) return std::nullopt;
+    PrepareKind kind = pre_vote ? PrepareKind::pre_vote : PrepareKind::grant;
+    return PrepareAsk{self_, identity, epoch_, kind, pre_vote ? "" : known_};
+}
+
+std::optional<WriteAsk> Owner::next_write(Identity identity, Link& link) {
+    if (link.dirty.empty() && link.purges.empty() && link.round >= round_wanted_ && link.synced) return std::nullopt;
+    WriteAsk ask{self_, identity, epoch_, false, false, {}, {}, link.adopting, {}};
+    if (link.adopting) ask.excepted = link.excepted;
+    size_t bytes = 0;
+    link.in_flight.clear();
+    for (auto each = link.dirty.begin(); each != link.dirty.end() && bytes < settings_.batch_bytes;
+         each = link.dirty.erase(each)) {
+        WriteEntry entry = make_entry(each->first, each->second, link);
+        bytes += entry.key.size() + entry.fixed.size() + entry.moving.size() + entry_overhead;
+        for (const Part& part : entry.parts)
+            bytes += part.bytes.size() + part_overhead;
+        link.in_flight[each->first] = {entry.version, std::move(each->second)};
+        ask.entries.push_back(std::move(entry));
+    }
+    for (const auto& [key, version] : link.purges)
+        ask.purges.push_back({key, version});
+    link.purging = link.purges;
+    ask.complete = !link.synced && link.dirty.empty();
+    ask.level = link.dirty.empty();
+    link.completing = ask.complete;
+    link.in_flight_round = round_wanted_;
+    return ask;
+}
+
+WriteEntry Owner::make_entry(const std::string& key, const Missing& missing, const Link& link) const {
+    const Register& value = registers_.at(key);
+    auto has = link.has.find(key);
+    WriteEntry entry{key, Carries::all, epoch_, value.version, {}, {}, value.moving, {}, missing.replaces};
+    if (has != link.has.end() && !missing.whole) {
+        entry.carries = Carries::changes;
+        entry.base = has->second;
+    } else {
+        entry.fixed = value.fixed;
+    }
+    if (entry.carries == Carries::all || missing.replaces) {
+        for (const auto& [number, part] : value.parts)
+            entry.parts.push_back({number, part});
+    } else {
+        for (std::uint64_t number : missing.parts) {
+            auto part = value.parts.find(number);
+            entry.parts.push_back({number, part == value.parts.end() ? std::string() : part->second});
+        }
+    }
+    return entry;
+}
+
+template <class Ask>
+OutgoingMessage Owner::make_message(Link& link, Micros now, Ask ask) {
+    link.in_flight_ticket = ++last_ticket_;
+    link.sent_at = now;
+    return {link.in_flight_ticket, link.member, std::move(ask)};
+}
+
+// --- answers ---
+
+Owner::Link* Owner::link_awaiting(std::uint64_t ticket) {
+    for (auto& [identity, link] : links_) {
+        if (link.in_flight_ticket == ticket) {
+            link.in_flight_ticket = 0;
+            return &link;
+        }
+    }
+    return nullptr;
+}
+
+void Owner::take(std::uint64_t ticket, const PrepareAnswer* answer, Micros now) {
+    Link* link = link_awaiting(ticket);
+    if (!link || state_ == State::idle) return;
+    bool of_present_owner = present_owner_ == link->member.identity;
+    if (of_present_owner && (!answer || answer->verdict != Verdict::untrusted)) present_owner_.reset();
+    if (!answer) return back_off(*link, now);
+    link->heard_at = now;
+    switch (answer->verdict) {
+        case Verdict::ready:
+            link->ready = true;
+            return;
+        case Verdict::granted:
+            if (state_ != State::preparing) return compare(*link, *answer);
+            grants_[link->member.identity] = *answer;
+            adopt_core(*answer);
+            if (state_ == State::preparing && granted_majority()) begin_transfer();
+            return;
+        default:
+            break;
+    }
+    if (answer->promised > epoch_) return superseded(answer->promised);
+    if (answer->verdict == Verdict::stranger) link->gone = true;
+    back_off(*link, now);
+    if (answer->verdict == Verdict::untrusted) link->not_before = now + settings_.ask_again;
+}
+
+void Owner::take(std::uint64_t ticket, const WriteAnswer* answer, Micros now) {
+    Link* link = link_awaiting(ticket);
+    if (!link || (state_ != State::transferring && state_ != State::acting)) return;
+    if (!answer) {
+        requeue_in_flight(*link);
+        return back_off(*link, now);
+    }
+    if (answer->promised > epoch_) return superseded(answer->promised);
+    link->heard_at = now;
+    if (answer->verdict != Verdict::granted) {
+        if (answer->verdict == Verdict::stranger) link->gone = true;
+        requeue_in_flight(*link);
+        return back_off(*link, now);
+    }
+    bool busy = link->written_at >= 0 && link->sent_at - link->written_at <= settings_.gather_most;
+    link->written_at = now;
+    if (busy) link->not_before = now + std::min((now - link->sent_at) / 2, settings_.gather_most);
+    note_written(*link, *answer);
+    if (state_ == State::transferring && synced_majority()) change_state(State::acting);
+    note_confirmation();
+    run_callbacks();
+}
+
+void Owner::note_written(Link& link, const WriteAnswer& answer) {
+    if (link.adopting) {
+        link.adopting = false;
+        link.has.merge(link.alike);
+        link.alike.clear();
+        link.excepted.clear();
+    }
+    std::set<std::string> lacking(answer.lacking.begin(), answer.lacking.end());
+    std::vector<std::string> removed;
+    for (const auto& [key, sent] : link.in_flight) {
+        if (lacking.contains(key)) {
+            link.has.erase(key);
+            if (registers_.contains(key)) link.dirty[key].whole = true;
+            continue;
+        }
+        link.has[key] = sent.version;
+        if (tombstones_.contains(key)) removed.push_back(key);
+    }
+    link.in_flight.clear();
+    for (const auto& [key, version] : link.purging) {
+        auto purge = link.purges.find(key);
+        if (purge != link.purges.end() && purge->second == version) link.purges.erase(purge);
+    }
+    link.purging.clear();
+    if (link.completing && lacking.empty()) link.synced = true;
+    link.round = std::max(link.round, link.in_flight_round);
+    link.answered_from = link.sent_at;
+    for (const std::string& key : removed)
+        settle_tombstone(key);
+}
+
+// What got no answer may be there or not; it is sent again. One that took it will find the base gone, and gets all.
+void Owner::requeue_in_flight(Link& link) {
+    for (auto& [key, sent] : link.in_flight) {
+        if (!registers_.contains(key)) continue;
+        Missing& missing = link.dirty[key];
+        missing.parts.merge(sent.missing.parts);
+        missing.replaces = missing.replaces || sent.missing.replaces;
+        missing.whole = missing.whole || sent.missing.whole;
+    }
+    link.in_flight.clear();
+    link.purging.clear();
+}
+
+// --- commits ---
+
+// How many members have the key in this version or a later one.
+size_t Owner::holders(const std::string& key, Version version) const {
+    size_t count = 0;
+    for (const Member& member : core_.members) {
+        auto link = links_.find(member.identity);
+        if (link == links_.end()) continue;
+        auto has = link->second.has.find(key);
+        count += has != link->second.has.end() && has->second >= version;
+    }
+    return count;
+}
+
+size_t Owner::members_in_round(std::uint64_t round) const {
+    size_t count = 0;
+    for (const Member& member : core_.members) {
+        auto link = links_.find(member.identity);
+        count += link != links_.end() && link->second.round >= round;
+    }
+    return count;
+}
+
+void Owner::note_confirmation() {
+    std::vector<Micros> times;
+    for (const Member& member : core_.members) {
+        auto link = links_.find(member.identity);
+        times.push_back(link == links_.end() ? -1 : link->second.answered_from);
+    }
+    std::sort(times.rbegin(), times.rend());
+    if (acting() && times.size() >= core_.majority())
+        confirmed_at_ = std::max(confirmed_at_, times[core_.majority() - 1]);
+}
+
+void Owner::run_callbacks() {
+    if (!acting()) return;
+    std::vector<Callback> callbacks;
+    for (auto wait = waits_.begin(); wait != waits_.end();) {
+        auto found = registers_.find(wait->key);
+        bool held = wait->version.value == 0 || found == registers_.end() ||
+                    holders(wait->key, wait->version) >= core_.majority();
+        if (held && members_in_round(wait->round) >= core_.majority()) {
+            if (wait->changes_core) core_changing_ = false;
+            callbacks.push_back(std::move(wait->callback));
+            wait = waits_.erase(wait);
+        } else {
+            ++wait;
+        }
+    }
+    for (Callback& callback : callbacks)
+        if (callback) callback(true);
+}
+
+}  // namespace calicostall
--- a/source/control/store/register.hpp
+++ b/source/control/store/register.hpp
@@ -1,4 +1,4 @@
-// The words of the record: registers, members of the core, and the frames between replicas.
+// The data types of the record: registers, members of the core, and the frames between owner and replicas.
 #pragma once
 #include "common.hpp"
 
@@ -17,7 +17,7 @@
 };
 
 // What a proposal changes of a value: `moving` is replaced, then the parts named here (or, with `all`, every part).
-// Example: owner.propose("job/1", std::nullopt, Patch{head, {{7, task}}}, told);
+// Example: owner.propose("job/1", std::nullopt, Patch{head, {{7, task}}}, on_committed);
 struct Patch {
     std::string moving;
     std::vector<Part> parts;
@@ -122,10 +122,10 @@
     }
 };
 
-// sounding: would it be granted? (nothing is promised, and nothing big is sent to one that does not trust the asker)
+// pre_vote: would it be granted? (nothing is promised, and nothing big is sent to one that does not trust the asker)
 // grant: the ordinary prepare. late: the epoch has its majority, and only what the replica holds is wanted, without
 // contents.
-enum class PrepareKind { grant, sounding, late };
+enum class PrepareKind { grant, pre_vote, late };
 
 struct PrepareAsk {
     Identity from, to;
@@ -139,19 +139,21 @@
     }
 };
 
-// ready: a sounding that would be granted.
+// ready: a pre-vote that would be granted.
 enum class Verdict { granted, outdated, untrusted, stranger, error, ready };
 
 struct PrepareAnswer {
     Verdict verdict = Verdict::error;
     Epoch promised, synced;
+    Identity promised_to;  // the candidate that `promised` was given to
     Micros wall = 0;
     std::vector<KeyedRegister> registers;  // held here in another content than `known` says, or not known there
     std::vector<std::string> lacking;      // known there and not held here
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(verdict), visit(promised), visit(synced), visit(wall), visit(registers), visit(lacking);
+        visit(verdict), visit(promised), visit(promised_to), visit(synced), visit(wall), visit(registers),
+            visit(lacking);
     }
 };
 
@@ -205,12 +207,13 @@
 struct WriteAnswer {
     Verdict verdict = Verdict::error;
     Epoch promised;
+    Identity promised_to;
     Micros wall = 0;
     std::vector<std::string> lacking;  // keys of which the replica does not have what the entry builds on
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(verdict), visit(promised), visit(wall), visit(lacking);
+        visit(verdict), visit(promised), visit(promised_to), visit(wall), visit(lacking);
     }
 };
 
--- a/source/control/store/replica.hpp
+++ b/source/control/store/replica.hpp
@@ -1,7 +1,6 @@
-// What one disk has promised and holds. Pure: the caller persists a Change before it answers.
+// What one disk has promised and holds. Pure: the caller persists a Change before it sends the answer.
 #pragma once
 #include "control/store/register.hpp"
-#include "shared/wire/cbor.hpp"
 
 namespace calicostall {
 
@@ -29,213 +28,36 @@
 public:
     Identity identity;
     Epoch promised, synced;
-    Epoch adopted;  // the last owner whose adoption this replica carried out
+    Identity promised_to;  // the candidate that `promised` was given to
+    Epoch adopted;         // the last owner whose adoption this replica carried out
     std::map<std::string, Register> registers;
 
     // Grants a higher epoch (or the same one again), only to the daemon that it trusts.
-    std::pair<PrepareAnswer, Change> prepare(const PrepareAsk& ask, bool trusted) {
-        PrepareAnswer answer;
-        Change change;
-        std::optional<Holdings> known;
-        if (ask.to != identity)
-            answer.verdict = Verdict::stranger;
-        else if (ask.epoch < promised)
-            answer.verdict = Verdict::outdated;
-        else if (!trusted && ask.kind != PrepareKind::late)
-            answer.verdict = Verdict::untrusted;
-        else if (ask.kind == PrepareKind::sounding)
-            answer.verdict = Verdict::ready;
-        else if (known = ask.known.empty() ? Holdings{} : unpack<Holdings>(ask.known); known) {
-            answer.verdict = Verdict::granted;
-            promise(ask.epoch, change);
-            compare(*known, ask.kind == PrepareKind::late, answer);
-        }
-        answer.promised = promised;
-        answer.synced = synced;
-        return {std::move(answer), std::move(change)};
-    }
+    std::pair<PrepareAnswer, Change> prepare(const PrepareAsk& ask, bool trusted);
 
-    std::pair<WriteAnswer, Change> write(const WriteAsk& ask) {
-        WriteAnswer answer;
-        Change change;
-        answer.promised = promised;
-        if (ask.to != identity) {
-            answer.verdict = Verdict::stranger;
-            return {std::move(answer), std::move(change)};
-        }
-        if (ask.epoch < promised) {
-            answer.verdict = Verdict::outdated;
-            return {std::move(answer), std::move(change)};
-        }
-        answer.verdict = Verdict::granted;
-        promise(ask.epoch, change);
-        if (ask.adopt && adopted < ask.epoch) adopt(ask, change);
-        for (const WriteEntry& entry : ask.entries)
-            if (!take(entry, change)) answer.lacking.push_back(entry.key);
-        for (const Purge& purge : ask.purges) {
-            auto found = registers.find(purge.key);
-            if (found != registers.end() && (found->second.epoch < ask.epoch || found->second.version <= purge.version))
-                drop(found, change);
-        }
-        if (ask.complete && answer.lacking.empty() && synced < ask.epoch) {
-            // What is older than this owner's takeover and was not handed over was never decided.
-            synced = ask.epoch;
-            change.entries.emplace_back("m/synced", pack(synced));
-            for (auto each = registers.begin(); each != registers.end();) {
-                if (each->second.epoch < synced)
-                    each = drop(each, change);
-                else
-                    ++each;
-            }
-        }
-        answer.promised = promised;
-        return {std::move(answer), std::move(change)};
-    }
+    // Takes what the owner of the highest epoch writes.
+    std::pair<WriteAnswer, Change> write(const WriteAsk& ask);
 
     // Puts a register in as it is, for a replica that founds the core.
-    Change found(const std::string& key, Register value) {
-        Change change;
-        Register& place = registers[key] = std::move(value);
-        keep_head(key, place, change);
-        if (!place.fixed.empty()) change.entries.emplace_back("f/" + key, place.fixed);
-        for (const auto& [number, bytes] : place.parts)
-            change.entries.emplace_back(part_name(key, number), bytes);
-        return change;
-    }
+    Change found(const std::string& key, Register value);
 
     // The persisted form read back: each entry in any order, then `finish_load` once. Returns whether the entry was
     // sound.
-    bool load(std::string_view name, std::string_view bytes) {
-        std::string key(name.substr(std::min<size_t>(2, name.size())));
-        if (name.starts_with("r/")) {
-            auto head = unpack<RegisterHead>(bytes);
-            if (!head) return false;
-            Register& value = registers[key];
-            value.epoch = head->epoch;
-            value.version = head->version;
-            value.moving = std::move(head->moving);
-            stamps_[key] = head->stamp;
-        } else if (name.starts_with("f/")) {
-            registers[key].fixed = bytes;
-        } else if (name.starts_with("p/") && key.size() > 8) {
-            std::uint64_t number = 0;
-            for (char letter : key.substr(key.size() - 8))
-                number = number << 8 | std::uint8_t(letter);
-            registers[key.substr(0, key.size() - 8)].parts[number] = bytes;
-        } else {
-            auto read = unpack<Epoch>(bytes);
-            if (!read) return false;
-            if (name == "m/identity")
-                identity = Identity{read->value};
-            else if (name == "m/promised")
-                promised = *read;
-            else if (name == "m/synced")
-                synced = *read;
-            else if (name == "m/adopted")
-                adopted = *read;
-            else
-                return false;
-        }
-        return true;
-    }
+    bool load(std::string_view name, std::string_view bytes);
     // Gives every register the epoch it had; returns whether none lacks its head.
-    bool finish_load() {
-        bool sound = true;
-        for (auto each = registers.begin(); each != registers.end();) {
-            auto stamp = stamps_.find(each->first);
-            if (stamp == stamps_.end()) {
-                sound = false;
-                each = registers.erase(each);
-                continue;
-            }
-            if (stamp->second < adopted) each->second.epoch = adopted;
-            ++each;
-        }
-        stamps_.clear();
-        return sound;
-    }
+    bool finish_load();
 
 private:
-    static std::string part_name(const std::string& key, std::uint64_t number) {
-        std::string name = "p/" + key;
-        for (int shift = 56; shift >= 0; shift -= 8)
-            name += char(number >> shift);
-        return name;
-    }
-    void promise(Epoch epoch, Change& change) {
-        if (epoch <= promised) return;
-        promised = epoch;
-        change.entries.emplace_back("m/promised", pack(promised));
-    }
-    void keep_head(const std::string& key, const Register& value, Change& change) {
-        change.entries.emplace_back("r/" + key, pack(RegisterHead{value.epoch, adopted, value.version, value.moving}));
-    }
-    std::map<std::string, Register>::iterator drop(std::map<std::string, Register>::iterator each, Change& change) {
-        change.entries.emplace_back("r/" + each->first, std::nullopt);
-        change.entries.emplace_back("f/" + each->first, std::nullopt);
-        for (const auto& [number, bytes] : each->second.parts)
-            change.entries.emplace_back(part_name(each->first, number), std::nullopt);
-        return registers.erase(each);
-    }
-    void compare(const Holdings& known, bool bare, PrepareAnswer& answer) const {
-        auto theirs = known.list.begin();
-        for (const auto& [key, value] : registers) {
-            for (; theirs != known.list.end() && theirs->key < key; ++theirs)
-                answer.lacking.push_back(theirs->key);
-            if (theirs != known.list.end() && theirs->key == key) {
-                bool same = theirs->epoch == value.epoch && theirs->version == value.version;
-                ++theirs;
-                if (same) continue;
-            }
-            answer.registers.push_back(bare ? KeyedRegister{key, Register{value.epoch, value.version, {}, {}, {}}}
-                                            : KeyedRegister{key, value});
-        }
-        for (; theirs != known.list.end(); ++theirs)
-            answer.lacking.push_back(theirs->key);
-    }
-    void adopt(const WriteAsk& ask, Change& change) {
-        std::set<std::string> excepted(ask.excepted.begin(), ask.excepted.end());
-        adopted = ask.epoch;
-        change.entries.emplace_back("m/adopted", pack(adopted));
-        for (auto& [key, value] : registers) {
-            if (excepted.contains(key))
-                keep_head(key, value, change);
-            else
-                value.epoch = adopted;
-        }
-    }
-    // Returns false when what the entry builds on is not here.
-    bool take(const WriteEntry& entry, Change& change) {
-        auto found = registers.find(entry.key);
-        if (found != registers.end() &&
-            std::tie(entry.epoch, entry.version) <= std::tie(found->second.epoch, found->second.version))
-            return true;
-        if (entry.carries == Carries::changes) {
-            if (found == registers.end() || found->second.epoch != entry.epoch || found->second.version != entry.base)
-                return false;
-        } else if (found == registers.end()) {
-            found = registers.try_emplace(entry.key).first;
-        }
-        Register& value = found->second;
-        value.epoch = entry.epoch;
-        value.version = entry.version;
-        value.moving = entry.moving;
-        bool replaces = entry.replaces || entry.carries == Carries::all;
-        if (entry.carries == Carries::all && value.fixed != entry.fixed) {
-            value.fixed = entry.fixed;
-            change.entries.emplace_back("f/" + entry.key,
-                                        entry.fixed.empty() ? std::nullopt : std::optional(entry.fixed));
-        }
-        keep_head(entry.key, value, change);
-        if (replaces)
-            for (const auto& [number, bytes] : value.parts)
-                change.entries.emplace_back(part_name(entry.key, number), std::nullopt);
-        for (const Part& part : entry.parts)
-            change.entries.emplace_back(part_name(entry.key, part.number),
-                                        part.bytes.empty() ? std::nullopt : std::optional(part.bytes));
-        value.change(entry.parts, replaces);
-        return true;
-    }
+    using Place = std::map<std::string, Register>::iterator;
+
+    void promise(Epoch epoch, Identity candidate, Change& change);
+    bool load_meta(std::string_view name, std::string_view bytes);
+    void keep_head(const std::string& key, const Register& value, Change& change);
+    Place drop(Place each, Change& change);
+    void compare(const Holdings& known, bool bare, PrepareAnswer& answer) const;
+    void adopt(const WriteAsk& ask, Change& change);
+    void complete(Epoch epoch, Change& change);
+    bool take(const WriteEntry& entry, Change& change);
 
     std::map<std::string, Epoch> stamps_;  // while loading
 };
--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -50,7 +50,7 @@
         void confirm(const std::string& key, std::function<void(bool)> told) {
             daemon->live->owner.confirm(key, std::move(told));
         }
-        void bury(const std::string& key) { daemon->live->owner.bury(key); }
+        void bury(const std::string& key) { daemon->live->owner.remove(key); }
     };
     struct Live {
         Replica replica;
@@ -66,7 +66,6 @@
             Micros heard_at = 0;
         };
         std::map<Identity, Joiner> joiners;
-        bool core_changing = false;
         Epoch scheduler_epoch, highest, known_epoch;
         std::string known_owner;
         Micros next_takeover = 0, probed = 0, joined_at = 0, next_join = 0, next_follow = 0, catching_up_until = 0,
@@ -312,7 +311,7 @@
             if (!my.owner.has_learner(joiner->first)) my.owner.add_learner(joiner->second.member);
             ++joiner;
         }
-        if (my.core_changing) return;
+        if (!my.owner.membership_settled()) return;
         Core core = my.owner.core();
         if (const Member* victim = lost_member(core)) {
             std::uint64_t number = victim->number;
@@ -353,10 +352,7 @@
     }
     void change_core(Core core) {
         core.size_wanted = core.members.size();
-        live->core_changing = true;
-        live->owner.set_core(core, pack(core), [this, life = incarnation](bool) {
-            if (incarnation == life && live) live->core_changing = false;
-        });
+        live->owner.set_core(core, pack(core), nullptr);
     }
 
     // --- the turn ---
@@ -373,22 +369,22 @@
         learn_core();
         ask_to_join();
         if (my.place) elect();
-        for (Errand& errand : my.owner.pump(world.now))
-            carry(std::move(errand));
+        for (OutgoingMessage& message : my.owner.messages_due(world.now))
+            carry(std::move(message));
         if (acting()) {
             tend_core();
             my.scheduler.tick(world.now, world.now, my.owner.confirmed_at());
             if (world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100))
                 my.probed = world.now, my.owner.probe();
         }
-        for (Errand& errand : my.owner.pump(world.now))
-            carry(std::move(errand));
+        for (OutgoingMessage& message : my.owner.messages_due(world.now))
+            carry(std::move(message));
     }
     void elect() {
         Live& my = *live;
         const Micros now = world.now;
         bool stalled = disk_busy && now - disk_since > ms(600);
-        if (my.owner.state() == Owner::State::handing || my.owner.acting()) my.catching_up_until = 0;
+        if (my.owner.state() == Owner::State::transferring || my.owner.acting()) my.catching_up_until = 0;
         bool catching_up = now < my.catching_up_until;
         if (!my.detector.trusts_itself() || my.core.members.size() < 2 || my.owner.reaches_majority(now - ms(500)))
             my.majority_at = now;
@@ -410,11 +406,11 @@
         if ((!my.detector.trusts_itself() || stalled || (alone && my.owner.acting())) &&
             my.owner.state() != Owner::State::idle)
             my.owner.give_up();
-        if (my.owner.outbid_by) my.highest = std::max(my.highest, *my.owner.outbid_by), my.owner.outbid_by.reset();
+        if (my.owner.superseded_by)
+            my.highest = std::max(my.highest, *my.owner.superseded_by), my.owner.superseded_by.reset();
         if (my.owner.acting() && my.scheduler_epoch != my.owner.epoch()) {
             my.scheduler_epoch = my.owner.epoch();
             my.acting_since = now;
-            my.core_changing = false;
             my.joined_at = 0;
             my.scheduler.begin(my.owner.epoch(), my.owner.registers(), now);
             if (!my.owner.core().members.empty() && my.owner.registers().count("core") == 0)
@@ -438,11 +434,11 @@
         if (!options.meter) return frame;
         return *unpack<Frame>(pack(frame));
     }
-    void carry(Errand errand) {
-        auto machine = machine_at(errand.to.address);
+    void carry(OutgoingMessage message) {
+        auto machine = machine_at(message.to.address);
         auto answered = std::make_shared<bool>(false);
-        std::uint64_t ticket = errand.ticket, life = incarnation;
-        world.after(ms(700), [this, ticket, answered, life, prepare = std::holds_alternative<PrepareAsk>(errand.ask)] {
+        std::uint64_t ticket = message.ticket, life = incarnation;
+        world.after(ms(700), [this, ticket, answered, life, prepare = std::holds_alternative<PrepareAsk>(message.ask)] {
             if (*answered) return;
             enter(life, [this, ticket, answered, prepare] {
                 if (*answered) return;
@@ -454,7 +450,7 @@
             });
         });
         if (!machine) return;
-        auto serve = [this, errand = std::move(errand), answered, ticket](Daemon& other) {
+        auto serve = [this, message = std::move(message), answered, ticket](Daemon& other) {
             auto back = [this, &other, answered, ticket](auto answer) {
                 auto land = [answered, ticket, answer](Daemon& self) {
                     if (*answered) return;
@@ -468,10 +464,10 @@
                 else
                     other.reach(place, land);
             };
-            if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask))
+            if (auto* prepare = std::get_if<PrepareAsk>(&message.ask))
                 other.serve_prepare(*prepare, back);
             else
-                other.serve_write(over_the_wire(options, std::get<WriteAsk>(errand.ask)), back);
+                other.serve_write(over_the_wire(options, std::get<WriteAsk>(message.ask)), back);
         };
         if (*machine == place)
             serve(*this);
--- a/tests/store.cpp
+++ b/tests/store.cpp
@@ -76,7 +76,7 @@
         Replica sounded = replica_of(2, core_of(3));
         sounded.promised = Epoch{row.promised};
         Verdict verdict =
-            sounded.prepare({Identity{101}, Identity{row.to}, Epoch{row.asked}, PrepareKind::sounding}, row.trusted)
+            sounded.prepare({Identity{101}, Identity{row.to}, Epoch{row.asked}, PrepareKind::pre_vote}, row.trusted)
                 .first.verdict;
         EXPECT(verdict == (row.verdict == Verdict::granted ? Verdict::ready : row.verdict) &&
                sounded.promised.value == row.promised);
@@ -173,29 +173,29 @@
     void run(int rounds = 12) {
         for (int round = 0; round < rounds; ++round) {
             now += milliseconds(120);
-            for (Errand& errand : owner.pump(now)) {
+            for (OutgoingMessage& message : owner.messages_due(now)) {
                 ++messages;
                 Replica* replica = nullptr;
                 size_t place = 0;
                 for (size_t each = 0; each < replicas.size(); ++each)
-                    if (replicas[each].identity == errand.to.identity) replica = &replicas[each], place = each;
+                    if (replicas[each].identity == message.to.identity) replica = &replicas[each], place = each;
                 bool answers = replica && up[place];
-                if (auto* ask = std::get_if<WriteAsk>(&errand.ask))
+                if (auto* ask = std::get_if<WriteAsk>(&message.ask))
                     bytes += pack(*ask).size(), entries += ask->entries.size();
                 else
-                    bytes += pack(std::get<PrepareAsk>(errand.ask)).size();
-                if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask)) {
+                    bytes += pack(std::get<PrepareAsk>(message.ask)).size();
+                if (auto* prepare = std::get_if<PrepareAsk>(&message.ask)) {
                     if (answers) {
                         auto answer = replica->prepare(*prepare, trusting[place]).first;
-                        owner.take(errand.ticket, &answer, now);
+                        owner.take(message.ticket, &answer, now);
                     } else {
-                        owner.take(errand.ticket, static_cast<const PrepareAnswer*>(nullptr), now);
+                        owner.take(message.ticket, static_cast<const PrepareAnswer*>(nullptr), now);
                     }
                 } else if (answers) {
-                    auto answer = replica->write(std::get<WriteAsk>(errand.ask)).first;
-                    owner.take(errand.ticket, &answer, now);
+                    auto answer = replica->write(std::get<WriteAsk>(message.ask)).first;
+                    owner.take(message.ticket, &answer, now);
                 } else {
-                    owner.take(errand.ticket, static_cast<const WriteAnswer*>(nullptr), now);
+                    owner.take(message.ticket, static_cast<const WriteAnswer*>(nullptr), now);
                 }
             }
         }
@@ -263,7 +263,7 @@
     bench.replicas[1].promised = Epoch{300};
     bench.owner.propose("a", "f", "v", nullptr);
     bench.run(2);
-    EXPECT(bench.owner.state() == Owner::State::idle && bench.owner.outbid_by == Epoch{300});
+    EXPECT(bench.owner.state() == Owner::State::idle && bench.owner.superseded_by == Epoch{300});
 }
 void core_changes_by_one() {
     Bench bench(3, 1);
@@ -306,7 +306,7 @@
     bench.owner.propose("job/1", "f", "v", nullptr);
     bench.run();
     bench.up[2] = false;
-    bench.owner.bury("job/1");
+    bench.owner.remove("job/1");
     bench.run();
     EXPECT(bench.owner.registers().contains("job/1"));
     EXPECT(bench.replicas[1].registers["job/1"].moving.empty());
@@ -395,7 +395,7 @@
     Member member = smaller.members.back();
     smaller.members.pop_back();
     bench.owner.set_core(smaller, pack(smaller), nullptr);
-    bench.owner.bury("gone");
+    bench.owner.remove("gone");
     bench.owner.propose("changed", std::nullopt, Patch("w", {{1, ""}}), nullptr);
     bench.run();
     EXPECT(!bench.owner.registers().contains("gone") && bench.replicas[3].registers.contains("gone"));
@@ -422,6 +422,7 @@
     PrepareAnswer answer{Verdict::granted,
                          Epoch{1},
                          Epoch{1},
+                         Identity{7},
                          5,
                          {{"a", Register{Epoch{1}, Version{2}, "f", "m", {{7, "seven"}, {9, "nine"}}}}},
                          {"b"}};
@@ -527,10 +528,10 @@
                     if (committed) decided[key] = content;
                 });
             }
-            for (Errand& errand : owner.pump(now)) {
-                size_t place = errand.to.identity.value - 101;
+            for (OutgoingMessage& message : owner.messages_due(now)) {
+                size_t place = message.to.identity.value - 101;
                 bool arrives = !away[place] && draw(8) != 0, returns = arrives && draw(6) != 0;
-                if (auto* prepare = std::get_if<PrepareAsk>(&errand.ask)) {
+                if (auto* prepare = std::get_if<PrepareAsk>(&message.ask)) {
                     PrepareAnswer answer;
                     if (arrives) {
                         auto [given, change] = disks[place].replica.prepare(*prepare, true);
@@ -538,16 +539,16 @@
                         answer = std::move(given);
                     }
                     if (draw(8) == 0) crash(place);
-                    owner.take(errand.ticket, returns ? &answer : nullptr, now);
+                    owner.take(message.ticket, returns ? &answer : nullptr, now);
                 } else {
                     WriteAnswer answer;
                     if (arrives) {
-                        auto [given, change] = disks[place].replica.write(std::get<WriteAsk>(errand.ask));
+                        auto [given, change] = disks[place].replica.write(std::get<WriteAsk>(message.ask));
                         persist(disks[place].entries, change);
                         answer = std::move(given);
                     }
                     if (draw(8) == 0) crash(place);
-                    owner.take(errand.ticket, returns ? &answer : nullptr, now);
+                    owner.take(message.ticket, returns ? &answer : nullptr, now);
                 }
             }
         }
