--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -5,7 +5,7 @@
 #include <cxxopts.hpp>
 
 #include "common.hpp"
-#include "control.hpp"
+#include "control/daemon/control.hpp"
 #include "forecast/demand.hpp"
 #include "front.hpp"
 #include "hollow/command.hpp"
@@ -168,9 +168,7 @@
 // Where a snapshot is asked for when no daemon was named.
 std::vector<std::string> replicas_of(const std::string& path, Findings& findings) {
     Settings settings = load_settings(path, findings);
-    std::vector<std::string> replicas;
-    for (const std::string& seed : settings.seeds)
-        replicas.push_back(fmt::format("{}:{}", address_host(seed), settings.first_port));
+    std::vector<std::string> replicas = settings.seed_replicas();
     if (replicas.empty() && findings.empty()) findings.add("--control", "is missing, and the settings name no seeds");
     return replicas;
 }
--- /dev/null
+++ b/source/control/daemon/control.hpp
@@ -0,0 +1,220 @@
+// The role `control`: election, record, configuration, list of workers and placement, on one machine.
+//
+// Each job has its own file: election.cpp (detector, heartbeats, becoming and ceasing to be owner), membership.cpp (who
+// belongs to the core), store_messages.cpp (what owner and replicas send each other, the disk), calls.cpp (operators,
+// clients, previews), sides.cpp, news.cpp, routes.cpp (requests by path) and turn.cpp (the order in which all of this
+// happens, and when). The protocols themselves are pure and live in control/detector, control/store and control/jobs.
+#pragma once
+#include "common.hpp"
+#include "control/daemon/record_ledger.hpp"
+#include "control/daemon/settings.hpp"
+#include "control/detector/detector.hpp"
+#include "control/detector/suspicion.hpp"
+#include "control/store/disk.hpp"
+#include "control/store/owner.hpp"
+#include "control/store/replica.hpp"
+#include "preview/serve.hpp"
+#include "shared/http/listener.hpp"
+#include "shared/http/loop.hpp"
+#include "shared/news/locator.hpp"
+#include "shared/time/judge.hpp"
+
+namespace calicostall {
+
+// Example: Control control(settings, loop); if (Findings findings = control.open(); findings.empty()) loop.run();
+// All public members may be called from any thread.
+class Control {
+public:
+    Control(ControlSettings settings, Loop& loop);
+
+    // Opens disk and listeners; returns what went wrong.
+    Findings open();
+    // A planned stop: the successors are told, and what is being decided gets a moment. Then `done` is called.
+    void leave(std::function<void()> done);
+    // Takes over what may change while the process runs: the seeds.
+    void take_settings(const Settings& machine);
+
+private:
+    using PrepareCallback = std::function<void(PrepareAnswer)>;
+    using WriteCallback = std::function<void(WriteAnswer)>;
+    using CallCallback = std::function<void(CallAnswer)>;
+
+    // A side's poll that waits for orders or other news.
+    struct SidePoll {
+        Reply reply;
+        std::string node;
+        Epoch epoch;
+        std::uint64_t orders_taken = 0, ends_seen = 0;
+        Micros until = 0;
+        bool superseded = false;  // a newer poll of the same side is here: that one gets the orders
+    };
+    // What a side last said of its worker, under the mark by which it refers to that from then on.
+    struct SideAccount {
+        std::uint64_t incarnation = 0, mark = 0;
+        WorkerAccount account;
+    };
+    // A front, side or daemon that waits for news of owner, configuration or core.
+    struct NewsPoll {
+        Reply reply;
+        NewsAsk ask;
+        Micros until = 0;
+    };
+    struct Joiner {
+        Member member;
+        Micros heard_at = 0;
+    };
+    // What answers for news depend on.
+    struct NewsState {
+        Epoch epoch;
+        std::uint64_t config_revision = 0, core_mark = 0;
+        bool operator==(const NewsState&) const = default;
+    };
+    // The configuration as it is to be passed on; `text` is none when there is none.
+    struct PublishedConfig {
+        std::uint64_t revision = 0;
+        const std::string* text = nullptr;
+    };
+
+    // --- control.cpp ---
+    std::string describe_start() const;
+    void open_listeners(Findings& findings);
+    std::unique_ptr<Listener> open_listener(const std::string& address, size_t body_bytes, const char* setting,
+                                            void (Control::*route)(Request), Findings& findings);
+
+    // --- routes.cpp: requests by path ---
+    void route_inner_request(Request request);
+    void route_operator_request(Request request);
+    void receive_write(Request request);
+    void receive_prepare(Request request);
+    void receive_heartbeat(Request request);
+    void receive_join(Request request);
+    void receive_news_poll(Request request);
+    void receive_call(Request request);
+    void receive_side_poll(Request request);
+    void refuse_frame(Reply& reply);
+
+    // --- election.cpp ---
+    // Whether this daemon owns the record and has taken it up.
+    bool acting() const;
+    void run_election(Micros now);
+    void send_heartbeats(Micros now);
+    void handle_heartbeat(const AliveNote& note, Micros now);
+    void send_heartbeat(size_t place, bool leaving);
+    void begin_ownership(Micros now);
+    void end_ownership();
+    void note_owner(Epoch epoch, const std::string& address);
+    // The replica address of the owner as last heard of; empty when unknown.
+    const std::string& owner_address() const { return known_owner_; }
+    // The same, when it is another daemon than this one.
+    std::optional<std::string> other_owner_address() const;
+
+    // --- membership.cpp ---
+    // Draws the identity of a new disk; a founder writes down the core.
+    void draw_identity();
+    // Reads the core from the replica when it has changed.
+    void refresh_core(Micros now);
+    void locate_core(Micros now);
+    void request_join(Micros now);
+    void handle_join(const JoinAsk& ask);
+    void maintain_core(Micros now);
+    void maintain_learners(Micros now);
+    const Member* find_lost_member(const Core& core, Micros now) const;
+    bool majority_without(const Core& core, const Member& member, Micros now) const;
+    void propose_core(Core core);
+
+    // --- store_messages.cpp ---
+    void send_store_messages(Micros now);
+    void send_store_message(OutgoingMessage message);
+    void send_to_own_replica(OutgoingMessage message);
+    void handle_prepare(const PrepareAsk& ask, PrepareCallback respond);
+    void handle_write(const WriteAsk& ask, WriteCallback respond);
+
+    // --- calls.cpp ---
+    void handle_call(const CallAsk& ask, CallCallback respond);
+    void relay_call(CallAsk ask, const std::string& owner, CallCallback respond);
+    SnapshotMoment snapshot_moment();
+    Response answer_preview(const std::string& method);
+    void log_snapshot(Micros now);
+
+    // --- sides.cpp ---
+    void handle_side_poll(SideAsk ask, Reply reply);
+    void relay_side_poll(SideAsk ask, const std::string& owner, Reply reply);
+    bool resolve_account(SideAsk& ask);
+    void answer_sides(Micros now);
+    void answer_side(SidePoll& poll, Micros pause, Micros now);
+
+    // --- news.cpp ---
+    void answer_news(Micros now);
+    NewsAnswer news_answer(const NewsAsk& ask, const PublishedConfig& config) const;
+    PublishedConfig published_config();
+    void follow_located_core();
+    void answer_all_waiting();
+
+    // --- turn.cpp ---
+    // Everything that follows from a change or from time, in rounds.
+    void turn();
+    void turn_on_timer();
+    void turn_round(Micros now);
+    // For what comes in: a turn now, unless the last one was so long ago that the next may gather more.
+    void request_turn();
+    void schedule_turn(Micros now);
+    Micros next_turn_at(Micros now);
+    void confirm_ownership(Micros now);
+    void log_counters(Micros now);
+
+    ControlSettings settings_;
+    Loop& loop_;
+    std::recursive_mutex lock_;
+    Replica replica_;
+    Disk disk_;
+    Detector detector_;
+    Owner owner_;
+    RecordLedger ledger_;
+    Scheduler<RecordLedger> scheduler_;
+    SelfSuspicion suspicion_;
+    PreviewReads preview_reads_;
+    Micros next_snapshot_line_ = 0;
+    ClockJudge clock_judge_;
+    std::unique_ptr<Listener> inner_listener_, operator_listener_;
+    std::string own_address_;  // of the replica
+
+    // Membership.
+    Core core_;
+    std::optional<std::pair<Epoch, Version>> core_version_;
+    std::uint64_t core_mark_ = 0;
+    std::optional<size_t> place_;
+    std::optional<Change> founding_;
+    std::map<Identity, Joiner> joiners_;
+    Micros joined_at_ = 0, next_join_ = 0;
+    std::unique_ptr<Locator> locator_;  // while outside the core
+    std::vector<std::string> located_core_;
+    std::string located_config_;
+
+    // Election.
+    bool leaving_ = false;
+    Micros catching_up_until_ = 0, majority_at_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0;
+    Epoch scheduler_epoch_, highest_epoch_, known_epoch_;
+    std::string known_owner_;
+
+    // Turns.
+    bool in_turn_ = false, turn_requested_ = false;
+    Micros turn_ended_at_ = 0, turn_duration_ = 0;
+    Micros timer_at_ = 0, timer_lateness_ = 0;  // the lateness is smoothed
+    Micros counted_at_ = 0;
+
+    // Sides.
+    std::list<SidePoll> side_polls_;
+    std::unordered_map<std::string, SideAccount> accounts_;  // by node
+    Micros sides_due_ = 0;
+    bool sides_pending_ = false;  // sides are to be answered when that time comes
+
+    // News.
+    Version config_version_;
+    Epoch config_epoch_;
+    std::uint64_t config_revision_ = 0;
+    std::list<NewsPoll> news_polls_;
+    Micros news_due_ = 0;
+    NewsState news_answered_;
+};
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/control/daemon/news.cpp
@@ -0,0 +1,76 @@
+// What fronts, sides and daemons outside the core poll for: the owner, the core and the published configuration.
+#include "control/daemon/control.hpp"
+
+namespace calicostall {
+
+void Control::answer_news(Micros now) {
+    const PublishedConfig config = published_config();
+    follow_located_core();
+    // Without news nobody is looked at before the first wait is over.
+    const NewsState state{known_epoch_, config.revision, core_mark_};
+    if (state == news_answered_ && now < news_due_) return;
+    news_answered_ = state;
+    news_due_ = std::numeric_limits<Micros>::max();
+    for (auto poll = news_polls_.begin(); poll != news_polls_.end();) {
+        const bool newer = known_epoch_ > poll->ask.epoch || config.revision > poll->ask.config_revision ||
+                           core_mark_ > poll->ask.core_mark;
+        if (!newer && now < poll->until) {
+            news_due_ = std::min(news_due_, poll->until);
+            ++poll;
+            continue;
+        }
+        poll->reply.send(Response::cbor(pack(news_answer(poll->ask, config))));
+        poll = news_polls_.erase(poll);
+    }
+}
+
+NewsAnswer Control::news_answer(const NewsAsk& ask, const PublishedConfig& config) const {
+    NewsAnswer answer{config.revision, {}, known_epoch_, known_owner_, core_mark_, {}};
+    if (config.text && config.revision > ask.config_revision) answer.config = *config.text;
+    if (!place_) {
+        answer.peers = located_core_;
+        return answer;
+    }
+    for (const Member& member : core_.members)
+        answer.peers.push_back(member.address);
+    return answer;
+}
+
+// The configuration of the own replica; outside the core the one that was heard of when that is newer.
+Control::PublishedConfig Control::published_config() {
+    PublishedConfig config;
+    auto found = replica_.registers.find("published");
+    if (found != replica_.registers.end() && !found->second.moving.empty()) {
+        const Register& value = found->second;
+        if (value.version != config_version_ || value.epoch != config_epoch_) {
+            config_version_ = value.version;
+            config_epoch_ = value.epoch;
+            Findings findings;
+            config_revision_ = parse_config(value.moving, findings).revision;
+        }
+        config = {config_revision_, &value.moving};
+    }
+    if (!locator_ || place_ || locator_->revision() <= config.revision) return config;
+    located_config_ = locator_->config();
+    return {locator_->revision(), &located_config_};
+}
+
+void Control::follow_located_core() {
+    if (!locator_ || place_) return;
+    auto [mark, peers] = locator_->peers();
+    if (mark <= core_mark_) return;
+    core_mark_ = mark;
+    located_core_ = std::move(peers);
+}
+
+void Control::answer_all_waiting() {
+    for (SidePoll& poll : side_polls_)
+        poll.reply.send(Response::cbor(pack(SideAnswer{})));
+    side_polls_.clear();
+    for (NewsPoll& poll : news_polls_)
+        poll.until = 0;
+    news_due_ = 0;
+    answer_news(steady_now());
+}
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/control/daemon/sides.cpp
@@ -0,0 +1,103 @@
+// The sides' polls: what they report goes to the scheduler, its orders go back.
+#include "control/daemon/control.hpp"
+
+namespace calicostall {
+
+namespace {
+
+// More accounts than this are forgotten at once; sides then send theirs again.
+constexpr size_t accounts_max = 4096;
+// Where sides keep a pause, polls within this part of it are answered together, at most this much later.
+constexpr Micros gather_part = 8, gather_max = milliseconds(10);
+
+SideAnswer not_served() {
+    return SideAnswer{};
+}
+
+}  // namespace
+
+void Control::handle_side_poll(SideAsk ask, Reply reply) {
+    const Micros now = steady_now();
+    if (!acting()) {
+        auto owner = other_owner_address();
+        if (!ask.relayed && owner) return relay_side_poll(std::move(ask), *owner, std::move(reply));
+        return reply.send(Response::cbor(pack(not_served())));
+    }
+    if (!resolve_account(ask)) {
+        SideAnswer answer;
+        answer.served = answer.whole = true;
+        answer.epoch = owner_.epoch();
+        counters().add("accounts_unknown");
+        return reply.send(Response::cbor(pack(answer)));
+    }
+    scheduler_.take_side(ask, now, clock_judge_.wall(wall_now(), now));
+    // An older poll of the same side is answered at once: only the newest waits.
+    for (SidePoll& poll : side_polls_) {
+        if (poll.node != ask.node) continue;
+        poll.until = 0;
+        poll.superseded = true;
+    }
+    const bool same_epoch = ask.epoch == owner_.epoch();
+    side_polls_.push_back({std::move(reply), ask.node, ask.epoch, same_epoch ? ask.taken : 0, same_epoch ? ask.seen : 0,
+                           now + settings_.side_poll_timeout});
+}
+
+void Control::relay_side_poll(SideAsk ask, const std::string& owner, Reply reply) {
+    ask.relayed = true;
+    auto shared = std::make_shared<Reply>(std::move(reply));
+    loop_.ask({.url = "http://" + owner + "/inner/side",
+               .body = pack(ask),
+               .patience = settings_.side_poll_timeout + settings_.side_relay_slack},
+              [shared](Answer answer) {
+                  shared->send(Response::cbor(answer.good() ? std::move(answer.body) : pack(not_served())));
+              });
+}
+
+// Fills in the account that the poll's mark means; false when it is not known here.
+bool Control::resolve_account(SideAsk& ask) {
+    if (ask.account_mark == 0) return true;
+    if (ask.worker) {
+        if (accounts_.size() > accounts_max) accounts_.clear();
+        accounts_[ask.node] = {ask.incarnation, ask.account_mark, *ask.worker};
+        return true;
+    }
+    auto known = accounts_.find(ask.node);
+    if (known == accounts_.end() || known->second.incarnation != ask.incarnation ||
+        known->second.mark != ask.account_mark)
+        return false;
+    ask.worker = known->second.account;
+    ask.worker->leaves_in = ask.leaves_in;
+    return true;
+}
+
+// Sides are answered at once by an owner in time; where they keep a pause, what comes within a part of it goes
+// together.
+void Control::answer_sides(Micros now) {
+    sides_pending_ = now < sides_due_ && acting();
+    if (sides_pending_) return;
+    const Micros pause = ask_pause(settings_.side_pause, timer_lateness_);
+    sides_due_ = now + std::min(pause / gather_part, gather_max);
+    for (auto poll = side_polls_.begin(); poll != side_polls_.end();) {
+        const bool waits = acting() && now < poll->until &&
+                           !scheduler_.has_news(poll->node, poll->epoch, poll->orders_taken, poll->ends_seen);
+        if (waits) {
+            ++poll;
+            continue;
+        }
+        answer_side(*poll, pause, now);
+        poll = side_polls_.erase(poll);
+    }
+}
+
+void Control::answer_side(SidePoll& poll, Micros pause, Micros now) {
+    if (!acting()) return poll.reply.send(Response::cbor(pack(not_served())));
+    SideAnswer answer = scheduler_.answer_side(poll.node, owner_.confirmed_at(), now);
+    if (poll.superseded) answer.orders.clear();
+    answer.gather_specs();
+    answer.pause = pause;
+    counters().add("sides_answered");
+    if (pause > 0) counters().add("pauses_told");
+    poll.reply.send(Response::cbor(pack(answer)));
+}
+
+}  // namespace calicostall
--- /dev/null
+++ b/source/control/daemon/store_messages.cpp
@@ -0,0 +1,81 @@
+// The messages of owner and replica on their way to other daemons, to the own replica and to the disk.
+#include "control/daemon/control.hpp"
+
+namespace calicostall {
+
+void Control::send_store_messages(Micros now) {
+    for (OutgoingMessage& message : owner_.messages_due(now))
+        send_store_message(std::move(message));
+}
+
+void Control::send_store_message(OutgoingMessage message) {
+    if (message.to.identity == replica_.identity) return send_to_own_replica(std::move(message));
+    const std::uint64_t ticket = message.ticket;
+    const bool preparing = std::holds_alternative<PrepareAsk>(message.ask);
+    std::string body = std::visit([](const auto& ask) { return pack(ask); }, message.ask);
+    counters().add("errand_bytes", body.size());
+    const std::string address = message.to.address;
+    loop_.ask({.url = "http://" + address + (preparing ? "/inner/prepare" : "/inner/write"),
+               .body = std::move(body),
+               .patience = settings_.write_timeout},
+              [this, ticket, preparing, address](Answer answer) {
+                  std::lock_guard guard(lock_);
+                  const Micros now = steady_now();
+                  auto take = [&](const auto& frame) {
+                      if (frame) clock_judge_.note(address, frame->wall, now);
+                      owner_.take(ticket, frame ? &*frame : nullptr, now);
+                  };
+                  if (preparing)
+                      take(answer.good() ? unpack<PrepareAnswer>(answer.body) : std::nullopt);
+                  else
+                      take(answer.good() ? unpack<WriteAnswer>(answer.body) : std::nullopt);
+                  if (preparing || !owner_.acting())
+                      turn();
+                  else
+                      request_turn();
+              });
+}
+
+// The disk's thread only brings the answer: taking it is the loop's work.
+void Control::send_to_own_replica(OutgoingMessage message) {
+    auto take = [this, ticket = message.ticket](auto answer) {
+        loop_.after(0, [this, ticket, answer = std::move(answer)] {
+            std::lock_guard guard(lock_);
+            owner_.take(ticket, &answer, steady_now());
+            turn();
+        });
+    };
+    if (auto* prepare = std::get_if<PrepareAsk>(&message.ask))
+        handle_prepare(*prepare, take);
+    else
+        handle_write(std::get<WriteAsk>(message.ask), take);
+}
+
+void Control::handle_prepare(const PrepareAsk& ask, PrepareCallback respond) {
+    const bool trusted = place_ && !leaving_ && core_.place_of(ask.from) == std::optional(detector_.trusted());
+    auto [answer, change] = replica_.prepare(ask, trusted);
+    const bool of_other = ask.from != replica_.identity;
+    if (answer.verdict == Verdict::granted && of_other && owner_.state() != Owner::State::idle) owner_.give_up();
+    answer.wall = wall_now();
+    disk_.put(std::move(change),
+              [respond = std::move(respond), answer = std::move(answer)]() mutable { respond(std::move(answer)); });
+}
+
+void Control::handle_write(const WriteAsk& ask, WriteCallback respond) {
+    auto [answer, change] = replica_.write(ask);
+    answer.wall = wall_now();
+    if (answer.verdict == Verdict::granted) {
+        const Micros now = steady_now();
+        refresh_core(now);
+        if (const Member* from = core_.find(ask.from)) note_owner(ask.epoch, from->address);
+        const bool of_other = ask.from != replica_.identity;
+        if (of_other && ask.level)
+            catching_up_until_ = 0;
+        else if (of_other && catching_up_until_ != 0)
+            catching_up_until_ = std::max(catching_up_until_, now + settings_.catch_up_timeout);
+    }
+    disk_.put(std::move(change),
+              [respond = std::move(respond), answer = std::move(answer)]() mutable { respond(std::move(answer)); });
+}
+
+}  // namespace calicostall
--- a/source/front.hpp
+++ b/source/front.hpp
@@ -23,7 +23,7 @@
     Front(FrontSettings settings, Loop& loop)
         : settings_(std::move(settings)),
           loop_(loop),
-          locator_({settings_.machine.node, replicas(settings_.machine), 2, seconds(5), true}, loop,
+          locator_({settings_.machine.node, settings_.machine.seed_replicas(), 2, seconds(5), true}, loop,
                    [this] { take_news(); }) {}
 
     Findings open() {
@@ -57,14 +57,7 @@
         drain_until_ = steady_now() + settings_.machine.grace - milliseconds(1300);
         watch_drain(std::move(then));
     }
-    void take_settings(const Settings& machine) { locator_.add_seeds(replicas(machine)); }
-
-    static std::vector<std::string> replicas(const Settings& machine) {
-        std::vector<std::string> addresses;
-        for (const std::string& seed : machine.seeds)
-            addresses.push_back(fmt::format("{}:{}", address_host(seed), machine.first_port));
-        return addresses;
-    }
+    void take_settings(const Settings& machine) { locator_.add_seeds(machine.seed_replicas()); }
 
 private:
     struct Waiting {
--- a/source/shared/settings/settings.hpp
+++ b/source/shared/settings/settings.hpp
@@ -25,8 +25,30 @@
     Micros gang_wait = seconds(3), early = milliseconds(250), restore = milliseconds(250), status_kept = seconds(120);
     Micros checkpoint_every = seconds(1), drain = seconds(2);
     double remote_factor = 1.5;
+
+    // Where the replica of the daemon listens whose control port is at `control`: same host, first port of the range.
+    // Example: settings.replica_address("10.0.0.4:8161") == "10.0.0.4:7720"
+    std::string replica_address(const std::string& control) const;
+    // The replicas of all seeds, in their order, but for the one at `except`.
+    std::vector<std::string> seed_replicas(const std::string& except = {}) const;
 };
 
+// Example: address_host("10.0.0.4:8166") == "10.0.0.4"
+inline std::string address_host(const std::string& address) {
+    return address.substr(0, address.rfind(':'));
+}
+
+inline std::string Settings::replica_address(const std::string& control) const {
+    return fmt::format("{}:{}", address_host(control), first_port);
+}
+
+inline std::vector<std::string> Settings::seed_replicas(const std::string& except) const {
+    std::vector<std::string> addresses;
+    for (const std::string& seed : seeds)
+        if (std::string address = replica_address(seed); address != except) addresses.push_back(std::move(address));
+    return addresses;
+}
+
 // One reader for a JSON object that notes what is missing or of another kind.
 // Example: FieldReader reader(object, "bounds", findings); Micros grace = reader.number("grace_s", 6) * 1e6;
 class FieldReader {
@@ -175,9 +197,4 @@
     return text.str();
 }
 
-// Example: address_host("10.0.0.4:8166") == "10.0.0.4"
-inline std::string address_host(const std::string& address) {
-    return address.substr(0, address.rfind(':'));
-}
-
 }  // namespace calicostall
--- a/source/side.hpp
+++ b/source/side.hpp
@@ -30,7 +30,7 @@
     Side(SideSettings settings, Loop& loop)
         : settings_(std::move(settings)),
           loop_(loop),
-          locator_({settings_.machine.node, Front::replicas(settings_.machine), 2, seconds(5), false}, loop,
+          locator_({settings_.machine.node, settings_.machine.seed_replicas(), 2, seconds(5), false}, loop,
                    [this] { take_news(); }) {
         std::random_device device;
         incarnation_ = (std::uint64_t(device()) << 31 | device()) | 1;
@@ -54,7 +54,7 @@
         log_line("side", "leaving");
         loop_.after(milliseconds(200), std::move(then));
     }
-    void take_settings(const Settings& machine) { locator_.add_seeds(Front::replicas(machine)); }
+    void take_settings(const Settings& machine) { locator_.add_seeds(machine.seed_replicas()); }
 
     // Calls of the worker, by the table: PUT /workers/ID, DELETE /workers/ID.
     // Example: side.take({.method = "PUT", .path = "/workers/i-7f3a", .body = beat});
