A term belongs to one candidate for all time

Cause: a term was made of a round and the member's number modulo 64, and a replica granted an equal term again whoever asked. After 64 replacements two members of one core have numbers 64 apart, ask for the same term and both act under it.

Change: a replica keeps (term, identity of the candidate) on its disk and refuses an equal term from another identity, for prepares of every kind and for writes and adoptions; answers say to whom the term was promised. A takeover asks for one above the highest term seen, and gives up at an equal term that was promised to another, so its next try is above it. Disks without the candidate still load: their term is refused to all, the next one is granted.

--- a/source/control/store/owner.cpp
+++ b/source/control/store/owner.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// Terms of members are kept apart by this many numbers.
-constexpr std::uint64_t number_room = 64;
 // What an entry and a part take in a message beside their bytes, for the size of a batch.
 constexpr size_t entry_overhead = 32, part_overhead = 12;
 
@@ -17,11 +15,10 @@
 
 void Owner::take_over(const Core& core, Epoch seen, std::map<std::string, Register> own_registers,
                       std::optional<Identity> present_owner) {
-    const Member* me = core.find(self_);
-    if (!me) return;
+    if (!core.find(self_)) return;
     give_up();
     core_ = core;
-    epoch_ = Epoch{(std::max(seen.value, epoch_.value) / number_room + 1) * number_room + me->number % number_room};
+    epoch_ = Epoch{std::max(seen.value, epoch_.value) + 1};
     own_registers_ = std::move(own_registers);
     Holdings known;
     for (const auto& [key, value] : own_registers_)
@@ -57,6 +54,11 @@
         if (callback) callback(false);
 }
 
+// Whether a member's promise is one that this daemon's own term can't have: a higher term, or the same for another.
+bool Owner::is_superseding(Epoch promised, Identity promised_to) const {
+    return promised > epoch_ || (promised == epoch_ && promised_to != self_);
+}
+
 void Owner::superseded(Epoch promised) {
     superseded_by = promised;
     give_up();
@@ -445,7 +447,7 @@
         default:
             break;
     }
-    if (answer->promised > epoch_) return superseded(answer->promised);
+    if (is_superseding(answer->promised, answer->promised_to)) return superseded(answer->promised);
     if (answer->verdict == Verdict::stranger) link->gone = true;
     back_off(*link, now);
     if (answer->verdict == Verdict::untrusted) link->not_before = now + settings_.ask_again;
@@ -458,7 +460,7 @@
         requeue_in_flight(*link);
         return back_off(*link, now);
     }
-    if (answer->promised > epoch_) return superseded(answer->promised);
+    if (is_superseding(answer->promised, answer->promised_to)) return superseded(answer->promised);
     link->heard_at = now;
     if (answer->verdict != Verdict::granted) {
         if (answer->verdict == Verdict::stranger) link->gone = true;
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -24,6 +24,18 @@
     std::variant<PrepareAsk, WriteAsk> ask;
 };
 
+// Terms. A takeover asks for one term (epoch) above the highest it has seen. A replica promises a term to one
+// candidate, by identity, and keeps both on its disk before it answers; so of two candidates with an equal term at most
+// one gets a majority of a core, and the other gives up and asks above it. An owner acts only after its own replica has
+// promised its term as well, so no two lives of one daemon act under one term either. With cores that change: say X
+// acts under term T by a majority of core K, and Y asks for T with core L. If K and L are the same or one step apart,
+// their majorities meet, and the replica in both promised T once. Else L was reached from K by changes that were
+// settled (see below). Had an owner of a higher term made one, whoever shows it has promised more than T, and refuses
+// Y. Had X made it, whoever shows it has promised T to X, and refuses Y. Had an owner of a lower term made the first, a
+// majority of the core next to K wrote it; a replica of that majority is among those who promised T to X: either it
+// wrote first, and X would have seen it and gone by that core, or it promised first, and refused to write. So a term,
+// which workers see as `fence`, belongs to one owner for all time.
+//
 // States: idle -> preparing (asks for a higher term) -> transferring (writes what the members lack) -> acting.
 class Owner {
 public:
@@ -108,7 +120,8 @@
     void take(std::uint64_t ticket, const PrepareAnswer* answer, Micros now);
     void take(std::uint64_t ticket, const WriteAnswer* answer, Micros now);
 
-    // Set when an answer showed a higher promise; the caller reads and clears it.
+    // Set when an answer showed a promise of a higher term, or of this one to another candidate; the caller reads and
+    // clears it, and passes it as `seen` to its next takeover.
     std::optional<Epoch> superseded_by;
 
     // How the caller reads the `core` register; set once.
@@ -154,6 +167,7 @@
     Link* link_awaiting(std::uint64_t ticket);
     void requeue_in_flight(Link& link);
     void back_off(Link& link, Micros now) { link.not_before = now + settings_.retry; }
+    bool is_superseding(Epoch promised, Identity promised_to) const;
     void superseded(Epoch promised);
     void update_links();
     bool awaits_present_owner(Micros now);
--- a/source/control/store/replica.cpp
+++ b/source/control/store/replica.cpp
@@ -24,7 +24,7 @@
     std::optional<Holdings> known;
     if (ask.to != identity)
         answer.verdict = Verdict::stranger;
-    else if (ask.epoch < promised)
+    else if (!may_promise(ask.epoch, ask.from))
         answer.verdict = Verdict::outdated;
     else if (!trusted && ask.kind != PrepareKind::late)
         answer.verdict = Verdict::untrusted;
@@ -50,7 +50,7 @@
         answer.verdict = Verdict::stranger;
         return {std::move(answer), std::move(change)};
     }
-    if (ask.epoch < promised) {
+    if (!may_promise(ask.epoch, ask.from)) {
         answer.verdict = Verdict::outdated;
         return {std::move(answer), std::move(change)};
     }
@@ -149,6 +149,10 @@
     return sound;
 }
 
+bool Replica::may_promise(Epoch epoch, Identity candidate) const {
+    return epoch > promised || (epoch == promised && candidate == promised_to);
+}
+
 void Replica::promise(Epoch epoch, Identity candidate, Change& change) {
     if (epoch <= promised) return;
     promised = epoch;
--- a/source/control/store/replica.hpp
+++ b/source/control/store/replica.hpp
@@ -28,14 +28,17 @@
 public:
     Identity identity;
     Epoch promised, synced;
-    Identity promised_to;  // the candidate that `promised` was given to
-    Epoch adopted;         // the last owner whose adoption this replica carried out
+    // The candidate that `promised` was given to. A disk written before this was noted has none: then an equal epoch is
+    // refused to all.
+    Identity promised_to;
+    Epoch adopted;  // the last owner whose adoption this replica carried out
     std::map<std::string, Register> registers;
 
-    // Grants a higher epoch (or the same one again), only to the daemon that it trusts.
+    // Grants a higher epoch, or the same one again to the same candidate, only to the daemon that it trusts.
     std::pair<PrepareAnswer, Change> prepare(const PrepareAsk& ask, bool trusted);
 
-    // Takes what the owner of the highest epoch writes.
+    // Takes what the owner of the highest epoch writes; refuses (`outdated`) a lower epoch, and an equal one that was
+    // promised to another candidate.
     std::pair<WriteAnswer, Change> write(const WriteAsk& ask);
 
     // Puts a register in as it is, for a replica that founds the core.
@@ -50,6 +53,7 @@
 private:
     using Place = std::map<std::string, Register>::iterator;
 
+    bool may_promise(Epoch epoch, Identity candidate) const;
     void promise(Epoch epoch, Identity candidate, Change& change);
     bool load_meta(std::string_view name, std::string_view bytes);
     void keep_head(const std::string& key, const Register& value, Change& change);
