What has waited longest for a member goes first

Cause: batches took keys in their order from the beginning each time, so under steady writes to low keys the high ones never went to a lagging member.

Change: every proposal has a sequence number, and what a member lacks is ordered by the oldest change of each key that it has not acknowledged (new module Backlog). A key that changes again, or whose batch failed, keeps its place. A member counts as complete once all that the takeover settled on has gone, however much is written meanwhile. So a member gets everything that waited within backlog / batch_bytes + 2 batches.

--- a/source/control/store/owner.cpp
+++ b/source/control/store/owner.cpp
@@ -142,6 +142,7 @@
 
 void Owner::begin_transfer() {
     choose_registers();
+    takeover_sequence_ = ++sequence_;
     std::map<Identity, Link> before;
     before.swap(links_);
     update_links();
@@ -179,9 +180,9 @@
     for (const auto& [key, value] : registers_) {
         auto alike = link.alike.find(key);
         if (alike == link.alike.end() || alike->second != value.version)
-            link.dirty[key].whole = true;
+            link.backlog.add(key, takeover_sequence_).whole = true;
         else
-            link.dirty.erase(key);
+            link.backlog.erase(key);
     }
 }
 
@@ -206,8 +207,9 @@
     if (fixed) value.fixed = std::move(*fixed);
     value.moving = std::move(patch.moving);
     value.change(patch.parts, patch.all);
+    ++sequence_;
     for (auto& [identity, link] : links_) {
-        Missing& missing = link.dirty[key];
+        Missing& missing = link.backlog.add(key, sequence_);
         missing.replaces = missing.replaces || patch.all;
         missing.whole = missing.whole || fixed;
         for (const Part& part : patch.parts)
@@ -235,7 +237,7 @@
     tombstones_.erase(key);
     registers_.erase(found);
     for (auto& [identity, link] : links_) {
-        link.dirty.erase(key);
+        link.backlog.erase(key);
         link.has.erase(key);
         link.alike.erase(key);
         link.purges[key] = version;
@@ -261,7 +263,7 @@
 bool Owner::level(Identity identity) const {
     auto link = links_.find(identity);
     if (link == links_.end()) return false;
-    return link->second.synced && link->second.dirty.empty() && link->second.in_flight.empty();
+    return link->second.synced && link->second.backlog.empty() && link->second.in_flight.empty();
 }
 
 bool Owner::level_without(Identity identity) const {
@@ -346,7 +348,7 @@
 std::optional<Micros> Owner::next_message_at() const {
     std::optional<Micros> next;
     for (const auto& [identity, link] : links_)
-        if (!link.in_flight_ticket && (!link.dirty.empty() || link.round < round_wanted_))
+        if (!link.in_flight_ticket && (!link.backlog.empty() || link.round < round_wanted_))
             next = std::min(next.value_or(link.not_before), link.not_before);
     return next;
 }
@@ -362,25 +364,26 @@
 }
 
 std::optional<WriteAsk> Owner::next_write(Identity identity, Link& link) {
-    if (link.dirty.empty() && link.purges.empty() && link.round >= round_wanted_ && link.synced) return std::nullopt;
+    if (link.backlog.empty() && link.purges.empty() && link.round >= round_wanted_ && link.synced) return std::nullopt;
     WriteAsk ask{self_, identity, epoch_, false, false, {}, {}, link.adopting, {}};
     if (link.adopting) ask.excepted = link.excepted;
     size_t bytes = 0;
     link.in_flight.clear();
-    for (auto each = link.dirty.begin(); each != link.dirty.end() && bytes < settings_.batch_bytes;
-         each = link.dirty.erase(each)) {
-        WriteEntry entry = make_entry(each->first, each->second, link);
+    while (!link.backlog.empty() && bytes < settings_.batch_bytes) {
+        auto [key, missing] = link.backlog.take_oldest();
+        WriteEntry entry = make_entry(key, missing, link);
         bytes += entry.key.size() + entry.fixed.size() + entry.moving.size() + entry_overhead;
         for (const Part& part : entry.parts)
             bytes += part.bytes.size() + part_overhead;
-        link.in_flight[each->first] = {entry.version, std::move(each->second)};
+        link.in_flight[std::move(key)] = {entry.version, std::move(missing)};
         ask.entries.push_back(std::move(entry));
     }
     for (const auto& [key, version] : link.purges)
         ask.purges.push_back({key, version});
     link.purging = link.purges;
-    ask.complete = !link.synced && link.dirty.empty();
-    ask.level = link.dirty.empty();
+    // Complete: all that the takeover settled on is there, or goes with this message.
+    ask.complete = !link.synced && link.backlog.oldest().value_or(sequence_ + 1) > takeover_sequence_;
+    ask.level = link.backlog.empty();
     link.completing = ask.complete;
     link.in_flight_round = round_wanted_;
     return ask;
@@ -488,7 +491,7 @@
     for (const auto& [key, sent] : link.in_flight) {
         if (lacking.contains(key)) {
             link.has.erase(key);
-            if (registers_.contains(key)) link.dirty[key].whole = true;
+            if (registers_.contains(key)) link.backlog.add(key, sent.missing.since).whole = true;
             continue;
         }
         link.has[key] = sent.version;
@@ -511,10 +514,7 @@
 void Owner::requeue_in_flight(Link& link) {
     for (auto& [key, sent] : link.in_flight) {
         if (!registers_.contains(key)) continue;
-        Missing& missing = link.dirty[key];
-        missing.parts.merge(sent.missing.parts);
-        missing.replaces = missing.replaces || sent.missing.replaces;
-        missing.whole = missing.whole || sent.missing.whole;
+        link.backlog.add(key, sent.missing.since).merge(sent.missing);
     }
     link.in_flight.clear();
     link.purging.clear();
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -2,6 +2,7 @@
 // member lacks. Pure: time and answers are passed in, and the caller sends.
 #pragma once
 #include "common.hpp"
+#include "control/store/backlog.hpp"
 #include "control/store/register.hpp"
 
 namespace calicostall {
@@ -128,11 +129,6 @@
     std::function<std::optional<Core>(const std::string&)> unpack_core;
 
 private:
-    // What a member lacks of a key, counted from the version that it is known to have.
-    struct Missing {
-        std::set<std::uint64_t> parts;
-        bool replaces = false, whole = false;
-    };
     struct InFlight {
         Version version;
         Missing missing;
@@ -145,7 +141,7 @@
         std::uint64_t round = 0, in_flight_round = 0;
         bool ready = false, compared = false, adopting = false;
         bool synced = false, completing = false, gone = false;
-        std::map<std::string, Missing> dirty;
+        Backlog backlog;
         std::map<std::string, Version> has;    // what it acknowledged under this epoch
         std::map<std::string, Version> alike;  // what it has under this epoch once it has adopted
         std::vector<std::string> excepted;
@@ -198,6 +194,8 @@
     Version floor_version_;
     Micros confirmed_at_ = -1;
     std::uint64_t takeovers_ = 0, last_ticket_ = 0, round_wanted_ = 0;
+    Sequence sequence_ = 0;           // of the last proposal
+    Sequence takeover_sequence_ = 0;  // stands for everything that the takeover settled on
     bool core_changing_ = false, draining_ = false;
     std::optional<Identity> present_owner_;    // while its pre-vote answer is waited for
     std::optional<Micros> handover_deadline_;  // set by the first pre-vote
