--- a/source/control/store/owner.cpp
+++ b/source/control/store/owner.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// Terms of members are kept apart by this many numbers.
-constexpr std::uint64_t number_room = 64;
 // What an entry and a part take in a message beside their bytes, for the size of a batch.
 constexpr size_t entry_overhead = 32, part_overhead = 12;
 
@@ -17,11 +15,10 @@
 
 void Owner::take_over(const Core& core, Epoch seen, std::map<std::string, Register> own_registers,
                       std::optional<Identity> present_owner) {
-    const Member* me = core.find(self_);
-    if (!me) return;
+    if (!core.find(self_)) return;
     give_up();
     core_ = core;
-    epoch_ = Epoch{(std::max(seen.value, epoch_.value) / number_room + 1) * number_room + me->number % number_room};
+    epoch_ = Epoch{std::max(seen.value, epoch_.value) + 1};
     own_registers_ = std::move(own_registers);
     Holdings known;
     for (const auto& [key, value] : own_registers_)
@@ -57,6 +54,11 @@
         if (callback) callback(false);
 }
 
+// Whether a member's promise is one that this daemon's own term can't have: a higher term, or the same for another.
+bool Owner::is_superseding(Epoch promised, Identity promised_to) const {
+    return promised > epoch_ || (promised == epoch_ && promised_to != self_);
+}
+
 void Owner::superseded(Epoch promised) {
     superseded_by = promised;
     give_up();
@@ -140,6 +142,7 @@
 
 void Owner::begin_transfer() {
     choose_registers();
+    takeover_sequence_ = ++sequence_;
     std::map<Identity, Link> before;
     before.swap(links_);
     update_links();
@@ -177,9 +180,9 @@
     for (const auto& [key, value] : registers_) {
         auto alike = link.alike.find(key);
         if (alike == link.alike.end() || alike->second != value.version)
-            link.dirty[key].whole = true;
+            link.backlog.add(key, takeover_sequence_).whole = true;
         else
-            link.dirty.erase(key);
+            link.backlog.erase(key);
     }
 }
 
@@ -204,8 +207,9 @@
     if (fixed) value.fixed = std::move(*fixed);
     value.moving = std::move(patch.moving);
     value.change(patch.parts, patch.all);
+    ++sequence_;
     for (auto& [identity, link] : links_) {
-        Missing& missing = link.dirty[key];
+        Missing& missing = link.backlog.add(key, sequence_);
         missing.replaces = missing.replaces || patch.all;
         missing.whole = missing.whole || fixed;
         for (const Part& part : patch.parts)
@@ -233,7 +237,7 @@
     tombstones_.erase(key);
     registers_.erase(found);
     for (auto& [identity, link] : links_) {
-        link.dirty.erase(key);
+        link.backlog.erase(key);
         link.has.erase(key);
         link.alike.erase(key);
         link.purges[key] = version;
@@ -259,7 +263,7 @@
 bool Owner::level(Identity identity) const {
     auto link = links_.find(identity);
     if (link == links_.end()) return false;
-    return link->second.synced && link->second.dirty.empty() && link->second.in_flight.empty();
+    return link->second.synced && link->second.backlog.empty() && link->second.in_flight.empty();
 }
 
 bool Owner::level_without(Identity identity) const {
@@ -344,7 +348,7 @@
 std::optional<Micros> Owner::next_message_at() const {
     std::optional<Micros> next;
     for (const auto& [identity, link] : links_)
-        if (!link.in_flight_ticket && (!link.dirty.empty() || link.round < round_wanted_))
+        if (!link.in_flight_ticket && (!link.backlog.empty() || link.round < round_wanted_))
             next = std::min(next.value_or(link.not_before), link.not_before);
     return next;
 }
@@ -360,25 +364,26 @@
 }
 
 std::optional<WriteAsk> Owner::next_write(Identity identity, Link& link) {
-    if (link.dirty.empty() && link.purges.empty() && link.round >= round_wanted_ && link.synced) return std::nullopt;
+    if (link.backlog.empty() && link.purges.empty() && link.round >= round_wanted_ && link.synced) return std::nullopt;
     WriteAsk ask{self_, identity, epoch_, false, false, {}, {}, link.adopting, {}};
     if (link.adopting) ask.excepted = link.excepted;
     size_t bytes = 0;
     link.in_flight.clear();
-    for (auto each = link.dirty.begin(); each != link.dirty.end() && bytes < settings_.batch_bytes;
-         each = link.dirty.erase(each)) {
-        WriteEntry entry = make_entry(each->first, each->second, link);
+    while (!link.backlog.empty() && bytes < settings_.batch_bytes) {
+        auto [key, missing] = link.backlog.take_oldest();
+        WriteEntry entry = make_entry(key, missing, link);
         bytes += entry.key.size() + entry.fixed.size() + entry.moving.size() + entry_overhead;
         for (const Part& part : entry.parts)
             bytes += part.bytes.size() + part_overhead;
-        link.in_flight[each->first] = {entry.version, std::move(each->second)};
+        link.in_flight[std::move(key)] = {entry.version, std::move(missing)};
         ask.entries.push_back(std::move(entry));
     }
     for (const auto& [key, version] : link.purges)
         ask.purges.push_back({key, version});
     link.purging = link.purges;
-    ask.complete = !link.synced && link.dirty.empty();
-    ask.level = link.dirty.empty();
+    // Complete: all that the takeover settled on is there, or goes with this message.
+    ask.complete = !link.synced && link.backlog.oldest().value_or(sequence_ + 1) > takeover_sequence_;
+    ask.level = link.backlog.empty();
     link.completing = ask.complete;
     link.in_flight_round = round_wanted_;
     return ask;
@@ -445,7 +450,7 @@
         default:
             break;
     }
-    if (answer->promised > epoch_) return superseded(answer->promised);
+    if (is_superseding(answer->promised, answer->promised_to)) return superseded(answer->promised);
     if (answer->verdict == Verdict::stranger) link->gone = true;
     back_off(*link, now);
     if (answer->verdict == Verdict::untrusted) link->not_before = now + settings_.ask_again;
@@ -458,7 +463,7 @@
         requeue_in_flight(*link);
         return back_off(*link, now);
     }
-    if (answer->promised > epoch_) return superseded(answer->promised);
+    if (is_superseding(answer->promised, answer->promised_to)) return superseded(answer->promised);
     link->heard_at = now;
     if (answer->verdict != Verdict::granted) {
         if (answer->verdict == Verdict::stranger) link->gone = true;
@@ -486,7 +491,7 @@
     for (const auto& [key, sent] : link.in_flight) {
         if (lacking.contains(key)) {
             link.has.erase(key);
-            if (registers_.contains(key)) link.dirty[key].whole = true;
+            if (registers_.contains(key)) link.backlog.add(key, sent.missing.since).whole = true;
             continue;
         }
         link.has[key] = sent.version;
@@ -509,10 +514,7 @@
 void Owner::requeue_in_flight(Link& link) {
     for (auto& [key, sent] : link.in_flight) {
         if (!registers_.contains(key)) continue;
-        Missing& missing = link.dirty[key];
-        missing.parts.merge(sent.missing.parts);
-        missing.replaces = missing.replaces || sent.missing.replaces;
-        missing.whole = missing.whole || sent.missing.whole;
+        link.backlog.add(key, sent.missing.since).merge(sent.missing);
     }
     link.in_flight.clear();
     link.purging.clear();
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -2,6 +2,7 @@
 // member lacks. Pure: time and answers are passed in, and the caller sends.
 #pragma once
 #include "common.hpp"
+#include "control/store/backlog.hpp"
 #include "control/store/register.hpp"
 
 namespace calicostall {
@@ -24,6 +25,18 @@
     std::variant<PrepareAsk, WriteAsk> ask;
 };
 
+// Terms. A takeover asks for one term (epoch) above the highest it has seen. A replica promises a term to one
+// candidate, by identity, and keeps both on its disk before it answers; so of two candidates with an equal term at most
+// one gets a majority of a core, and the other gives up and asks above it. An owner acts only after its own replica has
+// promised its term as well, so no two lives of one daemon act under one term either. With cores that change: say X
+// acts under term T by a majority of core K, and Y asks for T with core L. If K and L are the same or one step apart,
+// their majorities meet, and the replica in both promised T once. Else L was reached from K by changes that were
+// settled (see below). Had an owner of a higher term made one, whoever shows it has promised more than T, and refuses
+// Y. Had X made it, whoever shows it has promised T to X, and refuses Y. Had an owner of a lower term made the first, a
+// majority of the core next to K wrote it; a replica of that majority is among those who promised T to X: either it
+// wrote first, and X would have seen it and gone by that core, or it promised first, and refused to write. So a term,
+// which workers see as `fence`, belongs to one owner for all time.
+//
 // States: idle -> preparing (asks for a higher term) -> transferring (writes what the members lack) -> acting.
 class Owner {
 public:
@@ -108,18 +121,14 @@
     void take(std::uint64_t ticket, const PrepareAnswer* answer, Micros now);
     void take(std::uint64_t ticket, const WriteAnswer* answer, Micros now);
 
-    // Set when an answer showed a higher promise; the caller reads and clears it.
+    // Set when an answer showed a promise of a higher term, or of this one to another candidate; the caller reads and
+    // clears it, and passes it as `seen` to its next takeover.
     std::optional<Epoch> superseded_by;
 
     // How the caller reads the `core` register; set once.
     std::function<std::optional<Core>(const std::string&)> unpack_core;
 
 private:
-    // What a member lacks of a key, counted from the version that it is known to have.
-    struct Missing {
-        std::set<std::uint64_t> parts;
-        bool replaces = false, whole = false;
-    };
     struct InFlight {
         Version version;
         Missing missing;
@@ -132,7 +141,7 @@
         std::uint64_t round = 0, in_flight_round = 0;
         bool ready = false, compared = false, adopting = false;
         bool synced = false, completing = false, gone = false;
-        std::map<std::string, Missing> dirty;
+        Backlog backlog;
         std::map<std::string, Version> has;    // what it acknowledged under this epoch
         std::map<std::string, Version> alike;  // what it has under this epoch once it has adopted
         std::vector<std::string> excepted;
@@ -154,6 +163,7 @@
     Link* link_awaiting(std::uint64_t ticket);
     void requeue_in_flight(Link& link);
     void back_off(Link& link, Micros now) { link.not_before = now + settings_.retry; }
+    bool is_superseding(Epoch promised, Identity promised_to) const;
     void superseded(Epoch promised);
     void update_links();
     bool awaits_present_owner(Micros now);
@@ -184,6 +194,8 @@
     Version floor_version_;
     Micros confirmed_at_ = -1;
     std::uint64_t takeovers_ = 0, last_ticket_ = 0, round_wanted_ = 0;
+    Sequence sequence_ = 0;           // of the last proposal
+    Sequence takeover_sequence_ = 0;  // stands for everything that the takeover settled on
     bool core_changing_ = false, draining_ = false;
     std::optional<Identity> present_owner_;    // while its pre-vote answer is waited for
     std::optional<Micros> handover_deadline_;  // set by the first pre-vote
