--- a/source/control/store/backlog.cpp
+++ b/source/control/store/member_backlog.cpp
@@ -1,4 +1,4 @@
-#include "control/store/backlog.hpp"
+#include "control/store/member_backlog.hpp"
 
 namespace calicostall {
 
@@ -8,12 +8,12 @@
     whole = whole || other.whole;
 }
 
-std::optional<Sequence> Backlog::oldest() const {
+std::optional<Sequence> MemberBacklog::oldest() const {
     if (order_.empty()) return std::nullopt;
     return order_.begin()->first;
 }
 
-Missing& Backlog::add(const std::string& key, Sequence since) {
+Missing& MemberBacklog::add(const std::string& key, Sequence since) {
     auto [place, fresh] = missing_.try_emplace(key);
     Missing& missing = place->second;
     if (fresh || since < missing.since) {
@@ -24,14 +24,14 @@
     return missing;
 }
 
-void Backlog::erase(const std::string& key) {
+void MemberBacklog::erase(const std::string& key) {
     auto found = missing_.find(key);
     if (found == missing_.end()) return;
     order_.erase({found->second.since, key});
     missing_.erase(found);
 }
 
-std::pair<std::string, Missing> Backlog::take_oldest() {
+std::pair<std::string, Missing> MemberBacklog::take_oldest() {
     std::string key = order_.begin()->second;
     order_.erase(order_.begin());
     auto found = missing_.find(key);
--- a/source/control/store/backlog.hpp
+++ b/source/control/store/member_backlog.hpp
@@ -18,7 +18,7 @@
 // Keys that wait for one member. A key keeps its place when it changes again while it waits, so that what has waited
 // longest always goes first.
 // Example: backlog.add("job/1", sequence).parts.insert(7); auto [key, missing] = backlog.take_oldest();
-class Backlog {
+class MemberBacklog {
 public:
     bool empty() const { return missing_.empty(); }
     // The sequence of the oldest change that waits.
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -2,7 +2,7 @@
 // member lacks. Pure: time and answers are passed in, and the caller sends.
 #pragma once
 #include "common.hpp"
-#include "control/store/backlog.hpp"
+#include "control/store/member_backlog.hpp"
 #include "control/store/register.hpp"
 
 namespace calicostall {
@@ -141,7 +141,7 @@
         std::uint64_t round = 0, in_flight_round = 0;
         bool ready = false, compared = false, adopting = false;
         bool synced = false, completing = false, gone = false;
-        Backlog backlog;
+        MemberBacklog backlog;
         std::map<std::string, Version> has;    // what it acknowledged under this epoch
         std::map<std::string, Version> alike;  // what it has under this epoch once it has adopted
         std::vector<std::string> excepted;
