A configuration order that was taken is never refused when it is sent again

Cause: the owner knew only the present configuration. Revision 2, acknowledged and then superseded by revision 3, got 412 when it was sent again word for word.

Change: taken orders (revision, base, 128-bit digest of the text) lie in numbered parts of the `config` register, so one proposal commits order and configuration and a takeover reads both; a change writes two small parts at most. 1,024 are kept, the oldest is dropped first, and a resend that may be a dropped one gets no clear answer (504). An earlier configuration that comes with another base gets none either. Every 200, 400 and 412 of PUT /config, a malformed If-Match included, now waits for a majority asked after the call came in; a refusal is looked at once more when it is confirmed, as another copy may have been taken meanwhile. A record without the list leaves orders up to its revision open. Revisions are read exactly over 64 bits (two above 2^53 could be one before) and must be whole. A new owner's late confirmation no longer publishes a configuration older than one taken since.

--- a/source/control/jobs/calls/calls.hpp
+++ b/source/control/jobs/calls/calls.hpp
@@ -1,5 +1,7 @@
 // The calls that take in no new job: the configuration, and what is shown, cancelled or counted.
 #pragma once
+#include "control/jobs/calls/if_match.hpp"
+#include "control/jobs/calls/taken_orders.hpp"
 #include "control/jobs/runs/runs.hpp"
 #include "shared/http/response.hpp"
 
@@ -39,39 +41,36 @@
                 done(CallFate::elsewhere, Response::later(503, 1));
         });
     }
-    // The operator's new configuration.
+
+    // --- the configuration ---
+
+    /// A new owner reads the configuration and the orders that were taken from the `config` register.
+    void begin(const Register& record) {
+        Findings findings;
+        state_.config = parse_config(record.moving, findings);
+        taken_orders_.load(record, state_.config.revision);
+    }
+    void end_ownership() { taken_orders_.clear(); }
+
+    /// An operator's order. One that was taken is acknowledged again, or gets no clear answer; it is never refused.
+    /// Every clear answer waits until a majority that was asked after the call came in has the present configuration.
     void put_config(const CallAsk& ask, Micros wall, CallDone done) {
         Findings findings;
-        Config config = parse_config(ask.body, findings);
-        const Config& present = state_.config;
-        if (findings.empty() && config.revision == present.revision && same_json(config.text, present.text))
-            return confirmed("config", Response::plain(200), std::move(done));
-        if (!findings.empty()) return confirmed("config", problem(400, findings.text()), std::move(done));
-        std::optional<std::uint64_t> base;
-        if (!ask.if_match.empty()) {
-            std::string digits = ask.if_match;
-            std::erase(digits, '"');
-            if (digits.empty() ||
-                !std::all_of(digits.begin(), digits.end(),
-                             [](char letter) { return letter >= '0' && letter <= '9'; }) ||
-                digits.size() > 18)
-                return done(CallFate::settled, problem(400, "If-Match: must be a whole number"));
-            base = std::stoull(digits);
+        ConfigOrder order{parse_config(ask.body, findings), parse_if_match(ask.if_match), digest_of(ask.body)};
+        switch (recall(order)) {
+            case Recall::taken:
+                return acknowledge(std::move(done));
+            case Recall::other_base:
+                return is_present(order) ? acknowledge(std::move(done)) : leave_open(std::move(done));
+            default:
+                break;
         }
-        if (!base || *base != present.revision)
-            return confirmed("config", problem(412, fmt::format("If-Match: version {} is current", present.revision)),
-                             std::move(done));
-        if (config.revision <= present.revision)
-            return confirmed("config", problem(400, fmt::format("revision: must be above {}", present.revision)),
-                             std::move(done));
-        std::string text = config.text;
-        state_.config = std::move(config);
-        counters().add("configs_taken");
-        ledger_.propose("config", std::nullopt, text, [this, text, done](bool committed) {
-            if (committed) publish(text);
-            done(committed ? CallFate::settled : CallFate::doubtful, Response::plain(committed ? 200 : 504));
-        });
-        state_.config_changed(wall);
+        if (findings.empty() && is_present(order)) return acknowledge(std::move(done));
+        if (std::optional<Response> refusal = refusal_of(order, findings)) {
+            if (recall(order) == Recall::maybe_forgotten) return leave_open(std::move(done));
+            return refuse(order, std::move(*refusal), std::move(done));
+        }
+        take(std::move(order), wall, std::move(done));
     }
     // What fronts are told of: only a configuration that a majority has, so none that may yet lose its race.
     // Example: calls.publish(config.text);  // once it is committed
@@ -112,10 +111,68 @@
     }
 
 private:
+    struct ConfigOrder {
+        Config config;
+        IfMatch if_match;
+        TextDigest digest;
+        std::optional<std::uint64_t> base() const { return if_match.version; }
+    };
+
+    Recall recall(const ConfigOrder& order) const {
+        return taken_orders_.recall(order.config.revision, order.base(), order.digest);
+    }
+    bool is_present(const ConfigOrder& order) const {
+        const Config& present = state_.config;
+        return order.config.revision == present.revision && same_json(order.config.text, present.text);
+    }
+    /// Why the order can't be taken on top of the present configuration; nothing where it can.
+    std::optional<Response> refusal_of(const ConfigOrder& order, const Findings& findings) const {
+        const std::uint64_t present = state_.config.revision;
+        if (!findings.empty()) return problem(400, findings.text());
+        if (order.if_match.malformed) return problem(400, "If-Match: must be a whole number");
+        if (order.base() != present) return problem(412, fmt::format("If-Match: version {} is current", present));
+        if (order.config.revision <= present) return problem(400, fmt::format("revision: must be above {}", present));
+        return std::nullopt;
+    }
+    /// Answers 200 once the present configuration, and with it every order taken before, is on a majority.
+    void acknowledge(CallDone done) {
+        ledger_.confirm("config", [done = std::move(done)](bool sure) {
+            done(sure ? CallFate::settled : CallFate::doubtful, Response::plain(sure ? 200 : 504));
+        });
+    }
+    /// The order may have been taken: neither 200 nor a refusal would surely be true.
+    static void leave_open(CallDone done) {
+        counters().add("configs_left_open");
+        done(CallFate::doubtful, Response::plain(504));
+    }
+    /// Refuses once a majority confirms, unless another sending of the same order was taken in the meantime.
+    void refuse(const ConfigOrder& order, Response refusal, CallDone done) {
+        auto recall_now = [this, revision = order.config.revision, base = order.base(), digest = order.digest] {
+            return taken_orders_.recall(revision, base, digest);
+        };
+        ledger_.confirm("config", [recall_now, refusal = std::move(refusal), done = std::move(done)](bool sure) {
+            if (!sure) return done(CallFate::elsewhere, Response::later(503, 1));
+            if (recall_now() != Recall::never) return leave_open(done);
+            done(CallFate::settled, refusal);
+        });
+    }
+    void take(ConfigOrder order, Micros wall, CallDone done) {
+        const std::string text = order.config.text;
+        std::vector<Part> parts = taken_orders_.add({order.config.revision, *order.base(), order.digest});
+        state_.config = std::move(order.config);
+        counters().add("configs_taken");
+        ledger_.propose("config", std::nullopt, Patch{text, std::move(parts)}, [this, text, done](bool committed) {
+            if (committed) publish(text);
+            done(committed ? CallFate::settled : CallFate::doubtful, Response::plain(committed ? 200 : 504));
+        });
+        state_.config_changed(wall);
+    }
+
     State& state_;
     Runs& runs_;
     L& ledger_;
     Flush flush_;
+    TakenOrders taken_orders_;
 };
 
 }  // namespace calicostall
--- /dev/null
+++ b/source/control/jobs/calls/if_match.hpp
@@ -0,0 +1,16 @@
+/// The `If-Match` header of an operator's order. Pure.
+#pragma once
+#include "common.hpp"
+
+namespace calicostall {
+
+struct IfMatch {
+    std::optional<std::uint64_t> version;  ///< the configuration that the order builds on
+    bool malformed = false;                ///< the header is there and holds no version
+};
+
+/// Reads a whole number, with or without quotes; an empty header counts as missing.
+/// Example: parse_if_match("\"5\"").version == 5
+IfMatch parse_if_match(std::string_view header);
+
+}  // namespace calicostall
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -32,10 +32,7 @@
         if (state_.tell) state_.tell({RunLine::Event::owner, 0, {}, {}, {}, std::to_string(epoch.value)});
         admission_.begin(now);
         for (const auto& [key, value] : registers) {
-            if (key == "config" && !value.moving.empty()) {
-                Findings findings;
-                state_.config = parse_config(value.moving, findings);
-            }
+            if (key == "config" && !value.moving.empty()) calls_.begin(value);
             if (!key.starts_with("job/") || value.fixed.empty()) continue;
             auto job = Job::unpacked(value);
             if (!job) {
@@ -55,11 +52,13 @@
         if (state_.config.revision == 0 ||
             (published != registers.end() && published->second.moving == state_.config.text))
             return;
+        // A newer configuration, taken in the meantime, is published by its own commit.
         ledger_.confirm("config", [this, text = state_.config.text](bool sure) {
-            if (sure) calls_.publish(text);
+            if (sure && text == state_.config.text) calls_.publish(text);
         });
     }
     void end_ownership() {
+        calls_.end_ownership();
         state_.clear();
         runs_.clear();
         planning_.clear();
--- a/source/shared/settings/config.hpp
+++ b/source/shared/settings/config.hpp
@@ -1,6 +1,7 @@
 // The operators' configuration: read whole, checked whole.
 #pragma once
 #include <boost/json.hpp>
+#include <cmath>
 
 #include "common.hpp"
 #include "shared/settings/settings.hpp"
@@ -55,6 +56,21 @@
     }
 };
 
+/// The number of a configuration, exact over the whole range of 64 bits: two different numbers must never become one.
+inline std::uint64_t read_revision(const boost::json::object& configuration, Findings& findings) {
+    const auto* value = configuration.if_contains("revision");
+    if (!value) return findings.add("revision", "is missing"), 0;
+    if (value->is_uint64()) return value->as_uint64();
+    if (value->is_int64() && value->as_int64() >= 0) return std::uint64_t(value->as_int64());
+    constexpr double exact_below = 9007199254740992.0;  // 2^53: below it every whole number has its own double
+    if (value->is_double()) {
+        const double number = value->as_double();
+        if (number >= 0 && number < exact_below && std::floor(number) == number) return std::uint64_t(number);
+    }
+    findings.add("revision", "must be a whole number, not negative");
+    return 0;
+}
+
 // Example: Findings findings; Config config = parse_config(body, findings); if (!findings.empty()) answer 400
 inline Config parse_config(std::string_view text, Findings& findings) {
     Config config;
@@ -66,7 +82,7 @@
         return config;
     }
     FieldReader reader(whole.as_object(), "", findings);
-    config.revision = std::uint64_t(reader.number("revision", std::nullopt));
+    config.revision = read_revision(whole.as_object(), findings);
     if (const auto* list = reader.list("services", true)) {
         for (size_t place = 0; place < list->size(); ++place) {
             std::string where = fmt::format("services[{}]", place);
