HTTP: a request is on the wire at most once, and a stray answer reaches nobody

Cause: libcurl sends a request again by itself when a kept connection ends before the first byte of an answer. With a stand-in that closes or resets at each step, 149 of 150 asks on kept connections were sent twice and 60 were read whole twice; each time the answer to the second copy (409) came back as the answer, so the caller knew of no first copy: a front would tell a refusal (429) for a job that the first copy had handed in, and a side a start as turned away with nothing open. On fresh connections nothing was sent twice. An answer that nobody asked for, lying on a kept connection, was told to the next asker.

Change: before each request libcurl asks (CURLOPT_PREREQFUNCTION). The second request of one ask is refused there (counter repeats_prevented) and the ask ends as unknown. A kept connection with bytes on it, or ended by its peer, is given up before anything is sent and the ask goes on another one (connections_unclean). Fate::refused now means that no request began, instead of a size of 0 sent, which libcurl resets with each try. The loop is a library with a .cpp.

--- a/source/shared/http/loop.hpp
+++ b/source/shared/http/loop.hpp
@@ -1,220 +1,120 @@
 // HTTP out, by libcurl, and the timers of a process, on one thread.
 #pragma once
 #include <curl/curl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include "common.hpp"
-#include "shared/record/log.hpp"
-#include "shared/time/clock.hpp"
 
 namespace calicostall {
 
 // How a call ended, as its sender sees it.
 struct Answer {
-    // refused: surely nothing was sent; unknown: it may have been done.
+    // answered: this very request was answered. refused: no byte of it was sent. unknown: it may have been read and
+    // may be carried out, now or later.
     enum class Fate { answered, refused, unknown } fate = Fate::unknown;
-    int code = 0;
+    int code = 0;  // HTTP status, 0 without an answer
     std::string body;
     bool good() const { return fate == Fate::answered && code == 200; }
 };
 
+// One request to send. A body goes with every method but GET and DELETE.
 struct Ask {
     std::string method = "POST";
     std::string url;
     std::string body;
-    const char* form = "application/octet-stream";
-    std::vector<std::string> headers;
-    Micros patience = seconds(1);
+    const char* form = "application/octet-stream";  // the content type
+    std::vector<std::string> headers;               // whole lines, as "X-Expected-Worker: i-1"
+    Micros patience = seconds(1);                   // until the ask counts as unanswered
 };
 
+// The local sockets of a loop's connections. libcurl shows a connection by its local port only; a connection at rest
+// is looked at by its socket before it is used again.
+class SocketTable {
+public:
+    enum class Rest { clean, unclean };
+
+    void opened(curl_socket_t socket);
+    void closed(curl_socket_t socket);
+    // `unclean`: bytes lie there that no request asked for, or the peer has ended the connection. A connection that
+    // is not known here is clean: it has just been made.
+    Rest look(int local_port);
+
+private:
+    std::optional<curl_socket_t> find(int local_port);
+
+    std::set<curl_socket_t> unnamed_;       // opened, their port not yet known
+    std::map<int, curl_socket_t> by_port_;  // local port -> socket
+    std::map<curl_socket_t, int> port_of_;  // the same, the other way round
+};
+
+// Sends requests and runs timers. Each ask is on the wire at most once: libcurl's own repeat on a kept connection that
+// ended without an answer is stopped, since the first copy may have been read. Asks and timers may come from any
+// thread; answers and timers run on the thread that called `run`.
 // Example: loop.ask({.url = "http://10.0.0.4:7720/inner/news", .body = pack(ask)}, [](Answer answer) { ... });
 //          loop.after(milliseconds(200), [] { beat(); });
 class Loop {
 public:
     using Then = std::function<void(Answer)>;
 
-    explicit Loop(long connections_most = 128) {
-        curl_global_init(CURL_GLOBAL_DEFAULT);
-        multi_ = curl_multi_init();
-        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, connections_most);
-    }
+    // `connections_most`: kept open at rest.
+    explicit Loop(long connections_most = 128);
+    Loop(const Loop&) = delete;
     virtual ~Loop() = default;
 
     // Virtual, so that a loop of hollow workers can answer within the process.
-    virtual void ask(Ask ask, Then then) {
-        {
-            std::lock_guard guard(lock_);
-            asks_.emplace_back(std::move(ask), std::move(then));
-        }
-        wake();
-    }
-    void after(Micros wait, std::function<void()> act) {
-        bool sooner;
-        {
-            std::lock_guard guard(lock_);
-            Micros due = steady_now() + wait;
-            timers_.emplace(due, std::move(act));
-            sooner = due < sleeps_until_;
-        }
-        if (sooner) wake();
-    }
-    void run() {
-        runner_ = std::this_thread::get_id();
-        while (true) {
-            begin_asks();
-            int running = 0;
-            curl_multi_perform(multi_, &running);
-            finish_asks();
-            run_timers();
-            curl_multi_poll(multi_, nullptr, 0, wait_ms(), nullptr);
-            woken_ = false;
-        }
-    }
+    virtual void ask(Ask ask, Then then);
+    void after(Micros wait, std::function<void()> act);
+    // Doesn't return.
+    [[noreturn]] void run();
 
 private:
+    // Asks without bytes on the wire begin again on another connection; after so many times on a new one.
+    static constexpr size_t restarts_on_kept = 3;
+    static constexpr size_t handles_kept_most = 24;
+
     struct Call {
+        Loop* loop = nullptr;
         CURL* easy = nullptr;
         Ask ask;
         Then then;
         std::string body, kind;
         curl_slist* headers = nullptr;
+        Micros until = 0;
+        size_t restarts = 0;
+        bool sent = false;     // a request may have left: at most one does
+        bool unclean = false;  // the connection offered last was not fit for use
     };
     // A handle at rest, made ready for one kind of call: only body and patience change from call to call.
     struct Kept {
         CURL* easy = nullptr;
         curl_slist* headers = nullptr;
     };
-    static constexpr size_t kept_most = 24;
-
-    // Many asks of other threads wake the loop once.
-    void wake() {
-        if (std::this_thread::get_id() != runner_ && !woken_.exchange(true)) curl_multi_wakeup(multi_);
-    }
-    int wait_ms() {
-        std::lock_guard guard(lock_);
-        Micros now = steady_now(), wait = seconds(1);
-        if (!timers_.empty()) wait = std::clamp<Micros>(timers_.begin()->first - now, 0, wait);
-        if (!asks_.empty()) wait = 0;
-        sleeps_until_ = now + wait;
-        return int((wait + 999) / 1000);
-    }
-    static size_t take_bytes(char* data, size_t size, size_t count, void* into) {
-        static_cast<std::string*>(into)->append(data, size * count);
-        return size * count;
-    }
-    static int prepare_socket(void*, curl_socket_t socket, curlsocktype) {
-        unsigned int patience_ms = 3000;
-        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &patience_ms, sizeof patience_ms);
-        return CURL_SOCKOPT_OK;
-    }
-    void begin_asks() {
-        std::deque<std::pair<Ask, Then>> fresh;
-        {
-            std::lock_guard guard(lock_);
-            fresh.swap(asks_);
-        }
-        for (auto& [ask, then] : fresh)
-            begin(std::move(ask), std::move(then));
-    }
-    void begin(Ask ask, Then then) {
-        auto call = std::make_unique<Call>();
-        call->ask = std::move(ask);
-        call->then = std::move(then);
-        call->kind = call->ask.method + " " + call->ask.url + " " + call->ask.form;
-        for (const std::string& header : call->ask.headers)
-            call->kind += "\n" + header;
-        auto kept = kept_.find(call->kind);
-        if (kept != kept_.end()) {
-            call->easy = kept->second.easy;
-            call->headers = kept->second.headers;
-            kept_.erase(kept);
-        } else {
-            make_ready(*call);
-        }
-        CURL* easy = call->easy;
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, long(call->ask.patience / 1000)));
-        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                         std::max<long>(1, long(std::min<Micros>(call->ask.patience, milliseconds(500)) / 1000)));
-        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call->body);
-        curl_easy_setopt(easy, CURLOPT_PRIVATE, call.get());
-        if (call->ask.method != "GET" && call->ask.method != "DELETE") {
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->ask.body.c_str());
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, long(call->ask.body.size()));
-        }
-        curl_multi_add_handle(multi_, easy);
-        calls_.emplace(easy, std::move(call));
-    }
-    void make_ready(Call& call) {
-        CURL* easy = call.easy = curl_easy_init();
-        curl_easy_setopt(easy, CURLOPT_URL, call.ask.url.c_str());
-        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(easy, CURLOPT_PROXY, "");
-        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, long(CURL_HTTP_VERSION_1_1));
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Loop::prepare_socket);
-        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Loop::take_bytes);
-        if (call.ask.method != "GET" && call.ask.method != "DELETE") {
-            curl_easy_setopt(easy, CURLOPT_POST, 1L);
-            call.headers = curl_slist_append(call.headers, fmt::format("Content-Type: {}", call.ask.form).c_str());
-            call.headers = curl_slist_append(call.headers, "Expect:");
-        }
-        call.headers = curl_slist_append(call.headers, "Accept:");
-        // Some servers close after each answer unless they are asked to stay.
-        call.headers = curl_slist_append(call.headers, "Connection: Keep-Alive");
-        if (call.ask.method != "POST") curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.ask.method.c_str());
-        for (const std::string& header : call.ask.headers)
-            call.headers = curl_slist_append(call.headers, header.c_str());
-        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.headers);
-    }
-    void keep(Call& call) {
-        if (kept_.size() >= kept_most) {
-            drop(kept_.begin()->second);
-            kept_.erase(kept_.begin());
-        }
-        kept_.emplace(std::move(call.kind), Kept{call.easy, call.headers});
-    }
-    static void drop(Kept kept) {
-        curl_easy_cleanup(kept.easy);
-        curl_slist_free_all(kept.headers);
-    }
-    void finish_asks() {
-        int left = 0;
-        while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
-            if (message->msg != CURLMSG_DONE) continue;
-            CURLcode result = message->data.result;
-            auto found = calls_.find(message->easy_handle);
-            std::unique_ptr<Call> call = std::move(found->second);
-            calls_.erase(found);
-            Answer answer;
-            long code = 0, sent = 0;
-            curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &code);
-            curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent);
-            curl_multi_remove_handle(multi_, call->easy);
-            if (result == CURLE_OK)
-                answer = {Answer::Fate::answered, int(code), std::move(call->body)};
-            else
-                answer.fate = sent == 0 ? Answer::Fate::refused : Answer::Fate::unknown;
-            if (result != CURLE_OK) counters().add("sends_without_answer");
-            keep(*call);
-            if (call->then) call->then(std::move(answer));
-        }
-    }
-    void run_timers() {
-        while (true) {
-            std::function<void()> act;
-            {
-                std::lock_guard guard(lock_);
-                if (timers_.empty() || timers_.begin()->first > steady_now()) return;
-                act = std::move(timers_.begin()->second);
-                timers_.erase(timers_.begin());
-            }
-            act();
-        }
-    }
+
+    void wake();
+    int wait_ms();
+
+    void begin_asks();
+    void begin(Ask ask, Then then);
+    // Hands the call to libcurl with the patience that is left.
+    void start(std::unique_ptr<Call> call);
+    void make_ready(Call& call);
+    void keep(Call& call);
+    static void drop(Kept kept);
+    static bool has_body(const Ask& ask) { return ask.method != "GET" && ask.method != "DELETE"; }
+
+    void finish_asks();
+    void finish(std::unique_ptr<Call> call, CURLcode result);
+    // Nothing was sent, and another connection may do: false when there is no time left.
+    bool restart(std::unique_ptr<Call>& call);
+    void run_timers();
+
+    // Callbacks of libcurl.
+    static size_t take_bytes(char* data, size_t size, size_t count, void* body);
+    static int prepare_socket(void* loop, curl_socket_t socket, curlsocktype purpose);
+    static int close_socket(void* loop, curl_socket_t socket);
+    static int before_request(void* call, char* peer, char* local, int peer_port, int local_port);
 
     CURLM* multi_ = nullptr;
+    SocketTable sockets_;
     std::mutex lock_;
     std::deque<std::pair<Ask, Then>> asks_;
     std::multimap<Micros, std::function<void()>> timers_;
--- /dev/null
+++ b/tests/resend.cpp
@@ -0,0 +1,392 @@
+// How often a request reaches its server, and whose answer comes back: a stand-in server on loopback closes or resets
+// the connection at each step of a request, on a fresh and on a kept connection, for every kind of call that the
+// daemons make. The table of results is printed.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
+
+#include "check.hpp"
+#include "shared/http/loop.hpp"
+
+using namespace calicostall;
+using namespace calicostall::tests;
+
+namespace {
+
+enum class Stage { accepted, head_read, half_body_read, request_read, half_head_answered };
+enum class Ending { close, reset };
+constexpr std::array stages{Stage::accepted, Stage::head_read, Stage::half_body_read, Stage::request_read,
+                            Stage::half_head_answered};
+
+const char* text_of(Stage stage) {
+    constexpr std::array texts{"at accept", "after the header", "after half the body", "after the whole request",
+                               "inside the answer's head"};
+    return texts[size_t(stage)];
+}
+
+struct Request {
+    std::string head, body;
+};
+
+// One accepted connection. Every wait for bytes is bounded by the receive timeout.
+class Connection {
+public:
+    explicit Connection(int socket) : socket_(socket) {
+        timeval patience{5, 0};
+        setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    }
+    Connection(const Connection&) = delete;
+    ~Connection() {
+        if (socket_ >= 0) ::close(socket_);
+    }
+    // Waits until the first byte of a request is there, or the end of the connection; false at the end.
+    bool await_byte() {
+        char byte;
+        return recv(socket_, &byte, 1, MSG_PEEK) == 1;
+    }
+    bool read_head(Request& request) {
+        char byte;
+        while (!request.head.ends_with("\r\n\r\n")) {
+            if (recv(socket_, &byte, 1, 0) != 1) return false;
+            request.head += byte;
+        }
+        return true;
+    }
+    // Reads one `parts`-th of the body.
+    bool read_body(Request& request, size_t parts = 1) {
+        request.body.resize(length(request.head) / parts);
+        size_t read = 0;
+        while (read < request.body.size()) {
+            ssize_t more = recv(socket_, request.body.data() + read, request.body.size() - read, 0);
+            if (more <= 0) return false;
+            read += size_t(more);
+        }
+        return true;
+    }
+    bool read(Request& request) { return read_head(request) && read_body(request); }
+    void write(std::string_view text) { (void)!send(socket_, text.data(), text.size(), MSG_NOSIGNAL); }
+    void answer(int code, std::string_view body) {
+        write(fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}", code, body.size(), body));
+    }
+    // Wakes whoever waits for bytes here.
+    void shut() { shutdown(socket_, SHUT_RDWR); }
+    void end(Ending ending) {
+        linger now{1, 0};
+        if (ending == Ending::reset) setsockopt(socket_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        ::close(socket_);
+        socket_ = -1;
+    }
+
+private:
+    static size_t length(const std::string& head) {
+        size_t place = head.find("Content-Length: ");
+        return place == std::string::npos ? 0 : std::stoul(head.substr(place + 16));
+    }
+    int socket_;
+};
+
+// Listens on a free port of loopback and hands each connection, with its number from 0, to `serve`, one after another.
+class Server {
+public:
+    using Serve = std::function<void(Connection&, size_t number)>;
+
+    explicit Server(Serve serve) : serve_(std::move(serve)) {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+        socklen_t size = sizeof address;
+        bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+        listen(listener_, 16);
+        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+        port_ = ntohs(address.sin_port);
+        thread_ = std::thread([this] { run(); });
+    }
+    ~Server() {
+        {
+            std::lock_guard guard(lock_);
+            ending_ = true;
+            shutdown(listener_, SHUT_RDWR);
+            if (current_) current_->shut();
+        }
+        thread_.join();
+        close(listener_);
+    }
+    std::string url(std::string_view path) const { return fmt::format("http://127.0.0.1:{}{}", port_, path); }
+
+private:
+    void run() {
+        for (size_t number = 0;; ++number) {
+            int accepted = accept(listener_, nullptr, nullptr);
+            if (accepted < 0) return;
+            Connection connection(accepted);
+            if (!begin(connection)) return;
+            serve_(connection, number);
+            std::lock_guard guard(lock_);
+            current_ = nullptr;
+        }
+    }
+    bool begin(Connection& connection) {
+        std::lock_guard guard(lock_);
+        current_ = &connection;
+        return !ending_;
+    }
+
+    Serve serve_;
+    std::mutex lock_;
+    Connection* current_ = nullptr;
+    bool ending_ = false;
+    int listener_ = -1, port_ = 0;
+    std::thread thread_;
+};
+
+// The loop of a process runs until the process ends; so does this one.
+Loop& loop() {
+    static Loop* running = [] {
+        auto* made = new Loop;
+        std::thread([made] { made->run(); }).detach();
+        return made;
+    }();
+    return *running;
+}
+
+Answer await(Ask ask) {
+    std::promise<Answer> promise;
+    loop().ask(std::move(ask), [&promise](Answer answer) { promise.set_value(std::move(answer)); });
+    return promise.get_future().get();
+}
+
+// --- how often a request is read ---
+
+struct Kind {
+    const char* method;
+    const char* path;
+    const char* form;
+    size_t body_bytes;
+    bool to_worker = false;
+};
+constexpr const char *cbor = "application/octet-stream", *json = "application/json";
+constexpr std::array kinds{
+    Kind{"POST", "/run-start", json, 400, true}, Kind{"POST", "/run-start", json, 5000, true},
+    Kind{"POST", "/run-stop", json, 90, true},   Kind{"POST", "/hold", json, 60, true},
+    Kind{"POST", "/inner/prepare", cbor, 300},   Kind{"POST", "/inner/write", cbor, 500},
+    Kind{"POST", "/inner/write", cbor, 300000},  Kind{"POST", "/inner/call", cbor, 700},
+    Kind{"POST", "/inner/side", cbor, 900},      Kind{"POST", "/inner/join", cbor, 100},
+    Kind{"POST", "/inner/alive", cbor, 20},      Kind{"POST", "/inner/news", cbor, 60},
+    Kind{"PUT", "/workers/i-1", json, 300},      Kind{"GET", "/ready", cbor, 0},
+    Kind{"DELETE", "/workers/i-1", cbor, 0},
+};
+
+struct Case {
+    Kind kind;
+    Stage stage;
+    Ending ending;
+    bool kept;
+};
+
+struct Outcome {
+    size_t begun = 0;  // requests of the ask of which the server saw at least one byte
+    size_t whole = 0;  // requests of the ask that it read whole
+    size_t cut = 0;    // requests of the ask that it began to read and then left without an answer
+    Answer answer;
+};
+
+Ask ask_of(const Kind& kind, const Server& server) {
+    Ask ask{.method = kind.method, .url = server.url(kind.path), .form = kind.form, .patience = seconds(4)};
+    ask.body = std::string(kind.body_bytes, 'b');
+    if (kind.to_worker) ask.headers = {"X-Expected-Worker: i-1"};
+    return ask;
+}
+
+// Serves the ask up to the stage, then ends the connection without an answer.
+void fail_at(Connection& connection, const Case& at, std::atomic<size_t>& begun, std::atomic<size_t>& whole,
+             std::atomic<size_t>& cut) {
+    Request request;
+    if (at.stage == Stage::accepted) {
+        // On a kept connection the request is waited for, so that the end comes after it was sent, unread.
+        if (at.kept && connection.await_byte()) ++begun, ++cut;
+        return connection.end(at.ending);
+    }
+    if (!connection.read_head(request)) return;
+    ++begun;
+    ++cut;
+    if (at.stage == Stage::half_body_read) connection.read_body(request, 2);
+    if (at.stage >= Stage::request_read && connection.read_body(request)) ++whole;
+    if (at.stage == Stage::half_head_answered) connection.write("HTTP/1.1 200 O");
+    connection.end(at.ending);
+}
+
+Outcome play(const Case& at) {
+    std::atomic<size_t> begun{0}, whole{0}, cut{0};
+    Server server([&](Connection& connection, size_t number) {
+        Request request;
+        if (number == 0 && at.kept) {
+            connection.read(request);
+            connection.answer(200, "warm");
+        }
+        if (number == 0) {
+            fail_at(connection, at, begun, whole, cut);
+            return;
+        }
+        // A later copy is turned away, as a worker does that has taken the first one.
+        while (connection.await_byte()) {
+            ++begun;
+            Request again;
+            if (!connection.read(again)) return;
+            ++whole;
+            connection.answer(409, "{\"reason\":\"old\"}");
+        }
+    });
+    Ask ask = ask_of(at.kind, server);
+    if (at.kept) EXPECT(await(ask).body == "warm");
+    Outcome outcome;
+    outcome.answer = await(ask);
+    outcome.begun = begun;
+    outcome.whole = whole;
+    outcome.cut = cut;
+    return outcome;
+}
+
+const char* text_of(Answer::Fate fate) {
+    return fate == Answer::Fate::answered ? "answered" : fate == Answer::Fate::refused ? "refused" : "unknown";
+}
+
+void each_request_is_sent_once() {
+    fmt::print("method path (body bytes) | connection | ended | begun | read whole | fate\n");
+    for (const Kind& kind : kinds)
+        for (bool kept : {false, true})
+            for (Stage stage : stages)
+                for (Ending ending : {Ending::close, Ending::reset}) {
+                    Outcome outcome = play({kind, stage, ending, kept});
+                    std::string row = fmt::format("{} {} ({}) | {} | {} {} | {} | {} | {} {}", kind.method, kind.path,
+                                                  kind.body_bytes, kept ? "kept" : "fresh", text_of(stage),
+                                                  ending == Ending::reset ? "by reset" : "by close", outcome.begun,
+                                                  outcome.whole, text_of(outcome.answer.fate), outcome.answer.code);
+                    fmt::print("{}\n", row);
+                    EXPECT_SAID(outcome.begun <= 1 && outcome.whole <= 1, "sent more than once: " + row);
+                    // Where the connection ended before any byte was sent, the one request goes on another.
+                    EXPECT_SAID(outcome.cut == 0 || outcome.answer.fate != Answer::Fate::answered,
+                                "an answer to a later copy hides the first: " + row);
+                    EXPECT_SAID(outcome.cut == 0 || outcome.answer.fate == Answer::Fate::unknown,
+                                "a request that was read counts as not sent: " + row);
+                }
+}
+
+void nobody_listens() {
+    std::string url;
+    {
+        Server server([](Connection&, size_t) {});
+        url = server.url("/run-start");
+    }
+    EXPECT(await({.url = url, .body = "b"}).fate == Answer::Fate::refused);
+}
+
+// A connection that its server closed while it was at rest costs the next ask nothing.
+void a_rest_that_ended_is_no_failure() {
+    for (Ending ending : {Ending::close, Ending::reset}) {
+        std::promise<void> ended;
+        Server server([&](Connection& connection, size_t number) {
+            Request request;
+            connection.read(request);
+            connection.answer(200, fmt::format("{}", number));
+            if (number > 0) return;
+            // Asked again only after the end has reached the asker's socket: loopback delivers it within this call.
+            connection.end(ending);
+            ended.set_value();
+        });
+        Ask ask{.url = server.url("/run-start"), .body = "b"};
+        EXPECT(await(ask).body == "0");
+        ended.get_future().wait();
+        Answer answer = await(ask);
+        EXPECT_SAID(answer.good() && answer.body == "1", text_of(answer.fate));
+    }
+}
+
+// --- whose answer comes back ---
+
+// An answer that nobody asked for, on a kept connection: in one piece with the one before it, or later.
+void a_stray_answer_is_nobodys() {
+    constexpr std::string_view stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+    for (bool later : {false, true}) {
+        std::promise<void> first_told, strayed;
+        Server server([&](Connection& connection, size_t number) {
+            Request request;
+            if (!connection.read(request)) return;
+            if (number == 0) {
+                std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+                if (!later) answer += stray;
+                connection.write(answer);
+                first_told.get_future().wait();
+                if (later) connection.write(stray);
+                strayed.set_value();
+                Request next;
+                if (!connection.read(next)) return;
+            }
+            connection.answer(200, "two");
+        });
+        Ask ask{.url = server.url("/hold"), .body = "b"};
+        EXPECT(await(ask).body == "one");
+        first_told.set_value();
+        strayed.get_future().wait();
+        Answer answer = await(ask);
+        EXPECT_SAID(answer.body == "two", fmt::format("stray {}: {} '{}'", later ? "later" : "with the answer before",
+                                                      text_of(answer.fate), answer.body));
+    }
+}
+
+// An answer that comes after its asker gave up reaches no other ask.
+void a_late_answer_is_nobodys() {
+    std::promise<void> gave_up;
+    std::promise<bool> cut;
+    Server server([&](Connection& connection, size_t number) {
+        Request request;
+        if (!connection.read(request)) return;
+        if (number == 0) {
+            connection.answer(200, "warm");
+            Request slow;
+            connection.read(slow);
+            gave_up.get_future().wait();
+            connection.answer(200, "late");
+            cut.set_value(!connection.await_byte());
+            return;
+        }
+        connection.answer(200, "own");
+    });
+    Ask ask{.url = server.url("/hold"), .body = "b"};
+    EXPECT(await(ask).body == "warm");
+    Ask hasty = ask;
+    hasty.patience = milliseconds(50);
+    EXPECT(await(hasty).fate == Answer::Fate::unknown);
+    gave_up.set_value();
+    EXPECT(cut.get_future().get());
+    EXPECT(await(ask).body == "own");
+}
+
+// Heads that promise the answer are no answer.
+void interim_heads_are_passed_over() {
+    Server server([&](Connection& connection, size_t) {
+        for (const char* body : {"one", "two"}) {
+            Request request;
+            if (!connection.read(request)) return;
+            connection.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n");
+            connection.answer(200, body);
+        }
+    });
+    Ask ask{.url = server.url("/hold"), .body = "b"};
+    EXPECT(await(ask).body == "one");
+    EXPECT(await(ask).body == "two");
+}
+
+}  // namespace
+
+int main() {
+    each_request_is_sent_once();
+    nobody_listens();
+    a_rest_that_ended_is_no_failure();
+    a_stray_answer_is_nobodys();
+    a_late_answer_is_nobodys();
+    interim_heads_are_passed_over();
+    return result();
+}
