The side in modules: beats, orders, holds, reports and the worker's messages

Cause: one header of 627 lines with the definitions of all jobs of the side, its calls as long lambdas, compiled into every program that includes it.

Change: source/side/ is a library of five files by job around one class, and a pure reader of the worker's messages; what an answer may still change stands in typed contexts (CallContext, PollContext, ReportContext). No change of what it does; the counters keep their names.

--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -10,7 +10,7 @@
 #include "front.hpp"
 #include "hollow/command.hpp"
 #include "preview/command.hpp"
-#include "side.hpp"
+#include "side/side.hpp"
 
 using namespace calicostall;
 
--- a/source/hollow/rig.hpp
+++ b/source/hollow/rig.hpp
@@ -8,7 +8,7 @@
 #include "hollow/measure.hpp"
 #include "hollow/worker.hpp"
 #include "shared/http/loop.hpp"
-#include "side.hpp"
+#include "side/side.hpp"
 
 namespace calicostall {
 
