Starts under lost answers: patience by measured round trips instead of fixed ones

Cause: a worker answers its side within a few ms, yet a start without an answer held its room for 200 + 60 ms and a poll without one for 350 ms, up to 950 ms for the first; a start was doubtful after four tries, a worker silent (no holds, no new work) after three polls.

Change: starts, stops and short polls wait a retransmission timeout after Jacobson and Karels (40 to 200 ms; doubled once for all calls that were under way together); polls on a lossy link wait 60 ms; a start gives up after four tries and a second, a worker is silent after three polls and 1.2 s. Every further attempt is the same start (200 where it runs already), what got no answer stays open, so its refusal is still doubtful and only a stop and a poll end it.

--- a/source/shared/http/loop.cpp
+++ b/source/shared/http/loop.cpp
@@ -5,9 +5,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "shared/record/log.hpp"
-#include "shared/time/clock.hpp"
-
 namespace calicostall {
 
 namespace {
--- a/source/shared/http/loop.hpp
+++ b/source/shared/http/loop.hpp
@@ -3,6 +3,8 @@
 #include <curl/curl.h>
 
 #include "common.hpp"
+#include "shared/record/log.hpp"
+#include "shared/time/clock.hpp"
 
 namespace calicostall {
 
--- a/source/side/beats.cpp
+++ b/source/side/beats.cpp
@@ -91,6 +91,7 @@
     clock_base_.reset();
     silent_ = false;
     poll_errors_ = 0;
+    answer_timeout_.reset();
     report_.reset();
     beat_sequence_ = 0;
     fence_shown_ = Epoch{};
--- a/source/side/holds.cpp
+++ b/source/side/holds.cpp
@@ -12,7 +12,7 @@
 constexpr Micros hold_least = milliseconds(20);        // a shorter rest of a hold is none
 constexpr Micros poll_wait_least = milliseconds(100);  // while a hold is to be renewed
 constexpr Micros poll_after_error = milliseconds(20);
-constexpr Micros poll_while_silent = milliseconds(300);
+constexpr Micros poll_while_silent = milliseconds(150);
 constexpr Micros report_every = milliseconds(900);  // though nothing has ended
 
 }  // namespace
@@ -51,10 +51,10 @@
     }
     if (lossy(now)) wait = std::min(wait, settings_.lossy_poll_wait);
     if (wait > 0) body["wait_ms"] = wait / 1000;
-    Micros slack = lossy(now) ? settings_.lossy_poll_slack : settings_.poll_slack;
+    Micros slack = lossy(now) || wait == 0 ? answer_timeout_.value() : settings_.poll_slack;
     counters().add("looks");
     call_worker("/hold", body, wait + slack,
-                [this, context = PollContext{call_context(), is_short, stopped_}](Answer answer) {
+                [this, context = PollContext{call_context(), is_short, wait > 0, stopped_}](Answer answer) {
                     take_poll_answer(context, answer);
                 });
 }
@@ -64,11 +64,12 @@
     (context.is_short ? polling_short_ : polling_) = false;
     if (!worker_ || worker_->life != context.call.life) return;
     Micros now = steady_now();
+    if (!context.waits || answer.fate != Answer::Fate::answered) note_round_trip(context.call, answer, now);
     bool read = answer.good() && take_hold_reply(context, answer, now);
     if (read)
         note_poll_answered();
     else
-        note_poll_unanswered(answer, now);
+        note_poll_unanswered(context, answer, now);
     if (poll_again_ && read) {
         poll_again_ = false;
         poll(0);
@@ -83,14 +84,13 @@
     ask_owner(Haste::urgent);
 }
 
-void Side::note_poll_unanswered(const Answer& answer, Micros now) {
+void Side::note_poll_unanswered(const PollContext& context, const Answer& answer, Micros now) {
     counters().add("looks_without_answer");
     next_poll_ = now + poll_after_error;
     after_gap_ = true;
     if (answer.fate != Answer::Fate::answered) {
-        note_loss(now);
-        ++poll_errors_;
-        if (poll_errors_ >= settings_.silent_after && !silent_) {
+        if (poll_errors_++ == 0) poll_errors_since_ = context.call.sent_at;
+        if (!silent_ && silent_by_now(now)) {
             silent_ = true;
             log_line("side", "worker {} does not answer", worker_->life);
             ask_owner(Haste::urgent);
@@ -99,6 +99,10 @@
     if (silent_) next_poll_ = now + poll_while_silent;
 }
 
+bool Side::silent_by_now(Micros now) const {
+    return poll_errors_ >= settings_.silent_after && now - poll_errors_since_ >= settings_.silent_after_time;
+}
+
 // False when the answer can't be read.
 bool Side::take_hold_reply(const PollContext& context, const Answer& answer, Micros now) {
     HoldReply reply = parse_hold_reply(answer.body);
--- a/source/side/orders.cpp
+++ b/source/side/orders.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Pauses until the next attempt.
-constexpr Micros after_silence = milliseconds(60);
+constexpr Micros after_silence = milliseconds(20);
 constexpr Micros after_fence = milliseconds(200);
 constexpr Micros after_late = milliseconds(30);  // `until_ms` was over on the worker's clock
 constexpr Micros stop_again = milliseconds(200);
@@ -79,9 +79,19 @@
     return reply.reason;
 }
 
+Side::CallContext Side::call_context() const {
+    return {worker_->life, epoch_, era_, steady_now()};
+}
+
+void Side::note_round_trip(const CallContext& context, const Answer& answer, Micros now) {
+    if (answer.fate == Answer::Fate::answered) return answer_timeout_.answered(now - context.sent_at);
+    answer_timeout_.unanswered(context.sent_at, now);
+    note_loss(now);
+}
+
 void Side::send_start(const RunKey& key, PendingOrder& pending, Micros now) {
     pending.in_flight = true;
-    ++pending.attempts;
+    if (pending.attempts++ == 0) pending.first_sent_at = now;
     boost::json::object body{{"task", pending.order.task},
                              {"run_id", pending.order.run},
                              {"job_spec", pending.order.spec},
@@ -89,7 +99,7 @@
                              {"fence", epoch_.value}};
     if (!pending.order.saved.empty()) body["checkpoint"] = pending.order.saved;
     counters().add("starts_sent");
-    call_worker("/run-start", body, settings_.order_patience,
+    call_worker("/run-start", body, answer_timeout_.value(),
                 [this, key, context = call_context()](Answer answer) { take_start_answer(key, context, answer); });
 }
 
@@ -98,6 +108,7 @@
     if (!worker_ || worker_->life != context.life) return;
     Micros now = steady_now();
     std::string reason = note_reply(answer, now);
+    note_round_trip(context, answer, now);
     if (context.epoch != epoch_ || context.era != era_) return;
     auto found = starts_.find(key);
     if (found == starts_.end()) {
@@ -113,7 +124,6 @@
     }
     if (answer.fate != Answer::Fate::answered) {
         pending.open = pending.open || answer.fate == Answer::Fate::unknown;
-        note_loss(now);
         counters().add("starts_unanswered");
         reason = "silence";
     }
@@ -127,8 +137,10 @@
 
 std::optional<Micros> Side::retry_start_at(const PendingOrder& pending, const Answer& answer, const std::string& reason,
                                            Micros now) const {
-    if (pending.attempts >= settings_.attempts_most) return std::nullopt;
-    if (answer.fate != Answer::Fate::answered) return now + after_silence;
+    bool attempts_used = pending.attempts >= settings_.attempts_most;
+    bool time_used = now - pending.first_sent_at >= settings_.attempts_for;
+    if (answer.fate != Answer::Fate::answered && !(attempts_used && time_used)) return now + after_silence;
+    if (attempts_used) return std::nullopt;
     if (answer.code == wrong_life || reason == "fence") return now + after_fence;
     if (reason == "late") return now + after_late;
     return std::nullopt;
@@ -145,7 +157,7 @@
     ++pending.attempts;
     boost::json::object body{{"task", pending.order.task}, {"run_id", pending.order.run}, {"fence", epoch_.value}};
     counters().add("stops_sent");
-    call_worker("/run-stop", body, settings_.order_patience,
+    call_worker("/run-stop", body, answer_timeout_.value(),
                 [this, key, context = call_context()](Answer answer) { take_stop_answer(key, context, answer); });
 }
 
@@ -154,11 +166,13 @@
     if (!worker_ || worker_->life != context.life || context.epoch != epoch_) return;
     Micros now = steady_now();
     note_reply(answer, now);
+    note_round_trip(context, answer, now);
     auto found = stops_.find(key);
     if (found == stops_.end()) return;
     found->second.in_flight = false;
-    found->second.next_at = now + stop_again;
-    if (answer.fate != Answer::Fate::answered || answer.code >= 300) return;
+    bool answered = answer.fate == Answer::Fate::answered;
+    found->second.next_at = now + (answered ? stop_again : after_silence);
+    if (!answered || answer.code >= 300) return;
     stops_.erase(found);
     stopped_.push_back(fmt::format("{} {}", key.first, key.second));
     poll(0);
--- a/source/side/side.cpp
+++ b/source/side/side.cpp
@@ -18,7 +18,8 @@
     : settings_(std::move(settings)),
       loop_(loop),
       locator_({settings_.machine.node, settings_.machine.seed_replicas(), 2, seconds(5), false}, loop,
-               [this] { take_news(); }) {
+               [this] { take_news(); }),
+      answer_timeout_(settings_.answer_timeout) {
     std::random_device device;
     incarnation_ = (std::uint64_t(device()) << 31 | device()) | 1;
 }
--- a/source/side/side.hpp
+++ b/source/side/side.hpp
@@ -10,24 +10,28 @@
 #include "shared/news/pace.hpp"
 #include "shared/settings/settings.hpp"
 #include "shared/wire/frames.hpp"
+#include "side/retry.hpp"
 #include "side/worker_messages.hpp"
 
 namespace calicostall {
 
 struct SideSettings {
     Settings machine;
-    Micros ask_patience = milliseconds(1700);   // of an ask at the owner
-    Micros order_patience = milliseconds(200);  // of a start or stop at the worker
-    Micros poll_wait = milliseconds(700);       // so long a poll waits at the worker for an end
-    Micros poll_slack = milliseconds(250);      // beyond the wait, until a poll counts as unanswered
+    Micros ask_patience = milliseconds(1700);  // of an ask at the owner
+    AnswerTimeout::Settings answer_timeout;    // of a start, stop or short poll at the worker
+    Micros poll_wait = milliseconds(700);      // so long a poll waits at the worker for an end
+    Micros poll_slack = milliseconds(250);     // beyond the wait, until a poll counts as unanswered
     // After a call without an answer polls are short for a while: a lost one hides the ends that came meanwhile.
     Micros lossy_for = seconds(6);
-    Micros lossy_poll_wait = milliseconds(200);
-    Micros lossy_poll_slack = milliseconds(150);
-    size_t silent_after = 3;           // polls without an answer in a row
+    Micros lossy_poll_wait = milliseconds(60);
+    // The worker counts as silent after so many polls in a row without an answer, over at least such a time.
+    size_t silent_after = 3;
+    Micros silent_after_time = milliseconds(1200);
     Micros gather = milliseconds(15);  // between the end that a poll showed and the next poll
     Micros unseen_wait = milliseconds(300);
-    size_t attempts_most = 4;  // of one start without an answer
+    // A start without an answer is tried again until it has had both so many attempts and such a time.
+    size_t attempts_most = 4;
+    Micros attempts_for = seconds(1);
 };
 
 // Thread-safe: the worker's calls come from the listener's thread, answers and timers from the loop's.
@@ -54,17 +58,19 @@
         size_t attempts = 0;
         bool open = false;  // an attempt got no answer: it may be carried out yet
         bool in_flight = false;
-        Micros next_at = 0;
+        Micros first_sent_at = 0, next_at = 0;
     };
     // What was true when a call to the worker was made; its answer counts only as far as that still holds.
     struct CallContext {
         std::string life;
         Epoch epoch;
         std::uint64_t era = 0;
+        Micros sent_at = 0;
     };
     struct PollContext {
         CallContext call;
         bool is_short = false;
+        bool waits = false;                // the worker may keep the answer back until an end comes
         std::vector<std::string> stopped;  // stops that were answered before the poll began
     };
     // What an ask at the owner carried, so that its answer clears just that.
@@ -101,7 +107,9 @@
     void end_start(std::map<RunKey, PendingOrder>::iterator pending, OrderFate fate, std::string reason);
     bool any_start_sent() const;
     void call_worker(const char* path, const boost::json::object& body, Micros patience, Loop::Then then);
-    CallContext call_context() const { return {worker_->life, epoch_, era_}; }
+    CallContext call_context() const;
+    // What an answer, or none, says of how long the next one is to be waited for.
+    void note_round_trip(const CallContext& context, const Answer& answer, Micros now);
     std::string note_reply(const Answer& answer, Micros now);
 
     // --- holds.cpp: the worker's clock, the hold, and polls of what runs ---
@@ -116,7 +124,8 @@
     void take_poll_answer(const PollContext& context, const Answer& answer);
     bool take_hold_reply(const PollContext& context, const Answer& answer, Micros now);
     void note_poll_answered();
-    void note_poll_unanswered(const Answer& answer, Micros now);
+    void note_poll_unanswered(const PollContext& context, const Answer& answer, Micros now);
+    bool silent_by_now(Micros now) const;
     void add_report(const PollContext& context, HoldReply reply, bool ends, Micros now);
 
     // --- reports.cpp: asks at the owner ---
@@ -171,8 +180,10 @@
     std::uint64_t highest_end_ = 0;
     size_t active_ = 0;
     bool polling_ = false, polling_short_ = false, poll_again_ = false;
-    bool silent_ = false;  // the worker does not answer
-    size_t poll_errors_ = 0;
+    bool silent_ = false;           // the worker does not answer
+    size_t poll_errors_ = 0;        // polls in a row without an answer
+    Micros poll_errors_since_ = 0;  // when the first of them was sent
+    AnswerTimeout answer_timeout_;
     bool after_gap_ = false;  // the poll before had no answer
     Micros lossy_until_ = 0;
     Micros next_poll_ = 0, ended_at_ = 0;
