Founding and changes of the core as pure modules, with tests

Founders' identities were a hash of the seed addresses, so a founder whose disk was emptied came back as itself. Which change of the core comes next was decided twice, in the daemon and in the test's double: one module decides now, one settled change at a time, and never leaves fewer losses bearable.

--- a/source/control/store/replica.cpp
+++ b/source/control/store/replica.cpp
@@ -116,6 +116,10 @@
 }
 
 bool Replica::load_meta(std::string_view name, std::string_view bytes) {
+    if (name == "m/founding_vote") {
+        founding_vote = bytes;
+        return true;
+    }
     auto read = unpack<Epoch>(bytes);
     if (!read) return false;
     if (name == "m/identity")
--- a/source/control/store/replica.hpp
+++ b/source/control/store/replica.hpp
@@ -33,6 +33,7 @@
     Identity promised_to;
     Epoch adopted;  // the last owner whose adoption this replica carried out
     std::map<std::string, Register> registers;
+    std::string founding_vote;  // the packed FoundingRecord, kept by `Founding`
 
     // Grants a higher epoch, or the same one again to the same candidate, only to the daemon that it trusts.
     std::pair<PrepareAnswer, Change> prepare(const PrepareAsk& ask, bool trusted);
--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -7,8 +7,7 @@
 
 struct Options {
     size_t daemons = 3, workers = 4, others = 0, losses = 1;
-    size_t core_most = 9;
-    Micros gone_after = seconds(2), given_up_after = seconds(12), replacing = seconds(10);  // as in control.hpp
+    CoreKeeperSettings membership{};
     // The slow processor: work is counted by `meter`, and this much of it takes a microsecond. Without a meter work
     // takes no time.
     std::uint64_t (*meter)() = nullptr;
@@ -56,23 +55,19 @@
         Replica replica;
         Detector detector;
         Owner owner;
+        CoreKeeper keeper;
         Ledger ledger;
         Scheduler<Ledger> scheduler;
         Core core;
         std::optional<std::pair<Epoch, Version>> core_version;
         std::optional<size_t> place;  // in the core
-        struct Joiner {
-            Member member;
-            Micros heard_at = 0;
-        };
-        std::map<Identity, Joiner> joiners;
         Epoch scheduler_epoch, highest, known_epoch;
         std::string known_owner;
-        Micros next_takeover = 0, probed = 0, joined_at = 0, next_join = 0, next_follow = 0, catching_up_until = 0,
-               majority_at = 0, acting_since = 0;
+        Micros next_takeover = 0, probed = 0, next_join = 0, next_follow = 0, catching_up_until = 0, majority_at = 0;
         Live(Daemon* daemon, Micros now)
             : detector(daemon->options.detector, 0, 1, now),
               owner({}, daemon->identity),
+              keeper(daemon->options.membership, daemon->identity),
               ledger{daemon},
               scheduler(daemon->options.scheduler, ledger),
               majority_at(now) {
@@ -298,61 +293,16 @@
             return;
         }
         if (my.owner.core().find(ask.identity)) return;
-        my.joiners[ask.identity] = {Member{0, ask.identity, ask.address, ask.control}, world.now};
+        my.keeper.note_joiner(Member{0, ask.identity, ask.address, ask.control}, world.now);
     }
-    void tend_core() {
+    void maintain_core() {
         Live& my = *live;
-        for (auto joiner = my.joiners.begin(); joiner != my.joiners.end();) {
-            if (my.owner.core().find(joiner->first) || world.now - joiner->second.heard_at > seconds(3)) {
-                my.owner.drop_learner(joiner->first);
-                joiner = my.joiners.erase(joiner);
-                continue;
-            }
-            if (!my.owner.has_learner(joiner->first)) my.owner.add_learner(joiner->second.member);
-            ++joiner;
-        }
-        if (!my.owner.membership_settled()) return;
-        Core core = my.owner.core();
-        if (const Member* victim = lost_member(core)) {
-            std::uint64_t number = victim->number;
-            std::erase_if(core.members, [&](const Member& member) { return member.number == number; });
-            return change_core(core);
-        }
-        if (core.members.size() >= options.core_most) return;
-        for (const auto& [identity, joiner] : my.joiners) {
-            if (!my.owner.learner_ready(identity)) continue;
-            Member member = joiner.member;
-            member.number = core.next_number++;
-            core.members.push_back(member);
-            my.joined_at = world.now;
-            return change_core(core);
-        }
-    }
-    const Member* lost_member(const Core& core) const {
-        const Live& my = *live;
-        const Micros now = world.now, since = now - my.acting_since;
-        bool replaced = !my.joiners.empty() || (my.joined_at != 0 && now - my.joined_at < options.replacing);
-        Micros patience = replaced ? options.gone_after : options.given_up_after;
-        for (const Member& member : core.members) {
-            if (member.identity == my.replica.identity) continue;
-            bool same_place = std::any_of(my.joiners.begin(), my.joiners.end(), [&](const auto& each) {
-                return each.second.member.address == member.address;
-            });
-            bool gone = same_place || (my.owner.is_gone(member.identity) && since > ms(500));
-            bool silent = since > patience && !my.owner.heard_since(member.identity, now - patience);
-            if (!gone && !silent) continue;
-            if (core.members.size() <= 3 && my.joiners.empty()) continue;
-            size_t heard = 0;
-            for (const Member& other : core.members)
-                heard += other.identity != member.identity && (other.identity == my.replica.identity ||
-                                                               my.owner.heard_since(other.identity, now - seconds(1)));
-            if (heard >= (core.members.size() - 1) / 2 + 1) return &member;
-        }
-        return nullptr;
-    }
-    void change_core(Core core) {
-        core.size_wanted = core.members.size();
-        live->owner.set_core(core, pack(core), nullptr);
+        for (Identity identity : my.keeper.expire_joiners(my.owner.core(), world.now))
+            my.owner.drop_learner(identity);
+        for (const Member& joiner : my.keeper.joiners())
+            if (!my.owner.has_learner(joiner.identity)) my.owner.add_learner(joiner);
+        CoreChange change = my.keeper.next_change(my.owner.core(), OwnerHealth(my.owner), world.now);
+        if (change.kind != CoreChange::Kind::none) my.owner.set_core(change.core, pack(change.core), nullptr);
     }
 
     // --- the turn ---
@@ -372,7 +322,7 @@
         for (OutgoingMessage& message : my.owner.messages_due(world.now))
             carry(std::move(message));
         if (acting()) {
-            tend_core();
+            maintain_core();
             my.scheduler.tick(world.now, world.now, my.owner.confirmed_at());
             if (world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100))
                 my.probed = world.now, my.owner.probe();
@@ -410,8 +360,7 @@
             my.highest = std::max(my.highest, *my.owner.superseded_by), my.owner.superseded_by.reset();
         if (my.owner.acting() && my.scheduler_epoch != my.owner.epoch()) {
             my.scheduler_epoch = my.owner.epoch();
-            my.acting_since = now;
-            my.joined_at = 0;
+            my.keeper.begin_term(now);
             my.scheduler.begin(my.owner.epoch(), my.owner.registers(), now);
             if (!my.owner.core().members.empty() && my.owner.registers().count("core") == 0)
                 my.owner.set_core(my.owner.core(), pack(my.owner.core()), nullptr);
@@ -420,7 +369,7 @@
             world.moment("took over");
         }
         if (!my.owner.acting() && my.scheduler_epoch.value)
-            my.scheduler_epoch = Epoch{}, my.scheduler.end_ownership(), my.joiners.clear();
+            my.scheduler_epoch = Epoch{}, my.scheduler.end_ownership(), my.keeper.end_term();
     }
     std::vector<std::uint64_t> owned;  // epochs that this machine acted under
     void note_owner(Epoch epoch, const std::string& from) {
--- a/tests/cluster/world.hpp
+++ b/tests/cluster/world.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "control/detector/detector.hpp"
 #include "control/jobs/scheduler.hpp"
+#include "control/membership/core_keeper.hpp"
 #include "control/store/owner.hpp"
 #include "control/store/replica.hpp"
 
