The control daemon founds by votes and asks the core keeper

A founder whose disk was emptied while its settings still said bootstrap came back under its old identity, counted as a member that had promised nothing, and owned again under the same term (the old program, three daemons on loopback: identity and epoch 65 twice). The daemon now carries the messages of the founding module (/inner/found) and keeps what it decides on the disk; the wiped one joins as a new member with a log line. Which change of the core comes next is the core keeper's decision.

--- a/source/control/daemon/control.cpp
+++ b/source/control/daemon/control.cpp
@@ -30,11 +30,13 @@
         return findings;
     }
     const bool new_disk = replica_.identity.value == 0;
-    if (new_disk) draw_identity();
+    if (new_disk) replica_.identity = draw_identity();
     if (new_disk && !disk_.write_identity(replica_.identity)) findings.add("data_dir", "takes no writes");
     owner_ = Owner(settings_.owner, replica_.identity);
     owner_.unpack_core = [](const std::string& packed) { return unpack<Core>(packed); };
+    core_keeper_.emplace(settings_.membership, replica_.identity);
     disk_.start();
+    begin_founding();
     const bool founding = new_disk && settings_.machine.first_start;
     catching_up_until_ = founding ? now : now + settings_.catch_up_timeout;
     refresh_core(now);
@@ -91,6 +93,7 @@
 void Control::take_settings(const Settings& machine) {
     std::lock_guard guard(lock_);
     settings_.machine.seeds = machine.seeds;
+    if (founding_) keep_founding(founding_->change_seeds(machine.seeds), [] {});
     if (locator_) locator_->add_seeds(settings_.machine.seed_replicas(own_address_));
 }
 
--- a/source/control/daemon/control.hpp
+++ b/source/control/daemon/control.hpp
@@ -10,6 +10,8 @@
 #include "control/daemon/settings.hpp"
 #include "control/detector/detector.hpp"
 #include "control/detector/suspicion.hpp"
+#include "control/membership/core_keeper.hpp"
+#include "control/membership/founding.hpp"
 #include "control/store/disk.hpp"
 #include "control/store/owner.hpp"
 #include "control/store/replica.hpp"
@@ -59,10 +61,6 @@
         NewsAsk ask;
         Micros until = 0;
     };
-    struct Joiner {
-        Member member;
-        Micros heard_at = 0;
-    };
     // What answers for news depend on.
     struct NewsState {
         Epoch epoch;
@@ -88,6 +86,7 @@
     void receive_prepare(Request request);
     void receive_heartbeat(Request request);
     void receive_join(Request request);
+    void receive_found(Request request);
     void receive_news_poll(Request request);
     void receive_call(Request request);
     void receive_side_poll(Request request);
@@ -109,8 +108,6 @@
     std::optional<std::string> other_owner_address() const;
 
     // --- membership.cpp ---
-    // Draws the identity of a new disk; a founder writes down the core.
-    void draw_identity();
     // Reads the core from the replica when it has changed.
     void refresh_core(Micros now);
     void locate_core(Micros now);
@@ -118,9 +115,16 @@
     void handle_join(const JoinAsk& ask);
     void maintain_core(Micros now);
     void maintain_learners(Micros now);
-    const Member* find_lost_member(const Core& core, Micros now) const;
-    bool majority_without(const Core& core, const Member& member, Micros now) const;
-    void propose_core(Core core);
+
+    // --- founding.cpp ---
+    void begin_founding();
+    // Whether this daemon is a founder that has no core yet.
+    bool is_founding() const;
+    void keep_founding(Change change, std::function<void()> done);
+    void send_founding_messages(Micros now);
+    void handle_found(const FoundAsk& ask, std::function<void(FoundAnswer)> respond);
+    // A core was heard of that this daemon may not be in.
+    void note_core_at_work();
 
     // --- store_messages.cpp ---
     void send_store_messages(Micros now);
@@ -183,9 +187,9 @@
     std::optional<std::pair<Epoch, Version>> core_version_;
     std::uint64_t core_mark_ = 0;
     std::optional<size_t> place_;
-    std::optional<Change> founding_;
-    std::map<Identity, Joiner> joiners_;
-    Micros joined_at_ = 0, next_join_ = 0;
+    std::optional<Founding> founding_;  // both from the opening of the disk on
+    std::optional<CoreKeeper> core_keeper_;
+    Micros next_join_ = 0;
     std::unique_ptr<Locator> locator_;  // while outside the core
     std::vector<std::string> located_core_;
     std::string located_config_;
--- a/source/control/daemon/election.cpp
+++ b/source/control/daemon/election.cpp
@@ -76,7 +76,7 @@
 void Control::begin_ownership(Micros now) {
     scheduler_epoch_ = owner_.epoch();
     acting_since_ = now;
-    joined_at_ = 0;
+    core_keeper_->begin_term(now);
     log_line("control", "owner under epoch {}, {} registers", owner_.epoch().value, owner_.registers().size());
     scheduler_.begin(owner_.epoch(), owner_.registers(), now);
     if (!owner_.core().members.empty() && owner_.registers().count("core") == 0)
@@ -87,7 +87,7 @@
 void Control::end_ownership() {
     scheduler_epoch_ = Epoch{};
     scheduler_.end_ownership();
-    joiners_.clear();
+    core_keeper_->end_term();
 }
 
 void Control::note_owner(Epoch epoch, const std::string& address) {
--- a/source/control/daemon/routes.cpp
+++ b/source/control/daemon/routes.cpp
@@ -30,6 +30,7 @@
     if (request.path == "/inner/prepare") return receive_prepare(std::move(request));
     if (request.path == "/inner/alive") return receive_heartbeat(std::move(request));
     if (request.path == "/inner/join") return receive_join(std::move(request));
+    if (request.path == "/inner/found") return receive_found(std::move(request));
     if (request.path == "/inner/news") return receive_news_poll(std::move(request));
     if (request.path == "/inner/call") return receive_call(std::move(request));
     if (request.path == "/inner/side") return receive_side_poll(std::move(request));
@@ -89,6 +90,14 @@
     if (turn_requested_) turn();
 }
 
+void Control::receive_found(Request request) {
+    auto ask = unpack<FoundAsk>(request.body);
+    if (!ask) return refuse_frame(request.reply);
+    std::lock_guard guard(lock_);
+    handle_found(*ask, respond_with<FoundAnswer>(std::move(request.reply)));
+    turn();
+}
+
 void Control::receive_news_poll(Request request) {
     auto ask = unpack<NewsAsk>(request.body);
     if (!ask) return refuse_frame(request.reply);
--- a/source/control/daemon/settings.hpp
+++ b/source/control/daemon/settings.hpp
@@ -4,6 +4,7 @@
 #include "control/detector/detector.hpp"
 #include "control/detector/suspicion.hpp"
 #include "control/jobs/settings.hpp"
+#include "control/membership/core_keeper.hpp"
 #include "control/store/owner.hpp"
 #include "preview/record_view.hpp"
 #include "shared/news/pace.hpp"
@@ -44,14 +45,9 @@
     // Between announcing a planned stop and ending.
     Micros leave_pause = milliseconds(400);
 
-    // A silent member is removed after `replace_after` where a joiner waits or has just come in its stead: another
-    // machine may be lost as soon as that one has caught up. Else it is removed after `remove_after`, longer than
-    // freezes and cuts last, as each change of the core costs a hand-over when the member comes back; and never from a
-    // core of three.
-    Micros replace_after = seconds(2), remove_after = seconds(12), replacement_window = seconds(10);
-    size_t core_size_max = 9;
-    // Between two requests to join, and how long a request counts.
-    Micros join_interval = milliseconds(400), join_request_lifetime = seconds(3);
+    CoreKeeperSettings membership;
+    // Between two requests to join.
+    Micros join_interval = milliseconds(400);
 
     // A turn's rounds end after this time; what is left waits for the next turn. Between two turns the daemon pauses
     // for as long as the last turn took, at most `turn_pause_max`.
--- a/source/control/daemon/store_messages.cpp
+++ b/source/control/daemon/store_messages.cpp
@@ -54,6 +54,7 @@
 void Control::handle_prepare(const PrepareAsk& ask, PrepareCallback respond) {
     const bool trusted = place_ && !leaving_ && core_.place_of(ask.from) == std::optional(detector_.trusted());
     auto [answer, change] = replica_.prepare(ask, trusted);
+    if (answer.verdict == Verdict::stranger) note_core_at_work();
     const bool of_other = ask.from != replica_.identity;
     if (answer.verdict == Verdict::granted && of_other && owner_.state() != Owner::State::idle) owner_.give_up();
     answer.wall = wall_now();
@@ -63,6 +64,7 @@
 
 void Control::handle_write(const WriteAsk& ask, WriteCallback respond) {
     auto [answer, change] = replica_.write(ask);
+    if (answer.verdict == Verdict::stranger) note_core_at_work();
     answer.wall = wall_now();
     if (answer.verdict == Verdict::granted) {
         const Micros now = steady_now();
--- a/source/control/daemon/turn.cpp
+++ b/source/control/daemon/turn.cpp
@@ -58,8 +58,9 @@
 
 // First what others wait for on time (heartbeats, promises, writes), then planning, then what planning proposed.
 void Control::turn_round(Micros now) {
-    locate_core(now);
+    send_founding_messages(now);
     refresh_core(now);
+    locate_core(now);
     request_join(now);
     if (place_ && !leaving_) run_election(now);
     send_store_messages(now);
@@ -109,6 +110,7 @@
 
 Micros Control::next_turn_at(Micros now) {
     Micros next = now + idle_interval;
+    if (auto due = founding_->next_pump()) next = std::min(next, *due);
     if (place_) next = std::min(next, detector_.next(now));
     if (owner_.acting())
         next = std::min(next, now + acting_interval);
