Tests of loop and side: nothing is destroyed under the loop's thread at the end

Cause: 2 of 50 runs of tests/side ended with a segmentation fault on a busy machine: the loop's thread was given the scene itself, which may be gone when the thread begins, and ran on while the process destroyed its statics. Change: the thread gets the loop, which is never destroyed; both tests leave by _Exit with their result.

--- a/tests/resend.cpp
+++ b/tests/resend.cpp
@@ -388,5 +388,8 @@
     a_stray_answer_is_nobodys();
     a_late_answer_is_nobodys();
     interim_heads_are_passed_over();
-    return result();
+    // The loop's thread goes on to the end: nothing that it uses may be destroyed before.
+    int status = result();
+    std::fflush(nullptr);
+    std::_Exit(status);
 }
--- a/tests/side.cpp
+++ b/tests/side.cpp
@@ -64,7 +64,7 @@
         settings.machine.node = "side-1";
         settings.machine.seeds = {"127.0.0.1:1"};
         side = new Side(settings, loop);
-        std::thread([this] { loop.run(); }).detach();
+        std::thread([running = &loop] { running->run(); }).detach();
         side->open();
         Request beat;
         beat.method = "PUT";
@@ -218,5 +218,8 @@
     messages_of_workers();
     a_refusal_after_a_lost_answer_is_doubtful();
     quick_answers_shorten_the_patience();
-    return result();
+    // The loop's thread goes on to the end: nothing that it uses may be destroyed before.
+    int status = result();
+    std::fflush(nullptr);
+    std::_Exit(status);
 }
