A change of membership is settled before the next one begins, and nothing removed comes back

Cause: a change counted as committed once a majority of the new core had the entry of the core, whatever else it lacked. Two removals in a row and the loss of the owner then lost a committed value. By the same property: a value that all had forgotten came back from the disk of a member that had been removed, or of one that joined while it was away; and a takeover that learnt of a later core from a removed member wrote another core than it went by.

Change: a change is settled once a majority of the new core has acknowledged everything proposed up to and including it (Owner::membership_settled); until then set_core refuses, as it does for more than one member and for the owner itself. Only grants of members of the core that a takeover goes by count, and that core is the one it writes. A tombstone is forgotten only when members and learners hold it and no change is open; takeovers and settled changes look again at tombstones that wait. Why this holds, and why not joint majorities, is in owner.hpp.

Measured by test_store_membership.

--- a/source/control/store/owner.cpp
+++ b/source/control/store/owner.cpp
@@ -6,6 +6,16 @@
 
 namespace {
 
+// Whether at most one member came or went.
+bool one_step_apart(const Core& one, const Core& other) {
+    size_t differences = 0;
+    for (const Member& member : one.members)
+        differences += !other.find(member.identity);
+    for (const Member& member : other.members)
+        differences += !one.find(member.identity);
+    return differences <= 1;
+}
+
 // What an entry and a part take in a message beside their bytes, for the size of a batch.
 constexpr size_t entry_overhead = 32, part_overhead = 12;
 
@@ -24,8 +34,7 @@
     for (const auto& [key, value] : own_registers_)
         known.list.push_back({key, value.epoch, value.version});
     known_ = pack(known);
-    core_epoch_ = Epoch{};
-    core_version_ = Version{};
+    adopted_core_.reset();
     present_owner_ = present_owner == self_ ? std::nullopt : present_owner;
     handover_deadline_.reset();
     ++takeovers_;
@@ -40,6 +49,7 @@
     std::vector<Callback> callbacks;
     for (Wait& wait : waits_)
         callbacks.push_back(std::move(wait.callback));
+    callbacks.push_back(std::exchange(on_core_settled_, nullptr));
     waits_.clear();
     links_.clear();
     registers_.clear();
@@ -86,10 +96,9 @@
         std::optional<Core> core = unpack_core(each.value.moving);
         auto own = own_registers_.find("core");
         if (own != own_registers_.end() && !each.value.newer_than(own->second)) continue;
-        if (!core || std::tie(each.value.epoch, each.value.version) <= std::tie(core_epoch_, core_version_)) continue;
-        core_epoch_ = each.value.epoch;
-        core_version_ = each.value.version;
+        if (!core || (adopted_core_ && !each.value.newer_than(*adopted_core_))) continue;
         core_ = *core;
+        adopted_core_ = each.value;
         if (!core_.find(self_)) return give_up();
         update_links();
     }
@@ -133,6 +142,7 @@
     for (const auto& [identity, grant] : grants_)
         for (const KeyedRegister& each : grant.registers)
             weigh(each.key, each.value);
+    if (adopted_core_) weigh("core", *adopted_core_);
     for (auto& [key, value] : registers_) {
         chosen_[key] = {value.epoch, value.version};
         value.epoch = epoch_;
@@ -141,6 +151,8 @@
 }
 
 void Owner::begin_transfer() {
+    // What a member of an earlier core answered is on a majority of this one, or was forgotten since.
+    std::erase_if(grants_, [this](const auto& each) { return !core_.find(each.first); });
     choose_registers();
     takeover_sequence_ = ++sequence_;
     std::map<Identity, Link> before;
@@ -229,9 +241,11 @@
     tombstones_.insert(key);
 }
 
+// A tombstone goes only when nobody who may take part in a takeover, now or after joining, can still hold what was
+// before it: neither a member of the core before an open change, nor a learner.
 void Owner::settle_tombstone(const std::string& key) {
     auto found = registers_.find(key);
-    if (found == registers_.end() || holders(key, found->second.version) < core_.members.size()) return;
+    if (core_changing_ || found == registers_.end() || !held_by_all(key, found->second.version)) return;
     Version version = found->second.version;
     floor_version_ = std::max(floor_version_, version);
     tombstones_.erase(key);
@@ -244,15 +258,22 @@
     }
 }
 
+void Owner::settle_tombstones() {
+    std::set<std::string> waiting = tombstones_;
+    for (const std::string& key : waiting)
+        settle_tombstone(key);
+}
+
 // --- membership ---
 
 bool Owner::set_core(const Core& core, const std::string& packed, Callback on_committed) {
-    if (!membership_settled()) return false;
+    if (!membership_settled() || !core.find(self_) || !one_step_apart(core_, core)) return false;
     core_ = core;
-    core_changing_ = true;
     update_links();
     propose("core", std::nullopt, packed, nullptr);
-    waits_.push_back({"core", registers_.at("core").version, 0, std::move(on_committed), true});
+    core_sequence_ = sequence_;
+    core_changing_ = true;
+    on_core_settled_ = std::move(on_committed);
     return true;
 }
 
@@ -260,10 +281,33 @@
     return acting() && !core_changing_;
 }
 
+Sequence Owner::acknowledged(const Link& link) const {
+    if (!link.synced || link.gone) return 0;
+    Sequence first_open = link.backlog.oldest().value_or(sequence_ + 1);
+    for (const auto& [key, sent] : link.in_flight)
+        first_open = std::min(first_open, sent.missing.since);
+    return first_open - 1;
+}
+
+size_t Owner::members_level(Sequence sequence) const {
+    size_t count = 0;
+    for (const Member& member : core_.members) {
+        auto link = links_.find(member.identity);
+        count += link != links_.end() && acknowledged(link->second) >= sequence;
+    }
+    return count;
+}
+
+void Owner::settle_membership(std::vector<Callback>& callbacks) {
+    if (!core_changing_ || members_level(core_sequence_) < core_.majority()) return;
+    core_changing_ = false;
+    callbacks.push_back(std::exchange(on_core_settled_, nullptr));
+    settle_tombstones();
+}
+
 bool Owner::level(Identity identity) const {
     auto link = links_.find(identity);
-    if (link == links_.end()) return false;
-    return link->second.synced && link->second.backlog.empty() && link->second.in_flight.empty();
+    return acting() && link != links_.end() && acknowledged(link->second) >= sequence_;
 }
 
 bool Owner::level_without(Identity identity) const {
@@ -291,6 +335,7 @@
 void Owner::drop_learner(Identity identity) {
     learners_.erase(identity);
     update_links();
+    settle_tombstones();
 }
 
 bool Owner::heard_since(Identity identity, Micros since) const {
@@ -480,8 +525,8 @@
 }
 
 void Owner::note_written(Link& link, const WriteAnswer& answer) {
-    if (link.adopting) {
-        link.adopting = false;
+    bool adopted = std::exchange(link.adopting, false);
+    if (adopted) {
         link.has.merge(link.alike);
         link.alike.clear();
         link.excepted.clear();
@@ -506,6 +551,7 @@
     if (link.completing && lacking.empty()) link.synced = true;
     link.round = std::max(link.round, link.in_flight_round);
     link.answered_from = link.sent_at;
+    if (adopted) return settle_tombstones();
     for (const std::string& key : removed)
         settle_tombstone(key);
 }
@@ -534,6 +580,13 @@
     return count;
 }
 
+bool Owner::held_by_all(const std::string& key, Version version) const {
+    return std::all_of(links_.begin(), links_.end(), [&](const auto& each) {
+        auto has = each.second.has.find(key);
+        return has != each.second.has.end() && has->second >= version;
+    });
+}
+
 size_t Owner::members_in_round(std::uint64_t round) const {
     size_t count = 0;
     for (const Member& member : core_.members) {
@@ -562,13 +615,13 @@
         bool held = wait->version.value == 0 || found == registers_.end() ||
                     holders(wait->key, wait->version) >= core_.majority();
         if (held && members_in_round(wait->round) >= core_.majority()) {
-            if (wait->changes_core) core_changing_ = false;
             callbacks.push_back(std::move(wait->callback));
             wait = waits_.erase(wait);
         } else {
             ++wait;
         }
     }
+    settle_membership(callbacks);
     for (Callback& callback : callbacks)
         if (callback) callback(true);
 }
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -37,6 +37,35 @@
 // wrote first, and X would have seen it and gone by that core, or it promised first, and refused to write. So a term,
 // which workers see as `fence`, belongs to one owner for all time.
 //
+// Membership. The core K changes to K' by one member, and the change is settled once a majority of K' has acknowledged
+// everything that was proposed up to and including it; only then may the next one begin. Level before change was taken
+// rather than joint majorities (a takeover that needs a majority of both cores): with those, a value that only members
+// that have gone hold would still have to be copied before they are let go, and a takeover would wait for members that
+// were removed because they are lost.
+//   1. K and K' differ by one member, so any majority of K meets any majority of K'. So it doesn't matter by which of
+//      the two a value was committed or a takeover goes.
+//   2. What was committed before K'' begins is on a majority of K', and so is K' itself: it was proposed up to the
+//   change
+//      to K', and a majority of K' has all of that; or it was proposed after it, and was committed by K' itself.
+//   3. A takeover goes by the latest core that its grants show, and needs a majority of that one. Say that is K'. Was a
+//      K'' settled under a lower term, a majority of K'' wrote it, and by 1. one of them is among the grants: it wrote
+//      K'' before it promised, and the grant shows it, or after, and refused. So at most one change is open beyond K',
+//      and by 1. and 2. everything that was committed, by K, K' or K'', is found by a majority of K'.
+//   4. A takeover writes what it found, the core too, to a majority of K' before it acts, so it begins with a settled
+//      core. An open K'' that it didn't see is of a lower term and can't be settled any more: a majority of K' has
+//      promised the higher term, and meets every majority of K''. Whoever still holds K'' and goes by it meets that
+//      majority, is shown the later K', and goes by that.
+//   5. Only grants of members of the core that the takeover goes by count; the core itself may be learnt from anybody,
+//   as a
+//      later one is always safe to go by. By 3. they have all that was committed; what
+//      one that was removed still holds may have been forgotten by all others since.
+//   6. A key that was removed is forgotten only when every member and learner holds its tombstone and no change is
+//   open.
+//      So whoever takes part in a takeover, also one that joined since, holds the tombstone or nothing, never the
+//      value.
+// A removed member that still answers is of no use to this and does no harm: its copies are on a majority of the new
+// core before anything else changes.
+//
 // States: idle -> preparing (asks for a higher term) -> transferring (writes what the members lack) -> acting.
 class Owner {
 public:
@@ -77,12 +106,13 @@
     // that.
     void remove(const std::string& key);
 
-    // Changes the core by one member; the new core counts at once, as any later reader meets it. Returns false, and
-    // never calls `on_committed`, when the change before it isn't settled yet (see `membership_settled`).
+    // Changes the core by at most one member; the new core counts at once, as any later reader meets it. `on_committed`
+    // is called once the change is settled. Returns false, and never calls it, when the change before isn't settled,
+    // more than one member differs, or this daemon itself would go.
     bool set_core(const Core& core, const std::string& packed, Callback on_committed);
 
     // Whether the last change of membership is committed: a majority of the core holds everything that was proposed up
-    // to and including it.
+    // to and including it. False while not acting.
     bool membership_settled() const;
 
     // Whether the member has acknowledged everything that was proposed so far.
@@ -98,7 +128,7 @@
     void cancel_drain() { draining_ = false; }
     bool draining() const { return acting() && draining_; }
     // Draining, and no callback waits any more.
-    bool drained() const { return draining() && waits_.empty(); }
+    bool drained() const { return draining() && waits_.empty() && !core_changing_; }
 
     // A learner is handed everything, but it doesn't count for any majority.
     void add_learner(const Member& member);
@@ -153,7 +183,6 @@
         Version version;
         std::uint64_t round;
         Callback callback;
-        bool changes_core = false;
     };
     using Content = std::pair<Epoch, Version>;
 
@@ -179,7 +208,14 @@
     void choose_registers();
     void compare(Link& link, const PrepareAnswer& answer);
     void settle_tombstone(const std::string& key);
+    void settle_tombstones();
+    // Up to which proposal the member has acknowledged everything.
+    Sequence acknowledged(const Link& link) const;
+    size_t members_level(Sequence sequence) const;
+    void settle_membership(std::vector<Callback>& callbacks);
     size_t holders(const std::string& key, Version version) const;
+    // Whether every member and learner has the key in this version or a later one.
+    bool held_by_all(const std::string& key, Version version) const;
     size_t members_in_round(std::uint64_t round) const;
     void note_confirmation();
     void run_callbacks();
@@ -189,13 +225,14 @@
     State state_ = State::idle;
     Epoch epoch_;
     Core core_;
-    Epoch core_epoch_;
-    Version core_version_;
+    std::optional<Register> adopted_core_;  // a later core than the one the takeover began with, as a grant showed it
     Version floor_version_;
     Micros confirmed_at_ = -1;
     std::uint64_t takeovers_ = 0, last_ticket_ = 0, round_wanted_ = 0;
     Sequence sequence_ = 0;           // of the last proposal
     Sequence takeover_sequence_ = 0;  // stands for everything that the takeover settled on
+    Sequence core_sequence_ = 0;      // of the last change of membership
+    Callback on_core_settled_;
     bool core_changing_ = false, draining_ = false;
     std::optional<Identity> present_owner_;    // while its pre-vote answer is waited for
     std::optional<Micros> handover_deadline_;  // set by the first pre-vote
