One library a folder: shared, front, preview, hollow, forecast and commands as .hpp and .cpp

The program was one translation unit: 195 s of wall time at -j3 on a busy machine, 182 s of processor time, for any change. Declarations stay in the headers, definitions are in .cpp files moved word for word; calicostall.cpp is a table of commands, each a file under source/commands/. The listener keeps Boost.Beast to its own .cpp. Forward is no template over its planner any more.

--- /dev/null
+++ b/source/commands/check.cpp
@@ -0,0 +1,45 @@
+#include "commands/commands.hpp"
+#include "commands/options.hpp"
+#include "shared/settings/config.hpp"
+
+namespace calicostall {
+
+namespace {
+
+int check_settings(const std::string& path) {
+    Findings findings;
+    load_settings(path, findings);
+    if (!findings.empty()) return report(run_error, findings);
+    fmt::print("{}: sound\n", path);
+    return 0;
+}
+
+int check_config(const std::string& path) {
+    Findings findings;
+    std::optional<std::string> text = read_file(path);
+    if (!text)
+        findings.add(path, "cannot be read");
+    else
+        parse_config(*text, findings);
+    if (!findings.empty()) return report(run_error, findings);
+    fmt::print("{}: sound\n", path);
+    return 0;
+}
+
+}  // namespace
+
+int check_settings_command(const cxxopts::ParseResult& given) {
+    std::string file = first_file(given);
+    Findings findings;
+    if (file.empty()) findings.add("check-settings", "needs a file");
+    return findings.empty() ? check_settings(file) : report(usage_error, findings);
+}
+
+int check_config_command(const cxxopts::ParseResult& given) {
+    std::string file = first_file(given);
+    Findings findings;
+    if (file.empty()) findings.add("check-config", "needs a file");
+    return findings.empty() ? check_config(file) : report(usage_error, findings);
+}
+
+}  // namespace calicostall
--- a/source/hollow/inside.hpp
+++ b/source/hollow/inside.hpp
@@ -1,8 +1,6 @@
 // An experiment without daemons: the real scheduler, hollow workers and a record that agrees at once, under a clock of
-// its own. It tells what scheduling costs apart from disks and messages.
+// its own. It shows what scheduling costs apart from disks and messages.
 #pragma once
-#include <ctime>
-
 #include "common.hpp"
 #include "control/jobs/scheduler.hpp"
 #include "hollow/load.hpp"
@@ -10,37 +8,20 @@
 
 namespace calicostall {
 
-inline double thread_cpu_s() {
-    timespec time{};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-    return double(time.tv_sec) + double(time.tv_nsec) / 1e9;
-}
+// Processor time of this thread, in seconds.
+double thread_cpu_s();
 
-// A record that takes every proposal; it is told of after the call that made it.
+// A record that takes every proposal; its callbacks run after the call that made it.
 struct InstantLedger {
-    std::deque<std::function<void(bool)>> told;
+    std::deque<std::function<void(bool)>> callbacks;
     std::uint64_t proposals = 0, bytes = 0;
-    void propose(const std::string& key, std::optional<std::string> fixed, Patch patch,
-                 std::function<void(bool)> then) {
-        ++proposals;
-        bytes += key.size() + (fixed ? fixed->size() : 0) + patch.moving.size();
-        for (const Part& part : patch.parts)
-            bytes += pack(part).size();
-        if (then) told.push_back(std::move(then));
-    }
-    void confirm(const std::string&, std::function<void(bool)> then) {
-        if (then) told.push_back(std::move(then));
-    }
+    void propose(const std::string& key, std::optional<std::string> fixed, Patch patch, std::function<void(bool)> then);
+    void confirm(const std::string&, std::function<void(bool)> then);
     void bury(const std::string&) {}
-    void settle() {
-        while (!told.empty()) {
-            auto then = std::move(told.front());
-            told.pop_front();
-            then(true);
-        }
-    }
+    void settle();
 };
 
+// The run of one experiment, step after step.
 class InsideRun {
 public:
     struct Result {
@@ -51,50 +32,11 @@
         std::uint64_t proposals = 0, proposal_bytes = 0, order_bytes = 0, report_bytes = 0, side_asks = 0;
     };
 
-    InsideRun(const Experiment& experiment)
-        : experiment_(experiment), load_(experiment), scheduler_(SchedulerSettings{}, ledger_) {
-        scheduler_.begin(Epoch{1}, {}, now_);
-        CallAsk ask{"PUT", {}, "/config", HollowLoad::config(1, 64), "0", false};
-        scheduler_.put_config(ask, [](CallFate, Response) {});
-        ledger_.settle();
-    }
+    InsideRun(const Experiment& experiment);
     Samples start_ms, urgent_start_ms, tick_ms;
 
     // Runs one step. Example: InsideRun run(experiment); run.play(experiment.steps[0]).starts
-    Result play(const HollowStep& step) {
-        while (std::int64_t(machines_.size()) < step.workers)
-            add_machine();
-        for (Micros until = now_ + milliseconds(500); now_ < until;)
-            round(nullptr);
-        while (long_tasks_ < step.running) {
-            std::int64_t tasks =
-                std::max(step.gang, std::min<std::int64_t>(step.running - long_tasks_, 200) / step.gang * step.gang);
-            long_tasks_ += tasks;
-            submit(step, tasks, seconds(3600));
-            for (int more = 0; more < 5; ++more)
-                round(nullptr);
-        }
-        for (Micros until = now_ + seconds(60); now_ < until && std::int64_t(running()) < step.running;)
-            round(nullptr);
-        next_arrival_ = load_.next_arrival(step, now_);
-        for (Micros until = now_ + step.warm; now_ < until;)
-            round(&step);
-        Result before = totals();
-        start_ms.clear(), urgent_start_ms.clear(), tick_ms.clear();
-        parts_.clear();
-        for (Micros until = now_ + step.length; now_ < until;)
-            round(&step);
-        Result after = totals();
-        after.clock_s -= before.clock_s;
-        for (auto field : {&Result::starts, &Result::done, &Result::other_ends, &Result::jobs, &Result::jobs_refused,
-                           &Result::proposals, &Result::proposal_bytes, &Result::order_bytes, &Result::report_bytes,
-                           &Result::side_asks})
-            after.*field -= before.*field;
-        after.cpu_by_part = parts_;
-        for (const auto& [part, cpu] : parts_)
-            after.cpu_s += cpu;
-        return after;
-    }
+    Result play(const HollowStep& step);
 
 private:
     struct Machine {
@@ -118,146 +60,15 @@
         owed_ += took;
         return took;
     }
-    size_t running() const {
-        size_t all = 0;
-        for (const auto& machine : machines_)
-            all += machine.worker->running();
-        return all;
-    }
-    Result totals() const {
-        Result all = sums_;
-        for (const auto& machine : machines_) {
-            all.starts += machine.worker->starts();
-            all.done += machine.worker->ends("done");
-            for (const char* how : {"lapsed", "broken", "alone", "stopped"})
-                all.other_ends += machine.worker->ends(how);
-        }
-        all.running = running();
-        all.clock_s = double(now_) / 1e6;
-        all.proposals = ledger_.proposals;
-        all.proposal_bytes = ledger_.bytes;
-        return all;
-    }
-    void add_machine() {
-        Machine machine;
-        machine.account = load_.account(std::int64_t(machines_.size()));
-        machine.node = fmt::format("side-{}", machines_.size() + 1);
-        machine.worker = std::make_unique<HollowWorker>(board_);
-        machine.worker->started = [this](const std::string& task, Micros now) { note_start(task, now); };
-        machine.ask_at = now_ + Micros(load_.random() % 400000);
-        machines_.push_back(std::move(machine));
-    }
-    void note_start(const std::string& task, Micros now) {
-        auto sent = sent_.find(task.substr(0, 16));
-        if (sent == sent_.end()) return;
-        start_ms.add(double(now - sent->second.first) / 1000);
-        if (sent->second.second == 0) urgent_start_ms.add(double(now - sent->second.first) / 1000);
-    }
-    void submit(const HollowStep& step, std::int64_t tasks, Micros length) {
-        HollowLoad::Job job = load_.make(step, tasks, length);
-        if (length < seconds(3600)) sent_[job.id] = {now_, HollowLoad::priority(job.team)};
-        ++sums_.jobs;
-        CallAsk ask{"POST", job.host, job.path, std::move(job.body), {}, false};
-        charge("calls", [&] {
-            scheduler_.call(ask, now_, wall(), [this](CallFate fate, Response response) {
-                sums_.jobs_refused += fate != CallFate::settled || response.code != 200;
-            });
-            ledger_.settle();
-        });
-    }
+    size_t running() const;
+    Result totals() const;
+    void add_machine();
+    void note_start(const std::string& task, Micros now);
+    void submit(const HollowStep& step, std::int64_t tasks, Micros length);
     Micros wall() const { return now_ + seconds(1700000000); }
-    void round(const HollowStep* step) {
-        now_ += milliseconds(2);
-        if (experiment_.cpu_share > 0) now_ += Micros(owed_ / experiment_.cpu_share * 1e6);
-        owed_ = 0;
-        while (step && next_arrival_ <= now_) {
-            submit(*step, step->tasks_per_job, step->task_length);
-            next_arrival_ = load_.next_arrival(*step, next_arrival_);
-        }
-        for (Machine& machine : machines_) {
-            machine.worker->advance(now_);
-            if (now_ >= machine.ask_at || machine.look || machine.worker->has_ends(machine.ends_shown)) tell(machine);
-        }
-        double took = charge("tick", [&] {
-            scheduler_.tick(now_, wall(), now_);
-            ledger_.settle();
-        });
-        tick_ms.add(took * 1000);
-        std::vector<Machine*> with_news;
-        charge("news", [&] {
-            for (Machine& machine : machines_)
-                if (scheduler_.has_news(machine.node, machine.epoch, machine.taken, machine.seen))
-                    with_news.push_back(&machine);
-        });
-        for (Machine* machine : with_news)
-            hear(*machine);
-    }
-    void tell(Machine& machine) {
-        SideAsk ask;
-        ask.node = machine.node;
-        ask.incarnation = 1;
-        ask.number = ++machine.number;
-        ask.epoch = machine.epoch;
-        ask.taken = machine.taken;
-        ask.seen = machine.seen;
-        ask.worker = machine.account;
-        ask.results.swap(machine.results);
-        if (machine.epoch.value != 0) {
-            ask.report = machine.worker->report(now_);
-            ask.report->life = machine.account.life;
-            ask.report->fence = machine.epoch;
-            ask.report->stops.swap(machine.stops);
-            if (!ask.report->finished.empty()) machine.ends_shown = ask.report->finished.back().number;
-        }
-        std::string packed = pack(ask);
-        sums_.report_bytes += packed.size();
-        ++sums_.side_asks;
-        charge("reports", [&] {
-            auto read = unpack<SideAsk>(packed);
-            scheduler_.take_side(*read, now_, wall());
-            ledger_.settle();
-        });
-        machine.look = false;
-        machine.ask_at = now_ + seconds(1);
-        hear(machine);
-    }
-    void hear(Machine& machine) {
-        std::string packed;
-        charge("orders", [&] { packed = pack(scheduler_.answer_side(machine.node, now_, now_)); });
-        auto answer = unpack<SideAnswer>(packed);
-        sums_.order_bytes += packed.size();
-        if (answer->life != machine.account.life) return;
-        if (answer->epoch > machine.epoch) machine.look = true;
-        machine.epoch = answer->epoch;
-        machine.look = machine.look || answer->look;
-        machine.seen = std::max(machine.seen, answer->seen);
-        std::int64_t until = machine.worker->clock_ms(now_ + answer->allowance);
-        if (answer->allowance > 0)
-            machine.worker->take("/hold",
-                                 fmt::format("{{\"fence\":{},\"seen_at\":{},\"until_ms\":{}}}", machine.epoch.value,
-                                             machine.seen, until),
-                                 now_);
-        for (const Order& order : answer->orders) {
-            if (order.number <= machine.taken) continue;
-            machine.taken = order.number;
-            boost::json::object body{{"task", order.task},
-                                     {"run_id", order.run},
-                                     {"fence", machine.epoch.value},
-                                     {"until_ms", until},
-                                     {"job_spec", order.spec}};
-            bool starts = order.kind == OrderKind::start;
-            auto said = machine.worker->take(starts ? "/run-start" : "/run-stop", boost::json::serialize(body), now_);
-            if (starts)
-                machine.results.push_back({order.number,
-                                           said.code == 200 ? OrderFate::started : OrderFate::turned_away,
-                                           order.task,
-                                           order.run,
-                                           {},
-                                           0});
-            else
-                machine.stops.push_back(fmt::format("{} {}", order.task, order.run)), machine.look = true;
-        }
-    }
+    void round(const HollowStep* step);
+    void send_report(Machine& machine);
+    void hear(Machine& machine);
 
     const Experiment& experiment_;
     HollowLoad load_;
--- a/source/hollow/load.hpp
+++ b/source/hollow/load.hpp
@@ -19,70 +19,13 @@
     explicit HollowLoad(const Experiment& experiment) : experiment_(experiment), random_(experiment.seed) {}
 
     // When the next job comes after one at `last`; never when the step starts none.
-    Micros next_arrival(const HollowStep& step, Micros last) {
-        if (step.starts_per_s <= 0) return std::numeric_limits<Micros>::max();
-        std::exponential_distribution<double> pause(step.starts_per_s / double(step.tasks_per_job));
-        return last + Micros(pause(random_) * 1e6);
-    }
-    Job make(const HollowStep& step, std::int64_t tasks, Micros length) {
-        Job job;
-        job.host = host;
-        job.team = std::int64_t(random_() % std::uint64_t(step.teams));
-        job.id = fmt::format("{:016x}", random_());
-        job.path = fmt::format("/team{}/{}", job.team, job.id);
-        HollowSpec spec{length, std::uint32_t(step.gang)};
-        boost::json::array steps;
-        std::int64_t each = step.gang > 1 ? step.gang : tasks;
-        for (std::int64_t left = tasks; left > 0; left -= each) {
-            boost::json::object one{{"count", std::min(left, each)},
-                                    {"cpu", experiment_.task_cpu},
-                                    {"task_mem_mb", experiment_.task_memory},
-                                    {"estimate_ms", length / 1000}};
-            if (step.gang > 1) one["gang"] = true;
-            steps.push_back(std::move(one));
-        }
-        job.body = boost::json::serialize(
-            boost::json::object{{"job_spec", spec.text(size_t(experiment_.spec_bytes))}, {"steps", std::move(steps)}});
-        return job;
-    }
+    Micros next_arrival(const HollowStep& step, Micros last);
+    Job make(const HollowStep& step, std::int64_t tasks, Micros length);
     // Team 0 and every third after it is urgent (priority 0).
     static std::int64_t priority(std::int64_t team) { return team % 3; }
     // Every change of the configuration is a new time-out.
-    static std::string config(std::uint64_t revision, std::int64_t teams) {
-        boost::json::array routes;
-        for (std::int64_t team = 0; team < teams; ++team)
-            routes.push_back(boost::json::object{{"name", fmt::format("r-{}", team)},
-                                                 {"host", host},
-                                                 {"path_prefix", fmt::format("/team{}/", team)},
-                                                 {"kind", "unsafe"},
-                                                 {"timeout_ms", 3000 + revision % 100},
-                                                 {"target_ms", 250},
-                                                 {"priority", priority(team)},
-                                                 {"service", service},
-                                                 {"max_attempts", 4},
-                                                 {"extension", 2.0}});
-        boost::json::array services{boost::json::object{{"name", service},
-                                                        {"health_path", "/health"},
-                                                        {"max_conns", 64},
-                                                        {"protocol", "h1"},
-                                                        {"tls", false},
-                                                        {"guards", false}}};
-        return boost::json::serialize(boost::json::object{{"revision", revision},
-                                                          {"routes", std::move(routes)},
-                                                          {"services", std::move(services)},
-                                                          {"limits", boost::json::object{{"max_body_bytes", 262144}}}});
-    }
-    WorkerAccount account(std::int64_t number) const {
-        WorkerAccount account;
-        account.life = fmt::format("i-{:08x}", std::uint32_t(number) * 2654435761u);
-        account.service = service;
-        account.address = fmt::format("127.88.{}.{}:8080", number / 250, number % 250 + 1);  // never opened
-        account.zone = fmt::format("zone-{}", number % experiment_.zones + 1);
-        account.cpu = experiment_.worker_cpu;
-        account.memory = experiment_.worker_memory;
-        account.labels = {"a", fmt::format("r{}-{}", number % experiment_.zones + 1, number / experiment_.zones / 20)};
-        return account;
-    }
+    static std::string config(std::uint64_t revision, std::int64_t teams);
+    WorkerAccount account(std::int64_t number) const;
     std::uint64_t random() { return random_(); }
 
 private:
--- a/source/preview/change.hpp
+++ b/source/preview/change.hpp
@@ -4,8 +4,10 @@
 
 namespace calicostall {
 
+// What a change does with a worker.
 enum class WorkerMove { drain, leave, join };
 
+// A worker that drains, leaves or joins at a time after the snapshot.
 struct WorkerChange {
     WorkerMove move = WorkerMove::drain;
     std::string name;      // life or machine of a worker that is there
@@ -13,6 +15,7 @@
     SnapshotWorker joins;  // of one that joins
 };
 
+// What a preview is asked to assume: a configuration, planner settings by name, workers that change.
 struct ProposedChange {
     std::optional<Config> config;
     std::map<std::string, double> planner;  // weights and ratios by name
@@ -22,115 +25,15 @@
 
 // A configuration that control would refuse on top of the snapshot's is refused here as well.
 // Example: read_configuration(text, "next.json", &snapshot, change, findings);
-inline void read_configuration(std::string_view text, const std::string& name, const Snapshot* snapshot,
-                               ProposedChange& change, Findings& findings) {
-    Findings inner;
-    Config config = parse_config(text, inner);
-    for (const Finding& finding : inner.list())
-        findings.add(name + ":" + finding.place, finding.text);
-    if (!inner.empty()) return;
-    Findings ignored;
-    if (snapshot && !snapshot->config.empty()) {
-        std::uint64_t current = parse_config(snapshot->config, ignored).revision;
-        if (config.revision <= current)
-            return findings.add(name + ":revision", fmt::format("must be above {}", current));
-    }
-    change.config = std::move(config);
-}
+void read_configuration(std::string_view text, const std::string& name, const Snapshot* snapshot,
+                        ProposedChange& change, Findings& findings);
 
 // Reads a change file and checks it against the snapshot and the names of the planner's weights and ratios.
 // Example: {"planner": {"ratio-priority": 3}, "workers": [{"drain": "side-4"}, {"leave": "side-5", "after_ms": 500},
 //           {"join": {"node": "side-12", "service": "match", "cpu": 64000, "task_mem_mb": 128000, "labels":
 //           ["kigamboni", "r3"]}}]}
 // Without a snapshot nothing is said of whether its workers are there.
-inline void read_change(std::string_view text, const std::string& name, const Snapshot* snapshot,
-                        const std::vector<std::string>& planner_names, ProposedChange& change, Findings& findings) {
-    boost::system::error_code error;
-    boost::json::value whole = boost::json::parse(text, error);
-    if (error || !whole.is_object())
-        return findings.add(name, error ? "cannot be read as JSON: " + error.message() : "must be a table");
-    FieldReader reader(whole.as_object(), name, findings);
-    auto only = [&](const boost::json::object& object, const std::string& place, const std::set<std::string>& known) {
-        for (const auto& field : object)
-            if (!known.contains(std::string(field.key())))
-                findings.add(fmt::format("{}.{}", place, std::string_view(field.key())), "is unknown");
-    };
-    only(whole.as_object(), name, {"planner", "workers"});
-    if (const auto* planner = reader.table("planner", false)) {
-        for (const auto& field : *planner) {
-            std::string key(field.key()), place = fmt::format("{}.planner.{}", name, key);
-            bool known = std::find(planner_names.begin(), planner_names.end(), key) != planner_names.end();
-            if (!known)
-                findings.add(place, "is unknown");
-            else if (!field.value().is_number())
-                findings.add(place, "must be a number");
-            else if (double value = field.value().to_number<double>(); !(value >= 0) || value > 1e9)
-                findings.add(place, "is out of range");
-            else
-                change.planner[key] = value;
-        }
-    }
-    const auto* list = reader.list("workers", false);
-    if (!list) return;
-    std::set<std::string> named;
-    for (size_t place = 0; place < list->size(); ++place) {
-        std::string where = fmt::format("{}.workers[{}]", name, place);
-        if (!(*list)[place].is_object()) {
-            findings.add(where, "must be a table");
-            continue;
-        }
-        const boost::json::object& each = (*list)[place].as_object();
-        FieldReader inner(each, where, findings);
-        only(each, where, {"drain", "leave", "join", "after_ms"});
-        WorkerChange worker;
-        worker.after = Micros(inner.number("after_ms", 0) * 1000);
-        if (each.contains("drain") + each.contains("leave") + each.contains("join") != 1) {
-            findings.add(where, "must have one of drain, leave, join");
-            continue;
-        }
-        if (each.contains("join")) {
-            worker.move = WorkerMove::join;
-            const auto* joins = inner.table("join", true);
-            if (!joins) continue;
-            FieldReader fields(*joins, where + ".join", findings);
-            only(*joins, where + ".join", {"node", "service", "zone", "labels", "cpu", "task_mem_mb", "gpu"});
-            worker.name = fields.text("node", true);
-            worker.joins.node = worker.name, worker.joins.life = "joining " + worker.name;
-            worker.joins.service = fields.text("service", true), worker.joins.zone = fields.text("zone", false);
-            worker.joins.cpu = std::int64_t(fields.number("cpu", std::nullopt));
-            worker.joins.memory = std::int64_t(fields.number("task_mem_mb", 0));
-            worker.joins.gpu = std::int64_t(fields.number("gpu", 0));
-            worker.joins.reconciled = true;
-            if (const auto* labels = fields.list("labels", false))
-                for (size_t label = 0; label < labels->size(); ++label) {
-                    if ((*labels)[label].is_string())
-                        worker.joins.labels.emplace_back((*labels)[label].as_string());
-                    else
-                        findings.add(fmt::format("{}.join.labels[{}]", where, label), "must be a text");
-                }
-            for (size_t each = 0; snapshot && each < snapshot->workers.size(); ++each)
-                if (!worker.name.empty() && snapshot->workers[each].node == worker.name)
-                    findings.add(where + ".join.node", "is there already");
-        } else {
-            worker.move = each.contains("drain") ? WorkerMove::drain : WorkerMove::leave;
-            const char* field = each.contains("drain") ? "drain" : "leave";
-            worker.name = inner.text(field, true);
-            auto named_so = [&](const SnapshotWorker& present) {
-                return present.life == worker.name || present.node == worker.name;
-            };
-            if (snapshot) {
-                auto found = std::find_if(snapshot->workers.begin(), snapshot->workers.end(), named_so);
-                if (found == snapshot->workers.end())
-                    findings.add(fmt::format("{}.{}", where, field),
-                                 fmt::format("'{}' is no worker of the snapshot", worker.name));
-                else
-                    worker.name = found->life;
-            }
-        }
-        if (!worker.name.empty() && !named.insert(worker.name).second)
-            findings.add(where, fmt::format("'{}' is there twice", worker.name));
-        change.workers.push_back(std::move(worker));
-    }
-}
+void read_change(std::string_view text, const std::string& name, const Snapshot* snapshot,
+                 const std::vector<std::string>& planner_names, ProposedChange& change, Findings& findings);
 
 }  // namespace calicostall
--- a/source/preview/outlook.hpp
+++ b/source/preview/outlook.hpp
@@ -12,6 +12,7 @@
     auto operator<=>(const TaskKey&) const = default;
 };
 
+// What becomes of a task that waits.
 enum class Landing { lands, waits, nowhere };
 constexpr const char* landing_text(Landing landing) {
     constexpr std::array<const char*, 3> texts{"lands", "waits", "nowhere"};
@@ -55,6 +56,7 @@
     bool allowed = false;  // a copy of a duplicate_ok step
 };
 
+// All that a preview saw.
 struct Outlook {
     std::vector<TaskOutlook> tasks;
     std::vector<RunOutlook> running;
@@ -64,9 +66,7 @@
     bool cut = false;    // it ended before the horizon since there was too much to plan
     size_t plans = 0;
     // Runs that could run beside another though they must not; anything but 0 is an alarm.
-    size_t alarms() const {
-        return size_t(std::count_if(twice.begin(), twice.end(), [](const Twice& each) { return !each.allowed; }));
-    }
+    size_t alarms() const;
 };
 
 }  // namespace calicostall
--- a/source/preview/planner_fields.hpp
+++ b/source/preview/planner_fields.hpp
@@ -31,26 +31,10 @@
         see("evaluations-most", settings.evaluations_most);
     see("stops-most", settings.stops_most);
 }
-inline std::vector<PlannerField> planner_fields(const PlannerSettings& settings) {
-    std::vector<PlannerField> fields;
-    each_planner_setting(settings, [&](std::string_view name, const auto& value) {
-        using Value = std::remove_cvref_t<decltype(value)>;
-        double scaled = std::is_same_v<Value, Micros> ? double(value) / 1000 : double(value) * 1000;
-        fields.push_back({std::string(name), std::int64_t(std::llround(scaled))});
-    });
-    return fields;
-}
+// All of the planner's settings, as a snapshot carries them.
+std::vector<PlannerField> planner_fields(const PlannerSettings& settings);
 // Sets one of them by name; false: there is none of this name.
 // Example: set_planner_field(settings, "ratio-priority", 2.5)
-inline bool set_planner_field(PlannerSettings& settings, std::string_view wanted, double number) {
-    bool found = false;
-    each_planner_setting(settings, [&](std::string_view name, auto& value) {
-        using Value = std::remove_cvref_t<decltype(value)>;
-        if (name != wanted) return;
-        found = true;
-        value = std::is_same_v<Value, Micros> ? Value(std::llround(number * 1e6)) : Value(number);
-    });
-    return found;
-}
+bool set_planner_field(PlannerSettings& settings, std::string_view wanted, double number);
 
 }  // namespace calicostall
--- a/source/preview/record_view.hpp
+++ b/source/preview/record_view.hpp
@@ -31,11 +31,13 @@
     const Record& record_;
 };
 
+// When and under which epoch a snapshot is taken; times in microseconds.
 struct SnapshotMoment {
     std::uint64_t epoch = 0;
     Micros now = 0, wall = 0, confirmed_at = 0;
 };
 
+// What bounds the cost of snapshots to the owner.
 struct SnapshotLimits {
     size_t bytes = 4 << 20;
     Micros apart = seconds(1);  // at most one snapshot in this time
@@ -46,11 +48,7 @@
 class SnapshotPause {
 public:
     explicit SnapshotPause(Micros apart) : apart_(apart) {}
-    bool grant(Micros now) {
-        if (last_ && now - *last_ < apart_) return false;
-        last_ = now;
-        return true;
-    }
+    bool grant(Micros now);
 
 private:
     Micros apart_;
--- a/source/preview/serve.hpp
+++ b/source/preview/serve.hpp
@@ -5,12 +5,13 @@
 
 namespace calicostall {
 
+// The path on the replicas' port.
 constexpr const char* preview_path = "/inner/preview";
 
+// Answers requests for snapshots, or says why not.
 class PreviewReads {
 public:
-    explicit PreviewReads(bool on, const SnapshotLimits& limits = {})
-        : on_(on), limits_(limits), pause_(limits.apart) {}
+    explicit PreviewReads(bool on, const SnapshotLimits& limits = {});
 
     // Who owns the record, as this daemon knows it.
     struct Owner {
@@ -39,21 +40,11 @@
         if (!snapshot) return {{}, too_large()};
         return {std::move(snapshot), {}};
     }
-    Response answer(Taken taken) const {
-        if (!taken.snapshot) return std::move(taken.refusal);
-        std::string bytes = pack_snapshot(*taken.snapshot);
-        return bytes.size() > limits_.bytes ? too_large() : Response::cbor(std::move(bytes));
-    }
+    Response answer(Taken taken) const;
 
 private:
-    static Response refused(int code, std::string text) {
-        Response response = Response::text(code, std::move(text));
-        response.retry_after_s = 1;
-        return response;
-    }
-    Response too_large() const {
-        return Response::text(413, fmt::format("the snapshot would be larger than {} bytes\n", limits_.bytes));
-    }
+    static Response refused(int code, std::string text);
+    Response too_large() const;
 
     bool on_;
     SnapshotLimits limits_;
--- a/source/shared/http/listener.hpp
+++ b/source/shared/http/listener.hpp
@@ -1,27 +1,14 @@
 // HTTP in, by Boost.Beast: one Listener for each address that a role serves, all on one thread of the process.
-// (The house style's Pistache 0.0.5 names a connection by its descriptor's number when an answer is written: an answer
-// for a client that has gone reaches whoever has got the number since. See docs/house-style.md.)
+// (Pistache 0.0.5 would not do: it names a connection by its descriptor's number when an answer is written, so an
+// answer for a client that has gone reaches whoever has got the number since.)
 #pragma once
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
-#include <boost/asio/dispatch.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
-
 #include "common.hpp"
 #include "shared/http/response.hpp"
-#include "shared/record/log.hpp"
 
 namespace calicostall {
 
 class Session;
+struct ListenerShared;
 
 // The one place that writes an answer; moved into a slab while a request waits. It is bound to its own connection and
 // request: an answer whose client has gone is dropped, and a reply that is dropped ends its connection.
@@ -29,16 +16,10 @@
 class Reply {
 public:
     Reply() = default;
-    Reply(std::shared_ptr<Session> session, std::uint64_t number, bool closing)
-        : session_(std::move(session)), number_(number), closing_(closing), open_(true) {}
-    Reply(Reply&& other) noexcept { *this = std::move(other); }
-    Reply& operator=(Reply&& other) noexcept {
-        session_ = std::move(other.session_);
-        number_ = other.number_;
-        closing_ = other.closing_;
-        open_ = std::exchange(other.open_, false);
-        return *this;
-    }
+    Reply(std::shared_ptr<Session> session, std::uint64_t number, bool closing);
+    Reply(Reply&& other) noexcept;
+    Reply& operator=(Reply&& other) noexcept;
+    // Errors: an answer that can't be delivered is dropped and counted (`answers_undeliverable`).
     void send(const Response& response);
     bool open() const { return open_; }
 
@@ -48,6 +29,7 @@
     bool closing_ = false, open_ = false;
 };
 
+// A request that came in whole.
 struct Request {
     std::string method;
     std::string path;
@@ -59,6 +41,7 @@
     Reply reply;
 };
 
+// What bounds a request; larger or slower ones are refused or cut.
 struct ListenerLimits {
     size_t body_bytes = 1 << 20;
     size_t head_bytes = 65536;
@@ -66,173 +49,8 @@
     Micros idle_wait = seconds(120);  // between two requests of one connection
 };
 
-// What all connections of one listener share.
-struct ListenerShared {
-    ListenerLimits limits;
-    std::function<void(Request)> take;
-    std::atomic<bool> closing{false};
-};
-
-// The thread on which all connections of the process live; it begins with the first listener.
-inline boost::asio::io_context& connection_thread() {
-    static boost::asio::io_context* context = [] {
-        auto* fresh = new boost::asio::io_context(1);
-        std::thread([fresh] {
-            auto work = boost::asio::make_work_guard(*fresh);
-            fresh->run();
-        }).detach();
-        return fresh;
-    }();
-    return *context;
-}
-
-// One connection; only the connection thread touches it. States: reading a request, waiting for its answer, writing it.
-class Session : public std::enable_shared_from_this<Session> {
-public:
-    enum class State { reading, waiting, writing, closed };
-
-    Session(boost::asio::ip::tcp::socket socket, std::shared_ptr<ListenerShared> shared)
-        : stream_(std::move(socket)), shared_(std::move(shared)) {
-        boost::system::error_code ignored;
-        stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        unsigned int patience_ms = 5000;
-        setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &patience_ms, sizeof patience_ms);
-    }
-    void read_next() {
-        change_state(State::reading);
-        parser_.emplace();
-        parser_->header_limit(std::uint32_t(shared_->limits.head_bytes));
-        parser_->body_limit(shared_->limits.body_bytes);
-        begun_ = buffer_.size() > 0;
-        stream_.expires_after(
-            std::chrono::microseconds(begun_ || number_ == 0 ? shared_->limits.head_wait : shared_->limits.idle_wait));
-        read_some();
-    }
-    boost::asio::any_io_executor executor() { return stream_.get_executor(); }
-    // An answer to another request than the one that waits now is dropped.
-    void write(std::uint64_t number, std::string bytes, bool keep) {
-        if (state_ != State::waiting || number != number_) return counters().add("answers_undeliverable");
-        change_state(State::writing);
-        answer_ = std::move(bytes);
-        keep = keep && keep_;
-        stream_.expires_after(std::chrono::seconds(10));
-        boost::asio::async_write(stream_, boost::asio::buffer(answer_),
-                                 [self = shared_from_this(), keep](boost::system::error_code error, size_t) {
-                                     if (error || !keep) return self->close();
-                                     self->read_next();
-                                 });
-    }
-
-private:
-    void change_state(State state) { state_ = state; }
-    void close() {
-        change_state(State::closed);
-        boost::system::error_code ignored;
-        stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-        stream_.close();
-    }
-    void read_some() {
-        boost::beast::http::async_read_some(
-            stream_, buffer_, *parser_,
-            [self = shared_from_this()](boost::system::error_code error, size_t) { self->take_some(error); });
-    }
-    void take_some(boost::system::error_code error) {
-        namespace http = boost::beast::http;
-        if (error == http::error::header_limit) return refuse(431);
-        if (error == http::error::body_limit) return refuse(413);
-        if (error && error != http::error::need_more &&
-            error.category() == http::make_error_code(http::error::bad_method).category() &&
-            error != http::error::end_of_stream && error != http::error::partial_message)
-            return refuse(400);
-        if (error && error != http::error::need_more) return close();
-        if (parser_->is_done()) return hand_over();
-        if (!begun_) {
-            begun_ = true;
-            stream_.expires_after(std::chrono::microseconds(shared_->limits.head_wait));
-        }
-        if (parser_->is_header_done() && !continued_ && parser_->get()[http::field::expect] == "100-continue") {
-            continued_ = true;
-            answer_ = "HTTP/1.1 100 Continue\r\n\r\n";
-            return boost::asio::async_write(stream_, boost::asio::buffer(answer_),
-                                            [self = shared_from_this()](boost::system::error_code failed, size_t) {
-                                                if (failed) return self->close();
-                                                self->read_some();
-                                            });
-        }
-        read_some();
-    }
-    void refuse(int code) {
-        counters().add("requests_malformed");
-        change_state(State::waiting);
-        ++number_;
-        Reply(shared_from_this(), number_, true).send(Response::plain(code));
-    }
-    void hand_over() {
-        namespace http = boost::beast::http;
-        auto message = parser_->release();
-        parser_.reset();
-        change_state(State::waiting);
-        stream_.expires_never();
-        ++number_;
-        continued_ = false;
-        keep_ = message.keep_alive();
-        Request request;
-        request.method = std::string(message.method_string());
-        request.path = std::string(message.target());
-        request.head_bytes = request.method.size() + request.path.size() + 12;
-        for (const auto& field : message)
-            request.head_bytes += field.name_string().size() + field.value().size() + 4;
-        if (size_t mark = request.path.find('?'); mark != std::string::npos) request.path.resize(mark);
-        request.host = std::string(message[http::field::host]);
-        if (size_t port = request.host.rfind(':'); port != std::string::npos) request.host.resize(port);
-        request.if_match = std::string(message[http::field::if_match]);
-        request.deadline_ms = std::string(message["X-Deadline-Ms"]);
-        request.body = std::move(message.body());
-        request.reply = Reply(shared_from_this(), number_, shared_->closing);
-        shared_->take(std::move(request));
-    }
-
-    boost::beast::tcp_stream stream_;
-    std::shared_ptr<ListenerShared> shared_;
-    boost::beast::flat_buffer buffer_;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
-    std::string answer_;
-    State state_ = State::reading;
-    std::uint64_t number_ = 0;  // of the request on this connection
-    bool begun_ = false, continued_ = false, keep_ = true;
-};
-
-// Units: none. Errors: an answer that can't be delivered is dropped and counted (`answers_undeliverable`).
-inline void Reply::send(const Response& response) {
-    if (!std::exchange(open_, false)) return;
-    std::shared_ptr<Session> session = std::move(session_);
-    std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", response.code,
-                                    std::string_view(boost::beast::http::obsolete_reason(
-                                        boost::beast::http::int_to_status(unsigned(response.code)))));
-    switch (response.form) {
-        case Response::Form::json:
-            bytes += "Content-Type: application/json\r\n";
-            break;
-        case Response::Form::cbor:
-            bytes += "Content-Type: application/octet-stream\r\n";
-            break;
-        case Response::Form::text:
-            bytes += "Content-Type: text/plain\r\n";
-            break;
-        case Response::Form::none:
-            break;
-    }
-    if (response.retry_after_s > 0)
-        fmt::format_to(std::back_inserter(bytes), "Retry-After: {}\r\n", response.retry_after_s);
-    if (!response.location.empty()) fmt::format_to(std::back_inserter(bytes), "Location: {}\r\n", response.location);
-    if (closing_) bytes += "Connection: close\r\n";
-    fmt::format_to(std::back_inserter(bytes), "Content-Length: {}\r\n\r\n", response.body.size());
-    bytes += response.body;
-    auto executor = session->executor();
-    boost::asio::dispatch(executor, [session = std::move(session), number = number_, bytes = std::move(bytes),
-                                     keep = !closing_]() mutable { session->write(number, std::move(bytes), keep); });
-}
-
+// Accepts connections on one address. All connections of the process live on one thread of their own, which begins with
+// the first listener; `Take` is called on it.
 class Listener {
 public:
     using Take = std::function<void(Request)>;
@@ -240,47 +58,13 @@
 
     // Throws std::exception when the address can't be had.
     // Example: Listener listener("10.0.0.4:8161", limits, [](Request request) { ... });
-    Listener(const std::string& address, const Limits& limits, Take take)
-        : shared_(std::make_shared<ListenerShared>()), accepting_(std::make_shared<Accepting>(connection_thread())) {
-        using boost::asio::ip::tcp;
-        shared_->limits = limits;
-        shared_->take = std::move(take);
-        size_t colon = address.rfind(':');
-        if (colon == std::string::npos) throw std::runtime_error("needs the form IP:PORT");
-        tcp::endpoint endpoint(boost::asio::ip::make_address(address.substr(0, colon)),
-                               std::uint16_t(std::stoi(address.substr(colon + 1))));
-        accepting_->acceptor.open(endpoint.protocol());
-        accepting_->acceptor.set_option(boost::asio::socket_base::reuse_address(true));
-        accepting_->acceptor.bind(endpoint);
-        accepting_->shared = shared_;
-    }
-    void open() {
-        accepting_->acceptor.listen(512);
-        boost::asio::post(accepting_->acceptor.get_executor(), [accepting = accepting_] { accepting->next(); });
-    }
+    Listener(const std::string& address, const Limits& limits, Take take);
+    void open();
     // From now on each answer asks its client to leave.
-    void close_gently() { shared_->closing = true; }
+    void close_gently();
 
 private:
-    struct Accepting : std::enable_shared_from_this<Accepting> {
-        explicit Accepting(boost::asio::io_context& context) : acceptor(context), pause(context) {}
-        boost::asio::ip::tcp::acceptor acceptor;
-        boost::asio::steady_timer pause;
-        std::shared_ptr<ListenerShared> shared;
-        void next() {
-            acceptor.async_accept(
-                [self = shared_from_this()](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
-                    if (!error) {
-                        std::make_shared<Session>(std::move(socket), self->shared)->read_next();
-                        return self->next();
-                    }
-                    // Out of descriptors: those that are open go on.
-                    counters().add("accepts_failed");
-                    self->pause.expires_after(std::chrono::milliseconds(50));
-                    self->pause.async_wait([self](boost::system::error_code) { self->next(); });
-                });
-        }
-    };
+    struct Accepting;
     std::shared_ptr<ListenerShared> shared_;
     std::shared_ptr<Accepting> accepting_;
 };
--- a/source/shared/http/response.hpp
+++ b/source/shared/http/response.hpp
@@ -3,7 +3,7 @@
 
 namespace calicostall {
 
-// A small value that describes an answer; only Listener's reply writes it to a pipe.
+// A small value that describes an answer; only Listener's reply writes it to a connection.
 // Example: return Response::json(200, R"({"pending":3})");
 struct Response {
     int code = 200;
--- a/source/shared/record/finding.hpp
+++ b/source/shared/record/finding.hpp
@@ -17,14 +17,7 @@
     bool empty() const { return list_.empty(); }
     const std::vector<Finding>& list() const { return list_; }
     // Example: "routes[0].timeout_ms: must be above 0; routes[1].service: is unknown"
-    std::string text() const {
-        std::string all;
-        for (const Finding& finding : list_) {
-            if (!all.empty()) all += "; ";
-            all += finding.place + ": " + finding.text;
-        }
-        return all;
-    }
+    std::string text() const;
 
 private:
     std::vector<Finding> list_;
--- a/source/shared/record/log.hpp
+++ b/source/shared/record/log.hpp
@@ -17,20 +17,9 @@
 // Example: counters().add("sends_failed");
 class Counters {
 public:
-    void add(const char* name, std::uint64_t amount = 1) {
-        std::lock_guard guard(lock_);
-        table_[name] += amount;
-    }
+    void add(const char* name, std::uint64_t amount = 1);
     // Example: "accepted=12 sends=40"; empty when nothing changed since the last call.
-    std::string changed_text() {
-        std::lock_guard guard(lock_);
-        if (table_ == shown_) return {};
-        shown_ = table_;
-        std::string text;
-        for (const auto& [name, count] : table_)
-            text += fmt::format("{}{}={}", text.empty() ? "" : " ", name, count);
-        return text;
-    }
+    std::string changed_text();
 
 private:
     std::mutex lock_;
@@ -38,9 +27,6 @@
     std::map<std::string, std::uint64_t> shown_;
 };
 
-inline Counters& counters() {
-    static Counters all;
-    return all;
-}
+Counters& counters();
 
 }  // namespace calicostall
--- a/source/shared/wire/frames.hpp
+++ b/source/shared/wire/frames.hpp
@@ -151,11 +151,11 @@
     std::uint64_t number = 0;       // rises with each ask
     Epoch epoch;                    // of the owner whose orders `taken` counts
     std::uint64_t taken = 0;        // highest order number taken
-    std::uint64_t seen = 0;         // of the ends, as far as it was told
+    std::uint64_t seen = 0;         // of the ends, as far as the owner acknowledged
     std::optional<WorkerAccount> worker;
     std::uint64_t account_mark =
-        0;                  // rises with each change of `worker`; alone, it means the account that was told with it
-    Micros leaves_in = -1;  // as in the account, told each time
+        0;                  // rises with each change of `worker`; alone, it means the account that was sent with it
+    Micros leaves_in = -1;  // as in the account, sent each time
     std::vector<std::string> over;  // lives seen to have ended on this machine
     std::optional<HoldReport> report;
     std::vector<OrderResult> results;
--- a/tests/preview.cpp
+++ b/tests/preview.cpp
@@ -83,7 +83,7 @@
             each.runs.push_back(one);
         }
     }
-    Outlook look(const ProposedChange& change = {}) const { return Forward<>(snapshot, change, {}).look(); }
+    Outlook look(const ProposedChange& change = {}) const { return Forward(snapshot, change, {}).look(); }
 };
 
 // Example: "lands 2.000 w1" "waits room" "nowhere label missing"
@@ -281,7 +281,7 @@
     Shop clean;
     clean.worker("w1", 64000);
     clean.job("/m/", 1, 1000, seconds(1));
-    EXPECT(Forward<Twofold>(clean.snapshot, {}, {}).look().alarms() == 1);
+    EXPECT(Forward(clean.snapshot, {}, {}, Twofold{}).look().alarms() == 1);
 }
 
 // --- changes ---
@@ -330,7 +330,7 @@
         std::shared_ptr<double> seen = std::make_shared<double>(0);
         Plan operator()(const PlanView& view) const { return *seen = view.settings.ratio_priority, make_plan(view); }
     } spy;
-    Forward<Spy>(order.snapshot, change_of(order.snapshot, R"({"planner":{"ratio-priority":3.5}})"), {}, spy).look();
+    Forward(order.snapshot, change_of(order.snapshot, R"({"planner":{"ratio-priority":3.5}})"), {}, spy).look();
     EXPECT(*spy.seen == 3.5);
 }
 
@@ -411,7 +411,7 @@
                  Findings found;
                  auto snapshot = unpack_snapshot(changed, "s", found);
                  RC_ASSERT(snapshot.has_value() == found.empty());
-                 if (snapshot) Forward<>(*snapshot, {}, {.horizon = seconds(5), .plans_most = 50}).look();
+                 if (snapshot) Forward(*snapshot, {}, {.horizon = seconds(5), .plans_most = 50}).look();
              }));
 }
 
@@ -534,7 +534,7 @@
     EXPECT(snapshot->jobs.size() == 6 && snapshot->workers.size() == 1);
     EXPECT(std::any_of(snapshot->workers[0].runs.begin(), snapshot->workers[0].runs.end(),
                        [](const SnapshotRun& run) { return run.saved && run.percent == 40; }));
-    Outlook outlook = Forward<>(*snapshot, {}, {}).look();
+    Outlook outlook = Forward(*snapshot, {}, {}).look();
     EXPECT(outlook.alarms() == 0 && outlook.running.size() == snapshot->workers[0].runs.size() &&
            outlook.running.size() + outlook.tasks.size() == 24);
     EXPECT(std::all_of(outlook.tasks.begin(), outlook.tasks.end(),
