429 is confirmed by a majority, as every other refusal that depends on state is

Cause: an owner that has been cut off for less than its isolation timeout answered 429 by itself; its successor may have taken the same job meanwhile, so the refusal was no truth.

Change: Scheduler::refuse waits for the confirmation that 410, 404 and 409 wait for.

--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -211,7 +211,7 @@
             });
             return;
         }
-        if (state_.jobs.size() >= settings_.jobs_most) return refuse(Admitted::full, std::move(done));
+        if (state_.jobs.size() >= settings_.jobs_most) return refuse(id, Admitted::full, std::move(done));
         Findings findings;
         JobSpec spec = parse_job(body, {}, findings);
         if (!findings.empty()) {
@@ -233,7 +233,7 @@
         // Without its majority the owner knows nothing of its own pace: the proposal waits, or is given up.
         if (Admitted admitted = admit(queue, fixed, now);
             admitted == Admitted::full || (admitted != Admitted::yes && now - confirmed_at_ < seconds(1)))
-            return refuse(admitted, std::move(done));
+            return refuse(id, admitted, std::move(done));
         JobEntry& entry = state_.jobs[id];
         entry.job = Job::accept(std::move(fixed));
         counters().add("jobs_accepted");
@@ -261,13 +261,13 @@
         job.aim = Micros(queue.extension * double(job.chain)) + queue.target;
         return admission_.admit(job, state_.jobs.size(), state_.loads[queue.service], state_.backlog, now);
     }
-    // Surely nothing of this job was ever proposed here.
-    void refuse(Admitted why, Done done) {
+    // Nothing of this job was ever proposed here; that no later owner has taken it either is confirmed by a majority.
+    void refuse(const std::string& id, Admitted why, Done done) {
         counters().add("jobs_refused");
         counters().add(why == Admitted::full     ? "jobs_refused_full"
                        : why == Admitted::behind ? "jobs_refused_behind"
                                                  : "jobs_refused_no_room");
-        done(CallFate::settled, Response::later(429, 1));
+        calls_.confirmed(job_key(id), Response::later(429, 1), std::move(done));
     }
     void commit_new(const std::string& id, Micros wall) {
         auto found = state_.jobs.find(id);
