Ownership is handed back in order, and news say whether they come from a daemon in contact

Cause: the present owner gave way at the first heartbeat of a lower daemon that came back, whatever it had in flight; a daemon that thawed sent a heartbeat before it knew that it had stood still; a member that was stopped left at once, though it might hold the only second copy; and a daemon that had lost its majority went on telling fronts "nothing new".

Change: what follows from the detector's trust is one pure module (control/detector/election), used by the daemon and by the simulated one. An owner that trusts a returning lower daemon begins nothing new, commits and answers what is in flight, waits until the other is level, and gives up then, after 0.4 s at most; the returning one waits for its answer. A freeze, a time without a majority, or losing a term leads to the silence of a restart. Leaving in order (control/detector/departure, /inner/leave): a majority without the leaving member holds everything first, 1.5 s at most. NewsAnswer says in_contact; a watcher leaves a daemon without contact, and only contact counts for a front's readiness.

Not run: test_cluster, test_overload, three real daemons.

--- a/source/calicostall.cpp
+++ b/source/calicostall.cpp
@@ -335,6 +335,7 @@
             control.detector.timeout = whole("timeout-ms", 50, 60000);
             control.detector.increment = whole("increment-ms", 0, 60000);
             control.detector.timeout_most = std::max(control.detector.timeout * 3, seconds(3));
+            control.election.freeze_after = std::max(control.detector.timeout, control.election.freeze_after_min);
             control.preview_reads = given.count("preview-reads") > 0;
             control.run_lines = given.count("run-lines") > 0;
             control.snapshot_lines = whole("snapshot-lines-s", 0, 86400) * 1000;
--- a/source/control/daemon/calls.cpp
+++ b/source/control/daemon/calls.cpp
@@ -4,7 +4,9 @@
 namespace calicostall {
 
 void Control::handle_call(const CallAsk& ask, CallCallback respond) {
-    if (!acting()) {
+    const Micros now = steady_now();
+    election_.note_activity(now);
+    if (!serving()) {
         auto owner = other_owner_address();
         if (!ask.relayed && owner) return relay_call(ask, *owner, std::move(respond));
         counters().add("calls_elsewhere");
@@ -14,7 +16,6 @@
         respond(CallAnswer{fate, response.code, std::move(response.body), response.retry_after_s});
     };
     const bool of_operator = ask.path == "/config" && ask.host.empty();
-    const Micros now = steady_now();
     if (!of_operator)
         scheduler_.call(ask, now, clock_judge_.wall(wall_now(), now), std::move(done));
     else if (ask.method == "PUT")
--- a/source/control/daemon/control.cpp
+++ b/source/control/daemon/control.cpp
@@ -15,6 +15,7 @@
       disk_(settings_.machine.folder, settings_.machine.disk_mb),
       detector_(settings_.detector, 0, 1, steady_now()),
       owner_(settings_.owner, Identity{}),
+      election_(settings_.election, detector_, owner_, replica_),
       ledger_(owner_, [this] { turn_requested_ = true; }),
       scheduler_(settings_.scheduler, ledger_),
       suspicion_(settings_.suspicion),
@@ -38,7 +39,7 @@
     disk_.start();
     begin_founding();
     const bool founding = new_disk && settings_.machine.first_start;
-    catching_up_until_ = founding ? now : now + settings_.catch_up_timeout;
+    election_.start(founding, now);
     refresh_core(now);
     log_line("control", "{}", describe_start());
     open_listeners(findings);
@@ -78,18 +79,6 @@
     }
 }
 
-void Control::leave(std::function<void()> done) {
-    std::lock_guard guard(lock_);
-    log_line("control", "leaving");
-    leaving_ = true;
-    owner_.give_up();
-    scheduler_.end_ownership();
-    for (size_t place = 0; place < core_.members.size(); ++place)
-        if (std::optional(place) != place_) send_heartbeat(place, true);
-    answer_all_waiting();
-    loop_.after(settings_.leave_pause, std::move(done));
-}
-
 void Control::take_settings(const Settings& machine) {
     std::lock_guard guard(lock_);
     settings_.machine.seeds = machine.seeds;
--- a/source/control/daemon/control.hpp
+++ b/source/control/daemon/control.hpp
@@ -8,7 +8,9 @@
 #include "common.hpp"
 #include "control/daemon/record_ledger.hpp"
 #include "control/daemon/settings.hpp"
+#include "control/detector/departure.hpp"
 #include "control/detector/detector.hpp"
+#include "control/detector/election.hpp"
 #include "control/detector/suspicion.hpp"
 #include "control/membership/core_keeper.hpp"
 #include "control/membership/founding.hpp"
@@ -31,7 +33,8 @@
 
     // Opens disk and listeners; returns what went wrong.
     Findings open();
-    // A planned stop: the successors are told, and what is being decided gets a moment. Then `done` is called.
+    // A planned stop. An owner hands over in order, a follower waits until a majority without it has everything; then
+    // the others are told, and after a moment `done` is called.
     void leave(std::function<void()> done);
     // Takes over what may change while the process runs: the seeds.
     void take_settings(const Settings& machine);
@@ -59,12 +62,13 @@
     struct NewsPoll {
         Reply reply;
         NewsAsk ask;
-        Micros until = 0;
+        Micros since = 0, until = 0;
     };
     // What answers for news depend on.
     struct NewsState {
         Epoch epoch;
         std::uint64_t config_revision = 0, core_mark = 0;
+        bool in_contact = false;
         bool operator==(const NewsState&) const = default;
     };
     // The configuration as it is to be passed on; `text` is none when there is none.
@@ -95,8 +99,10 @@
     // --- election.cpp ---
     // Whether this daemon owns the record and has taken it up.
     bool acting() const;
+    // The same, and it may begin something new: it is not handing over, and its term is not in doubt.
+    bool serving() const;
     void run_election(Micros now);
-    void send_heartbeats(Micros now);
+    void log_election(const ElectionStep& step, size_t trusted_before) const;
     void handle_heartbeat(const AliveNote& note, Micros now);
     void send_heartbeat(size_t place, bool leaving);
     void begin_ownership(Micros now);
@@ -107,6 +113,12 @@
     // The same, when it is another daemon than this one.
     std::optional<std::string> other_owner_address() const;
 
+    // --- leaving.cpp ---
+    void receive_leave(Request request);
+    void prepare_departure();
+    void ask_to_leave(const std::string& owner);
+    void announce_departure();
+
     // --- membership.cpp ---
     // Reads the core from the replica when it has changed.
     void refresh_core(Micros now);
@@ -149,8 +161,12 @@
 
     // --- news.cpp ---
     void answer_news(Micros now);
-    NewsAnswer news_answer(const NewsAsk& ask, const PublishedConfig& config) const;
+    NewsAnswer news_answer(const NewsAsk& ask, const PublishedConfig& config, bool in_contact) const;
     PublishedConfig published_config();
+    // Whether this daemon is in contact with the majority: as owner by its answers, as a follower by the owner's
+    // writes, outside the core by the news.
+    bool in_contact(Micros now) const;
+    bool is_due(const NewsPoll& poll, const NewsState& state, Micros now) const;
     void follow_located_core();
     void answer_all_waiting();
 
@@ -173,6 +189,7 @@
     Disk disk_;
     Detector detector_;
     Owner owner_;
+    Election election_;
     RecordLedger ledger_;
     Scheduler<RecordLedger> scheduler_;
     SelfSuspicion suspicion_;
@@ -195,11 +212,16 @@
     std::string located_config_;
 
     // Election.
-    bool leaving_ = false;
-    Micros catching_up_until_ = 0, majority_at_ = 0, acting_since_ = 0, next_takeover_ = 0, probed_at_ = 0;
-    Epoch scheduler_epoch_, highest_epoch_, known_epoch_;
+    Micros acting_since_ = 0, probed_at_ = 0;
+    Epoch scheduler_epoch_, known_epoch_;
+    std::optional<Micros> owner_heard_at_;  // its last write that the own replica took
     std::string known_owner_;
 
+    // A planned stop.
+    Departure departure_;
+    bool left_ = false;  // it is announced
+    std::function<void()> on_left_;
+
     // Turns.
     bool in_turn_ = false, turn_requested_ = false;
     Micros turn_ended_at_ = 0, turn_duration_ = 0;
--- a/source/control/daemon/election.cpp
+++ b/source/control/daemon/election.cpp
@@ -13,43 +13,31 @@
     return owner_.acting() && scheduler_epoch_ == owner_.epoch();
 }
 
+bool Control::serving() const {
+    return acting() && election_.may_serve();
+}
+
 void Control::run_election(Micros now) {
-    const bool stalled = disk_.stalled_for(now) > settings_.disk_stall_timeout;
-    // A majority that grants its epoch shows that nobody else is to be caught up from.
-    if (owner_.state() == Owner::State::transferring || owner_.acting()) catching_up_until_ = 0;
-    const bool catching_up = now < catching_up_until_;
-    if (!detector_.trusts_itself() || core_.members.size() < 2 ||
-        owner_.reaches_majority(now - settings_.isolation_timeout / 2))
-        majority_at_ = now;
-    const bool isolated = now - majority_at_ > settings_.isolation_timeout;
+    const size_t trusted_before = detector_.trusted();
     const bool too_slow = core_.members.size() > 1 && suspicion_.stands_back(now);
-    detector_.set_silent(stalled || catching_up || isolated || too_slow);
-    send_heartbeats(now);
-
-    const bool unfit = stalled || too_slow;
-    const bool idle = owner_.state() == Owner::State::idle;
-    if (detector_.trusts_itself() && !unfit && idle && now >= next_takeover_) {
-        next_takeover_ = now + settings_.takeover_interval;
-        owner_.take_over(core_, std::max(replica_.promised, highest_epoch_), replica_.registers);
-    }
-    const bool gives_way = !detector_.trusts_itself() || unfit || (isolated && owner_.acting());
-    if (gives_way && owner_.state() != Owner::State::idle) {
-        log_line("control", "gives way, epoch {}", owner_.epoch().value);
-        owner_.give_up();
-    }
-    if (owner_.superseded_by) {
-        highest_epoch_ = std::max(highest_epoch_, *owner_.superseded_by);
-        owner_.superseded_by.reset();
-    }
+    const bool was_acting = owner_.acting();
+    const ElectionStep step = election_.step({core_, disk_.stalled_for(now), too_slow, now});
+    log_election(step, trusted_before);
+    for (size_t place : step.heartbeats)
+        send_heartbeat(place, false);
+    if (step.gave_up && was_acting) departure_.note_handed_over();
     if (owner_.acting() && scheduler_epoch_ != owner_.epoch()) begin_ownership(now);
     if (!owner_.acting() && scheduler_epoch_.value != 0) end_ownership();
 }
 
-void Control::send_heartbeats(Micros now) {
-    const size_t before = detector_.trusted();
-    for (size_t place : detector_.tick(now))
-        send_heartbeat(place, false);
-    if (before != detector_.trusted()) log_line("detector", "trusts place {} after {}", detector_.trusted(), before);
+void Control::log_election(const ElectionStep& step, size_t trusted_before) const {
+    if (step.froze) log_line("control", "stood still, is silent until it is level again");
+    if (trusted_before != detector_.trusted())
+        log_line("detector", "trusts place {} after {}", detector_.trusted(), trusted_before);
+    if (step.drains) log_line("control", "hands over, epoch {}", step.drains->value);
+    if (step.gave_up)
+        log_line("control", "gives way, epoch {}, {} ms after beginning to hand over", step.gave_up->value,
+                 step.drained_for / 1000);
 }
 
 void Control::handle_heartbeat(const AliveNote& note, Micros now) {
@@ -91,7 +79,7 @@
 }
 
 void Control::note_owner(Epoch epoch, const std::string& address) {
-    highest_epoch_ = std::max(highest_epoch_, epoch);
+    election_.note_term(epoch);
     if (epoch < known_epoch_ || (epoch == known_epoch_ && address == known_owner_)) return;
     known_epoch_ = epoch;
     known_owner_ = address;
--- a/source/control/daemon/membership.cpp
+++ b/source/control/daemon/membership.cpp
@@ -7,6 +7,8 @@
 
 // From the sending of a takeover's first message until a member that nobody grants asks whether it is one at all.
 constexpr Micros ungranted_timeout = seconds(2);
+// One outside the core polls for news at least so often, so that it knows soon whether it is in contact.
+constexpr Micros locate_interval = seconds(1);
 
 bool same_members(const Core& left, const Core& right) {
     return std::equal(left.members.begin(), left.members.end(), right.members.begin(), right.members.end(),
@@ -28,7 +30,9 @@
     if (place_ && detector_.trusted() < core_.members.size()) trusted = core_.members[detector_.trusted()].identity;
     const bool same = same_members(core_, *core);
     core_ = std::move(*core);
+    const bool was_member = place_.has_value();
     place_ = core_.place_of(replica_.identity);
+    if (!was_member && place_) election_.begin_membership(now);
     if (same || !place_) return;
     const size_t trusted_place = trusted ? core_.place_of(*trusted).value_or(0) : 0;
     detector_.reorder(*place_, core_.members.size(), trusted_place, now);
@@ -46,22 +50,23 @@
             owner_.give_up();
         }
     }
-    const bool ungranted = owner_.state() == Owner::State::preparing && now > next_takeover_ + ungranted_timeout;
+    const bool ungranted = election_.ungranted_for(now) > ungranted_timeout;
     if ((place_ && !ungranted) || locator_ || is_founding()) return;
     std::vector<std::string> seeds = settings_.machine.seed_replicas(own_address_);
     if (seeds.empty()) return;
-    locator_ = std::make_unique<Locator>(Locator::Settings{settings_.machine.node, seeds}, loop_, [this] {
-        std::lock_guard guard(lock_);
-        if (Epoch epoch = locator_->epoch(); epoch.value != 0) note_owner(epoch, locator_->owner());
-        if (!locator_->peers().second.empty()) note_core_at_work();
-        turn();
-    });
+    locator_ = std::make_unique<Locator>(
+        Locator::Settings{.own = settings_.machine.node, .seeds = seeds, .wait = locate_interval}, loop_, [this] {
+            std::lock_guard guard(lock_);
+            if (Epoch epoch = locator_->epoch(); epoch.value != 0) note_owner(epoch, locator_->owner());
+            if (!locator_->peers().second.empty()) note_core_at_work();
+            turn();
+        });
     locator_->open();
 }
 
 // Only a daemon with a disk that counts asks to join: the owner, and whoever may know it.
 void Control::request_join(Micros now) {
-    if (place_ || is_founding() || now < next_join_ || leaving_ || !settings_.machine.counted) return;
+    if (place_ || is_founding() || now < next_join_ || election_.leaving() || !settings_.machine.counted) return;
     next_join_ = now + settings_.join_interval;
     const JoinAsk ask{replica_.identity, own_address_, settings_.machine.control, false};
     std::vector<std::string> known = settings_.machine.seed_replicas(own_address_);
@@ -76,7 +81,7 @@
 }
 
 void Control::handle_join(const JoinAsk& ask) {
-    if (!acting()) {
+    if (!serving()) {
         auto owner = other_owner_address();
         if (ask.relayed || !owner) return;
         JoinAsk relayed = ask;
--- a/source/control/daemon/news.cpp
+++ b/source/control/daemon/news.cpp
@@ -7,25 +7,37 @@
     const PublishedConfig config = published_config();
     follow_located_core();
     // Without news nobody is looked at before the first wait is over.
-    const NewsState state{known_epoch_, config.revision, core_mark_};
+    const NewsState state{known_epoch_, config.revision, core_mark_, in_contact(now)};
     if (state == news_answered_ && now < news_due_) return;
     news_answered_ = state;
     news_due_ = std::numeric_limits<Micros>::max();
     for (auto poll = news_polls_.begin(); poll != news_polls_.end();) {
-        const bool newer = known_epoch_ > poll->ask.epoch || config.revision > poll->ask.config_revision ||
-                           core_mark_ > poll->ask.core_mark;
-        if (!newer && now < poll->until) {
-            news_due_ = std::min(news_due_, poll->until);
+        if (!is_due(*poll, state, now)) {
+            news_due_ = std::min(news_due_, state.in_contact ? poll->until : now);
             ++poll;
             continue;
         }
-        poll->reply.send(Response::cbor(pack(news_answer(poll->ask, config))));
+        poll->reply.send(Response::cbor(pack(news_answer(poll->ask, config, state.in_contact))));
         poll = news_polls_.erase(poll);
     }
 }
 
-NewsAnswer Control::news_answer(const NewsAsk& ask, const PublishedConfig& config) const {
-    NewsAnswer answer{config.revision, {}, known_epoch_, known_owner_, core_mark_, {}};
+bool Control::is_due(const NewsPoll& poll, const NewsState& state, Micros now) const {
+    const NewsAsk& ask = poll.ask;
+    const bool newer =
+        state.epoch > ask.epoch || state.config_revision > ask.config_revision || state.core_mark > ask.core_mark;
+    const bool left_alone = !state.in_contact && now >= poll.since + settings_.news_wait_without_contact;
+    return newer || left_alone || now >= poll.until;
+}
+
+bool Control::in_contact(Micros now) const {
+    if (acting()) return owner_.confirmed_at() >= 0 && now - owner_.confirmed_at() < settings_.contact_timeout;
+    if (!place_) return locator_ && locator_->in_touch(now);
+    return owner_heard_at_ && now - *owner_heard_at_ < settings_.contact_timeout;
+}
+
+NewsAnswer Control::news_answer(const NewsAsk& ask, const PublishedConfig& config, bool in_contact) const {
+    NewsAnswer answer{config.revision, {}, known_epoch_, known_owner_, core_mark_, {}, in_contact};
     if (config.text && config.revision > ask.config_revision) answer.config = *config.text;
     if (!place_) {
         answer.peers = located_core_;
--- a/source/control/daemon/routes.cpp
+++ b/source/control/daemon/routes.cpp
@@ -29,6 +29,7 @@
     if (request.path == "/inner/write") return receive_write(std::move(request));
     if (request.path == "/inner/prepare") return receive_prepare(std::move(request));
     if (request.path == "/inner/alive") return receive_heartbeat(std::move(request));
+    if (request.path == "/inner/leave") return receive_leave(std::move(request));
     if (request.path == "/inner/join") return receive_join(std::move(request));
     if (request.path == "/inner/found") return receive_found(std::move(request));
     if (request.path == "/inner/news") return receive_news_poll(std::move(request));
@@ -103,7 +104,7 @@
     if (!ask) return refuse_frame(request.reply);
     std::lock_guard guard(lock_);
     const Micros now = steady_now();
-    news_polls_.push_back({std::move(request.reply), *ask, now + std::min(ask->wait, settings_.news_wait_max)});
+    news_polls_.push_back({std::move(request.reply), *ask, now, now + std::min(ask->wait, settings_.news_wait_max)});
     news_due_ = 0;
     answer_news(now);
 }
--- a/source/control/daemon/settings.hpp
+++ b/source/control/daemon/settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "common.hpp"
 #include "control/detector/detector.hpp"
+#include "control/detector/election.hpp"
 #include "control/detector/suspicion.hpp"
 #include "control/jobs/settings.hpp"
 #include "control/membership/core_keeper.hpp"
@@ -16,6 +17,7 @@
 struct ControlSettings {
     Settings machine;
     DetectorSettings detector;
+    ElectionSettings election;
     OwnerSettings owner;
     SchedulerSettings scheduler;
     SuspicionSettings suspicion;
@@ -29,20 +31,18 @@
     Micros call_relay_timeout = milliseconds(900);
     // The longest that one asker of news may wait.
     Micros news_wait_max = seconds(30);
+    // A daemon is in contact when a majority, or an owner that has one, was heard within this time.
+    Micros contact_timeout = seconds(2);
+    // Without contact a poll for news is kept only so long: its asker then goes to another daemon.
+    Micros news_wait_without_contact = milliseconds(500);
     PaceSettings side_pause;
 
     // An acting owner confirms its term with a majority at least so often, with and without anything running.
     Micros probe_interval_busy = milliseconds(300), probe_interval_idle = milliseconds(800);
     Micros probe_interval_min = milliseconds(150);
-    // After a start a daemon is silent until it is level with the present owner, but no longer than this.
-    Micros catch_up_timeout = milliseconds(1200);
-    // Without a majority for so long a daemon suspects itself.
-    Micros isolation_timeout = milliseconds(1000);
-    // A disk that has kept a change waiting for so long makes its daemon suspect itself.
-    Micros disk_stall_timeout = milliseconds(600);
-    // Between two attempts to become owner.
-    Micros takeover_interval = milliseconds(150);
-    // Between announcing a planned stop and ending.
+    // A planned stop: between two requests to the owner whether this daemon may go, how long an answer to one is waited
+    // for, and between announcing the stop and ending.
+    Micros leave_interval = milliseconds(50), leave_request_timeout = milliseconds(300);
     Micros leave_pause = milliseconds(400);
 
     CoreKeeperSettings membership;
--- a/source/control/daemon/sides.cpp
+++ b/source/control/daemon/sides.cpp
@@ -18,7 +18,8 @@
 
 void Control::handle_side_poll(SideAsk ask, Reply reply) {
     const Micros now = steady_now();
-    if (!acting()) {
+    election_.note_activity(now);
+    if (!serving()) {
         auto owner = other_owner_address();
         if (!ask.relayed && owner) return relay_side_poll(std::move(ask), *owner, std::move(reply));
         return reply.send(Response::cbor(pack(not_served())));
@@ -73,12 +74,14 @@
 // Sides are answered at once by an owner in time; where they keep a pause, what comes within a part of it goes
 // together.
 void Control::answer_sides(Micros now) {
-    sides_pending_ = now < sides_due_ && acting();
+    // While the term is in doubt they wait; a majority's next answer decides.
+    if (acting() && !serving() && !owner_.draining()) return;
+    sides_pending_ = now < sides_due_ && serving();
     if (sides_pending_) return;
     const Micros pause = ask_pause(settings_.side_pause, timer_lateness_);
     sides_due_ = now + std::min(pause / gather_part, gather_max);
     for (auto poll = side_polls_.begin(); poll != side_polls_.end();) {
-        const bool waits = acting() && now < poll->until &&
+        const bool waits = serving() && now < poll->until &&
                            !scheduler_.has_news(poll->node, poll->epoch, poll->orders_taken, poll->ends_seen);
         if (waits) {
             ++poll;
@@ -90,7 +93,7 @@
 }
 
 void Control::answer_side(SidePoll& poll, Micros pause, Micros now) {
-    if (!acting()) return poll.reply.send(Response::cbor(pack(not_served())));
+    if (!serving()) return poll.reply.send(Response::cbor(pack(not_served())));
     SideAnswer answer = scheduler_.answer_side(poll.node, owner_.confirmed_at(), now);
     if (poll.superseded) answer.orders.clear();
     answer.gather_specs();
--- a/source/control/daemon/store_messages.cpp
+++ b/source/control/daemon/store_messages.cpp
@@ -52,7 +52,7 @@
 }
 
 void Control::handle_prepare(const PrepareAsk& ask, PrepareCallback respond) {
-    const bool trusted = place_ && !leaving_ && core_.place_of(ask.from) == std::optional(detector_.trusted());
+    const bool trusted = place_ && departure_.takes_part() && election_.may_grant(ask.from, core_);
     auto [answer, change] = replica_.prepare(ask, trusted);
     if (answer.verdict == Verdict::stranger) note_core_at_work();
     const bool of_other = ask.from != replica_.identity;
@@ -63,6 +63,11 @@
 }
 
 void Control::handle_write(const WriteAsk& ask, WriteCallback respond) {
+    if (!departure_.takes_part()) {
+        counters().add("writes_refused_leaving");
+        return respond(
+            WriteAnswer{.promised = replica_.promised, .promised_to = replica_.promised_to, .wall = wall_now()});
+    }
     auto [answer, change] = replica_.write(ask);
     if (answer.verdict == Verdict::stranger) note_core_at_work();
     answer.wall = wall_now();
@@ -70,11 +75,8 @@
         const Micros now = steady_now();
         refresh_core(now);
         if (const Member* from = core_.find(ask.from)) note_owner(ask.epoch, from->address);
-        const bool of_other = ask.from != replica_.identity;
-        if (of_other && ask.level)
-            catching_up_until_ = 0;
-        else if (of_other && catching_up_until_ != 0)
-            catching_up_until_ = std::max(catching_up_until_, now + settings_.catch_up_timeout);
+        election_.note_write(ask, now);
+        if (ask.from != replica_.identity) owner_heard_at_ = now;
     }
     disk_.put(std::move(change),
               [respond = std::move(respond), answer = std::move(answer)]() mutable { respond(std::move(answer)); });
--- a/source/control/daemon/turn.cpp
+++ b/source/control/daemon/turn.cpp
@@ -62,13 +62,13 @@
     refresh_core(now);
     locate_core(now);
     request_join(now);
-    if (place_ && !leaving_) run_election(now);
+    if (place_ && !left_) run_election(now);
     send_store_messages(now);
-    if (acting()) {
+    if (acting()) confirm_ownership(now);
+    if (serving()) {
         maintain_core(now);
         scheduler_.tick(now, clock_judge_.wall(wall_now(), now), owner_.confirmed_at());
         log_snapshot(now);
-        confirm_ownership(now);
     }
     send_store_messages(now);
     log_counters(now);
@@ -112,11 +112,10 @@
     Micros next = now + idle_interval;
     if (auto due = founding_->next_pump()) next = std::min(next, *due);
     if (place_) next = std::min(next, detector_.next(now));
-    if (owner_.acting())
-        next = std::min(next, now + acting_interval);
-    else if (owner_.state() != Owner::State::idle)
+    if (owner_.acting()) next = std::min(next, now + acting_interval);
+    if (owner_.draining() || (!owner_.acting() && owner_.state() != Owner::State::idle))
         next = std::min(next, now + settings_.owner.ask_again);
-    if (acting()) next = std::min(next, scheduler_.next_tick(now, clock_judge_.wall(wall_now(), now)));
+    if (serving()) next = std::min(next, scheduler_.next_tick(now, clock_judge_.wall(wall_now(), now)));
     if (sides_pending_) next = std::min(next, sides_due_);
     if (auto due = owner_.next_message_at()) next = std::min(next, *due);
     if (turn_requested_) next = std::min(next, turn_ended_at_ + std::min(turn_duration_, settings_.turn_pause_max));
--- a/source/control/store/owner.cpp
+++ b/source/control/store/owner.cpp
@@ -317,6 +317,19 @@
     return count >= core_.majority();
 }
 
+bool Owner::held_without(Identity identity, Sequence sequence) const {
+    size_t count = 0;
+    for (const Member& member : core_.members) {
+        auto link = links_.find(member.identity);
+        if (member.identity == identity || link == links_.end() || !link->second.synced) continue;
+        const bool waits = link->second.backlog.oldest().value_or(sequence + 1) <= sequence;
+        const bool sent = std::any_of(link->second.in_flight.begin(), link->second.in_flight.end(),
+                                      [&](const auto& each) { return each.second.missing.since <= sequence; });
+        count += !waits && !sent;
+    }
+    return count >= core_.majority();
+}
+
 void Owner::begin_drain() {
     draining_ = acting();
 }
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -122,6 +122,11 @@
     // order waits for it.
     bool level_without(Identity identity) const;
 
+    // How many proposals there were, and whether as many members as a majority of the core has, not counting this one,
+    // have acknowledged everything up to such a number. Unlike `level_without` it comes true under steady writes too.
+    Sequence last_sequence() const { return sequence_; }
+    bool held_without(Identity identity, Sequence sequence) const;
+
     // The hand-back in order: from here on the caller begins nothing new, while what is in flight is still committed.
     void begin_drain();
     // Ends the drain without a successor.
--- a/source/shared/news/locator.hpp
+++ b/source/shared/news/locator.hpp
@@ -34,6 +34,8 @@
         Micros wait = seconds(5);
         bool wants_config = true;
         size_t hurried = 2;  // daemons asked at once when the owner is lost
+        // No daemon is in contact while an owner is lost and another takes over; that alone is no reason to act.
+        Micros takeover_most = seconds(3);
     };
     using Changed = std::function<void()>;
 
@@ -73,9 +75,10 @@
         std::lock_guard guard(lock_);
         return {core_mark_, peers_};
     }
+    // Whether a daemon in contact with the majority answered within the time of one poll and a takeover.
     bool in_touch(Micros now) const {
         std::lock_guard guard(lock_);
-        return heard_at_ >= 0 && now - heard_at_ < settings_.wait + seconds(3);
+        return contact_at_ >= 0 && now - contact_at_ < settings_.wait + settings_.takeover_most;
     }
     // The n-th choice for a call: the owner first, then the peers by rendezvous.
     std::string target(size_t choice) const {
@@ -100,10 +103,12 @@
                 asked.push_back(ranked_[hurry_next_++ % ranked_.size()]);
         }
         for (const std::string& address : asked)
-            ask(address, 0, [](bool) {});
+            ask(address, 0, [](Heard) {});
     }
 
 private:
+    enum class Heard { nothing, without_contact, in_contact };
+
     void rank() {
         std::vector<std::string> all = peers_;
         for (const std::string& seed : settings_.seeds)
@@ -114,7 +119,8 @@
         std::string address;
         {
             std::lock_guard guard(lock_);
-            // The first choice that no other watcher has; after a error, the one after the last.
+            // The first choice that no other watcher has; after an error, or when the last one was not in contact, the
+            // one after the last.
             const std::vector<std::string>& order = ranked_;
             auto last = std::find(order.begin(), order.end(), watching_[watcher]);
             size_t begin = last == order.end() ? 0 : size_t(last - order.begin()) + (tries > 0 ? 1 : 0);
@@ -128,12 +134,14 @@
             watching_[watcher] = address;
         }
         if (address.empty()) return loop_.after(seconds(1), [this, watcher] { watch(watcher, 0); });
-        ask(address, settings_.wait, [this, watcher, tries](bool answered) {
-            if (answered) return watch(watcher, 0);
+        ask(address, settings_.wait, [this, watcher, tries](Heard heard) {
+            if (heard == Heard::in_contact) return watch(watcher, 0);
+            // It has kept the poll for a moment already.
+            if (heard == Heard::without_contact) return watch(watcher, tries + 1);
             loop_.after(milliseconds(tries < 3 ? 100 : 500), [this, watcher, tries] { watch(watcher, tries + 1); });
         });
     }
-    void ask(const std::string& address, Micros wait, std::function<void(bool)> then) {
+    void ask(const std::string& address, Micros wait, std::function<void(Heard)> then) {
         NewsAsk ask;
         {
             std::lock_guard guard(lock_);
@@ -143,15 +151,16 @@
                   [this, then](Answer answer) {
                       std::optional<NewsAnswer> news;
                       if (answer.good()) news = unpack<NewsAnswer>(answer.body);
-                      if (news) learn(*news);
-                      then(bool(news));
+                      if (!news) return then(Heard::nothing);
+                      learn(*news);
+                      then(news->in_contact ? Heard::in_contact : Heard::without_contact);
                   });
     }
     void learn(const NewsAnswer& news) {
         bool changed = false;
         {
             std::lock_guard guard(lock_);
-            heard_at_ = steady_now();
+            if (news.in_contact) contact_at_ = steady_now();
             if (news.epoch > epoch_ || (news.epoch == epoch_ && owner_.empty() && !news.owner.empty())) {
                 epoch_ = news.epoch;
                 owner_ = news.owner;
@@ -182,7 +191,7 @@
     std::string owner_, config_;
     Epoch epoch_;
     std::uint64_t revision_ = 0, core_mark_ = 0;
-    Micros heard_at_ = -1;
+    Micros contact_at_ = -1;
     Backoff hurry_{milliseconds(100), milliseconds(400), std::random_device{}()};
     size_t hurry_next_ = 0;
 };
--- a/source/shared/wire/frames.hpp
+++ b/source/shared/wire/frames.hpp
@@ -24,10 +24,14 @@
     std::string owner;  // address of the owner's replica, empty when unknown
     std::uint64_t core_mark = 0;
     std::vector<std::string> peers;  // addresses of the core
+    // Whether the daemon that answers has lately been in contact with the majority: as owner by itself, else through
+    // the owner. Without contact all of the above may be old.
+    bool in_contact = false;
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(config_revision), visit(config), visit(epoch), visit(owner), visit(core_mark), visit(peers);
+        visit(config_revision), visit(config), visit(epoch), visit(owner), visit(core_mark), visit(peers),
+            visit(in_contact);
     }
 };
 
@@ -226,6 +230,29 @@
     }
 };
 
+// A member wants to leave: may it?
+struct LeaveAsk {
+    Identity identity;
+    Epoch epoch;                 // of the answer that named `sequence`
+    std::uint64_t sequence = 0;  // the proposals that others must hold; 0: those until now
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) {
+        visit(identity), visit(epoch), visit(sequence);
+    }
+};
+
+struct LeaveAnswer {
+    bool level = false;  // all up to the sequence of the question is on a majority without the asker
+    Epoch epoch;
+    std::uint64_t sequence = 0;  // what the next question is to name
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) {
+        visit(level), visit(epoch), visit(sequence);
+    }
+};
+
 struct JoinAsk {
     Identity identity;
     std::string address, control;
--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -1,7 +1,9 @@
 // A control daemon without sockets: its processor, disk and links are simulated; detector, record and scheduler are the
-// real ones. Joining, the core's changes and the election follow control.hpp step by step.
+// real ones. Joining, the core's changes and what follows from the election are as in control/daemon, step by step.
 #pragma once
 #include "cluster/world.hpp"
+#include "control/detector/departure.hpp"
+#include "control/detector/election.hpp"
 
 namespace calicostall::tests {
 
@@ -56,21 +58,25 @@
         Detector detector;
         Owner owner;
         CoreKeeper keeper;
+        Election election;
+        Departure departure;
+        bool left = false;  // it is announced
         Ledger ledger;
         Scheduler<Ledger> scheduler;
         Core core;
         std::optional<std::pair<Epoch, Version>> core_version;
         std::optional<size_t> place;  // in the core
-        Epoch scheduler_epoch, highest, known_epoch;
+        Epoch scheduler_epoch, known_epoch;
         std::string known_owner;
-        Micros next_takeover = 0, probed = 0, next_join = 0, next_follow = 0, catching_up_until = 0, majority_at = 0;
+        Micros probed = 0, next_join = 0, next_follow = 0, next_leave_request = 0;
         Live(Daemon* daemon, Micros now)
             : detector(daemon->options.detector, 0, 1, now),
               owner({}, daemon->identity),
               keeper(daemon->options.membership, daemon->identity),
+              election({.freeze_after = std::max(daemon->options.detector.timeout, ElectionSettings::freeze_after_min)},
+                       detector, owner, replica),
               ledger{daemon},
-              scheduler(daemon->options.scheduler, ledger),
-              majority_at(now) {
+              scheduler(daemon->options.scheduler, ledger) {
             owner.unpack_core = [](const std::string& packed) { return unpack<Core>(packed); };
             bool sound = true;
             for (const auto& [name, bytes] : daemon->disk)
@@ -95,7 +101,7 @@
         running = disk_busy = waking = false;
         busy_until = world.now;
         live = std::make_unique<Live>(this, world.now);
-        live->catching_up_until = first ? 0 : world.now + ms(1200);
+        live->election.start(first, world.now);
         world.after(0, [this, life = incarnation] { tick(life); });
     }
     void kill() {
@@ -111,6 +117,13 @@
     // Stands still: what arrives waits, and old timers fire on waking.
     void freeze(Micros length) { busy_until = std::max(busy_until, world.now) + length; }
     bool acting() const { return up && live->owner.acting() && live->scheduler_epoch == live->owner.epoch(); }
+    // As acting, and it may begin something new.
+    bool serving() const { return acting() && live->election.may_serve(); }
+    // The same at the word of somebody outside: a freeze is noticed first.
+    bool serves_now() {
+        live->election.note_activity(world.now);
+        return serving();
+    }
     bool whole() const {
         return up && !cut && !mute && !deaf && !parted && world.now >= troubled_until && live->place.has_value();
     }
@@ -226,7 +239,7 @@
         }
     }
 
-    // --- the core, as control.hpp has it ---
+    // --- the core, as membership.cpp has it ---
 
     void learn_core() {
         Live& my = *live;
@@ -243,7 +256,9 @@
         for (size_t each = 0; same && each < core->members.size(); ++each)
             same = my.core.members[each].identity == core->members[each].identity;
         my.core = std::move(*core);
+        const bool was_member = my.place.has_value();
         my.place = my.core.place_of(my.replica.identity);
+        if (!was_member && my.place) my.election.begin_membership(world.now);
         if (same || !my.place) return;
         my.detector.reorder(*my.place, my.core.members.size(), trusted ? my.core.place_of(*trusted).value_or(0) : 0,
                             world.now);
@@ -251,7 +266,7 @@
     // One outside the core, or one that nobody grants an epoch for long, asks the others what the core is.
     void follow_core() {
         Live& my = *live;
-        bool ungranted = my.owner.state() == Owner::State::preparing && world.now > my.next_takeover + seconds(2);
+        bool ungranted = my.election.ungranted_for(world.now) > seconds(2);
         if ((my.place && !ungranted) || world.now < my.next_follow) return;
         my.next_follow = world.now + ms(400);
         for (size_t seed = 0; seed < std::min<size_t>(3, all.size()); ++seed) {
@@ -273,7 +288,7 @@
     }
     void ask_to_join() {
         Live& my = *live;
-        if (my.place || world.now < my.next_join) return;
+        if (my.place || world.now < my.next_join || my.departure.is_leaving()) return;
         my.next_join = world.now + ms(400);
         JoinAsk ask{my.replica.identity, address(), "", false};
         std::set<size_t> machines = {0, 1, 2};
@@ -283,7 +298,7 @@
     }
     void take_join(const JoinAsk& ask) {
         Live& my = *live;
-        if (!acting()) {
+        if (!serving()) {
             auto owner = machine_at(my.known_owner);
             if (!ask.relayed && owner && *owner != place) {
                 JoinAsk onward = ask;
@@ -315,17 +330,18 @@
     void turn() {
         Live& my = *live;
         ++turns;
+        prepare_departure();
         follow_core();
         learn_core();
         ask_to_join();
-        if (my.place) elect();
+        if (my.place && !my.left) elect();
         for (OutgoingMessage& message : my.owner.messages_due(world.now))
             carry(std::move(message));
-        if (acting()) {
+        if (acting() && world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100))
+            my.probed = world.now, my.owner.probe();
+        if (serving()) {
             maintain_core();
             my.scheduler.tick(world.now, world.now, my.owner.confirmed_at());
-            if (world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100))
-                my.probed = world.now, my.owner.probe();
         }
         for (OutgoingMessage& message : my.owner.messages_due(world.now))
             carry(std::move(message));
@@ -333,31 +349,13 @@
     void elect() {
         Live& my = *live;
         const Micros now = world.now;
-        bool stalled = disk_busy && now - disk_since > ms(600);
-        if (my.owner.state() == Owner::State::transferring || my.owner.acting()) my.catching_up_until = 0;
-        bool catching_up = now < my.catching_up_until;
-        if (!my.detector.trusts_itself() || my.core.members.size() < 2 || my.owner.reaches_majority(now - ms(500)))
-            my.majority_at = now;
-        bool alone = now - my.majority_at > seconds(1);
-        my.detector.set_silent(stalled || catching_up || alone);
-        for (size_t to : my.detector.tick(now))
-            if (auto machine = machine_at(my.core.members[to].address); machine && *machine != place)
-                reach(*machine, [identity = my.replica.identity](Daemon& other) {
-                    auto from = other.live->core.place_of(identity);
-                    size_t before = other.live->detector.trusted();
-                    if (from && other.live->place) other.live->detector.alive(*from, other.world.now);
-                    if (before != other.live->detector.trusted()) other.turn();
-                });
-        if (my.detector.trusts_itself() && !stalled && my.owner.state() == Owner::State::idle &&
-            now >= my.next_takeover) {
-            my.next_takeover = now + ms(150);
-            my.owner.take_over(my.core, std::max(my.replica.promised, my.highest), my.replica.registers);
-        }
-        if ((!my.detector.trusts_itself() || stalled || (alone && my.owner.acting())) &&
-            my.owner.state() != Owner::State::idle)
-            my.owner.give_up();
-        if (my.owner.superseded_by)
-            my.highest = std::max(my.highest, *my.owner.superseded_by), my.owner.superseded_by.reset();
+        const bool was_acting = my.owner.acting();
+        const Micros stalled_for = disk_busy ? now - disk_since : 0;
+        const ElectionStep step = my.election.step({my.core, stalled_for, false, now});
+        for (size_t to : step.heartbeats)
+            send_heartbeat(to, false);
+        if (step.drains) world.moment("hands over");
+        if (step.gave_up && was_acting) my.departure.note_handed_over();
         if (my.owner.acting() && my.scheduler_epoch != my.owner.epoch()) {
             my.scheduler_epoch = my.owner.epoch();
             my.keeper.begin_term(now);
@@ -371,9 +369,65 @@
         if (!my.owner.acting() && my.scheduler_epoch.value)
             my.scheduler_epoch = Epoch{}, my.scheduler.end_ownership(), my.keeper.end_term();
     }
+    void send_heartbeat(size_t to, bool leaving) {
+        auto machine = machine_at(live->core.members[to].address);
+        if (!machine || *machine == place) return;
+        reach(*machine, [identity = live->replica.identity, leaving](Daemon& other) {
+            auto from = other.live->core.place_of(identity);
+            size_t before = other.live->detector.trusted();
+            if (from && other.live->place && leaving)
+                other.live->detector.leaving(*from, other.world.now);
+            else if (from && other.live->place)
+                other.live->detector.alive(*from, other.world.now);
+            if (before != other.live->detector.trusted()) other.turn();
+        });
+    }
+
+    // --- a planned stop, as leaving.cpp has it ---
+
+    std::function<void()> on_left;
+    void leave(std::function<void()> done) {
+        on_left = std::move(done);
+        live->departure.begin(world.now + ElectionSettings{}.leave_timeout);
+        live->election.begin_leaving(world.now);
+        if (!live->place) live->departure.note_handed_over();
+        prepare_departure();
+    }
+    void prepare_departure() {
+        Live& my = *live;
+        if (my.left || !my.departure.is_leaving()) return;
+        if (my.departure.is_due(world.now)) return announce_departure();
+        auto owner = machine_at(my.known_owner);
+        if (my.owner.acting() || !owner || *owner == place || world.now < my.next_leave_request) return;
+        my.next_leave_request = world.now + ms(50);
+        const LeaveAsk ask{my.replica.identity, my.departure.epoch, my.departure.sequence};
+        reach(*owner, [this, ask, phase = my.departure.phase()](Daemon& other) {
+            const LeaveAnswer answer = other.acting() ? answer_leave(other.live->owner, ask) : LeaveAnswer{};
+            other.reach(place, [answer, phase](Daemon& self) {
+                Departure& departure = self.live->departure;
+                if (departure.phase() != phase) return;
+                departure.epoch = answer.epoch, departure.sequence = answer.sequence;
+                departure.note_answer(answer.level);
+                if (answer.level) self.live->next_leave_request = 0;
+            });
+        });
+    }
+    void announce_departure() {
+        Live& my = *live;
+        my.left = true;
+        world.moment(my.departure.phase() == Departure::Phase::settled ? "left in order" : "left in haste");
+        my.owner.give_up();
+        if (my.scheduler_epoch.value) my.scheduler_epoch = Epoch{}, my.scheduler.end_ownership(), my.keeper.end_term();
+        for (size_t to = 0; to < my.core.members.size(); ++to)
+            send_heartbeat(to, true);
+        world.after(ms(400), [this, life = incarnation] {
+            if (incarnation == life && up) kill(), on_left();
+        });
+    }
+
     std::vector<std::uint64_t> owned;  // epochs that this machine acted under
     void note_owner(Epoch epoch, const std::string& from) {
-        live->highest = std::max(live->highest, epoch);
+        live->election.note_term(epoch);
         if (epoch < live->known_epoch) return;
         live->known_epoch = epoch;
         live->known_owner = from;
@@ -425,7 +479,7 @@
     }
     template <class Back>
     void serve_prepare(const PrepareAsk& ask, Back back) {
-        bool trusted = live->place && live->core.place_of(ask.from) == std::optional(live->detector.trusted());
+        bool trusted = live->place && live->departure.takes_part() && live->election.may_grant(ask.from, live->core);
         auto [answer, change] = live->replica.prepare(ask, trusted);
         if (answer.verdict == Verdict::granted && ask.from != live->replica.identity &&
             live->owner.state() != Owner::State::idle)
@@ -434,20 +488,18 @@
     }
     template <class Back>
     void serve_write(const WriteAsk& ask, Back back) {
+        if (!live->departure.takes_part())
+            return back(WriteAnswer{.promised = live->replica.promised, .promised_to = live->replica.promised_to});
         auto [answer, change] = live->replica.write(ask);
         if (answer.verdict == Verdict::granted) {
             learn_core();
             const Member* from = live->core.find(ask.from);
             if (from) note_owner(ask.epoch, from->address);
-            Micros& until = live->catching_up_until;
-            if (ask.from != live->replica.identity && ask.level)
-                until = 0;
-            else if (ask.from != live->replica.identity && until != 0)
-                until = std::max(until, world.now + ms(1200));
+            live->election.note_write(ask, world.now);
         }
         persist(std::move(change), [back, answer = std::move(answer)] { back(answer); });
     }
-    // The configuration that a front is told of, as control.hpp answers for news.
+    // The configuration that a front is told of, as news.cpp answers.
     std::pair<std::uint64_t, std::string> news() const {
         auto found = live->replica.registers.find("published");
         if (found == live->replica.registers.end() || found->second.moving.empty()) return {};
@@ -456,7 +508,7 @@
     }
     // A call taken by any daemon: served by the owner, passed on once by the others.
     void serve_call(const CallAsk& ask, std::function<void(CallFate, Response)> told) {
-        if (acting()) {
+        if (serves_now()) {
             if (ask.path == "/config" && ask.host.empty()) {
                 if (ask.method == "PUT")
                     live->scheduler.put_config(ask, told);
--- a/tests/cluster/run.hpp
+++ b/tests/cluster/run.hpp
@@ -100,7 +100,7 @@
         ask.results = results;
         Daemon& daemon = *daemons[target];
         if (daemon.cut || daemon.mute || daemon.deaf || !daemon.up ||
-            (!daemon.acting() && world.now >= daemon.busy_until)) {
+            (!daemon.serving() && world.now >= daemon.busy_until)) {
             target = (target + 1) % daemons.size();
             return;
         }
@@ -119,7 +119,7 @@
             if (blocked()) return;
             daemon.enter(daemon.incarnation, [this, &daemon, ask = Daemon::over_the_wire(daemon.options, ask), asked_at,
                                               close, blocked, results_sent, stops_sent] {
-                if (!daemon.acting()) return close(false);
+                if (!daemon.serves_now()) return close(false);
                 world.moment(ask.report && !ask.report->finished.empty() ? "end reported"
                              : ask.results.empty()                       ? "side heard"
                                                                          : "result heard");
@@ -130,7 +130,7 @@
                     daemon.enter(
                         daemon.incarnation, [this, &daemon, ask, asked_at, close, blocked, results_sent, stops_sent] {
                             if (blocked()) return;
-                            if (!daemon.acting()) return close(false);
+                            if (!daemon.serving()) return close(false);
                             SideAnswer answer = Daemon::over_the_wire(
                                 daemon.options, daemon.live->scheduler.answer_side(
                                                     ask.node, daemon.live->owner.confirmed_at(), world.now));
--- a/tests/detector.cpp
+++ b/tests/detector.cpp
@@ -1,5 +1,7 @@
 // The design page's three tasks as tables, and its promise as a property.
 #include "control/detector/detector.hpp"
+#include "control/detector/departure.hpp"
+#include "control/detector/election.hpp"
 #include "control/detector/suspicion.hpp"
 
 #include "check.hpp"
@@ -188,9 +190,108 @@
     EXPECT(!suspicion.fired(ms(900), std::nullopt, now));
 }
 
+// One daemon's election in a core of three, whose members have identities 1, 2 and 3.
+struct Elected {
+    Core core;
+    Replica replica;
+    Detector detector;
+    Owner owner;
+    Election election;
+    explicit Elected(std::uint64_t identity, bool founding = false)
+        : detector({ms(100), ms(400), ms(100), seconds(3), seconds(20)}, identity - 1, 3, 0),
+          owner({}, Identity{identity}),
+          election({.freeze_after = ms(400)}, detector, owner, replica) {
+        replica.identity = Identity{identity};
+        for (std::uint64_t number = 1; number <= 3; ++number)
+            core.members.push_back({number, Identity{number}, fmt::format("d{}", number), ""});
+        election.start(founding, 0);
+    }
+    size_t heartbeats(Micros now) { return election.step({core, 0, false, now}).heartbeats.size(); }
+    // Steps every 50 ms in (from, to]; how many heartbeats left.
+    size_t heartbeats_between(Micros from, Micros to) {
+        size_t count = 0;
+        for (Micros now = from + ms(50); now <= to; now += ms(50))
+            count += heartbeats(now);
+        return count;
+    }
+    void write(std::uint64_t from, std::uint64_t term, bool level, Micros now) {
+        WriteAsk ask;
+        ask.from = Identity{from}, ask.to = replica.identity, ask.epoch = Epoch{term}, ask.level = level;
+        election.note_write(ask, now);
+    }
+};
+
+// Who is silent, and until when.
+void table_catching_up() {
+    EXPECT(Elected(1, true).heartbeats(0) == 2);
+
+    // After a start: until nobody has handed anything over for so long, or until all is handed over.
+    Elected alone(1);
+    EXPECT(alone.heartbeats_between(0, ms(1150)) == 0);
+    Elected handed(1);
+    EXPECT(handed.heartbeats_between(0, ms(200)) == 0);
+    handed.write(2, 700, false, ms(200));
+    EXPECT(handed.heartbeats_between(ms(200), ms(300)) == 0 && handed.election.catching_up(ms(1399)));
+    handed.write(2, 700, true, ms(300));
+    EXPECT(handed.heartbeats_between(ms(300), ms(400)) == 2);
+
+    // A freeze is noticed before a heartbeat leaves; a shorter gap is none.
+    Elected frozen(1, true);
+    EXPECT(frozen.heartbeats(0) == 2 && frozen.heartbeats(ms(400)) == 2);
+    EXPECT(frozen.heartbeats(ms(801)) == 0 && frozen.election.catching_up(ms(2000)));
+
+    // Without a majority it is silent, and for a while after it has one again.
+    Elected isolated(1, true);
+    EXPECT(isolated.heartbeats_between(0, ms(1000)) > 0);
+    EXPECT(isolated.heartbeats_between(ms(1050), seconds(3)) == 0);
+}
+
+// Whom a takeover lets finish: an owner of a higher place, never a lost one of a lower place.
+void table_present_owner() {
+    struct Row {
+        std::uint64_t self, owner;
+        std::optional<Identity> present;
+    };
+    for (const Row& row : {Row{1, 2, Identity{2}}, Row{1, 3, Identity{3}}, Row{2, 1, std::nullopt},
+                           Row{3, 2, std::nullopt}, Row{2, 3, Identity{3}}, Row{2, 9, std::nullopt}}) {
+        Elected daemon(row.self);
+        EXPECT(!daemon.election.present_owner(daemon.core));
+        daemon.write(row.owner, 700, true, ms(10));
+        EXPECT_SAID(daemon.election.present_owner(daemon.core) == row.present,
+                    fmt::format("{} after {}", row.self, row.owner));
+        // An older term changes nothing.
+        daemon.write(row.self == 1 ? 2 : 1, 600, true, ms(20));
+        EXPECT(daemon.election.present_owner(daemon.core) == row.present);
+    }
+}
+
+// A member that leaves asks twice, and takes no part once it has had the first good answer.
+void table_departure() {
+    Departure departure;
+    departure.note_answer(true);
+    departure.note_handed_over();
+    EXPECT(departure.takes_part() && !departure.is_due(seconds(9)));
+    departure.begin(seconds(2));
+    departure.note_answer(false);
+    EXPECT(departure.takes_part() && !departure.is_due(seconds(1)));
+    departure.note_answer(true);
+    EXPECT(!departure.takes_part() && !departure.is_due(seconds(1)));
+    departure.note_answer(false);
+    EXPECT(!departure.is_due(seconds(1)) && departure.is_due(seconds(2)));
+    departure.note_answer(true);
+    EXPECT(departure.is_due(seconds(1)) && departure.phase() == Departure::Phase::settled);
+    Departure owner;
+    owner.begin(seconds(2));
+    owner.note_handed_over();
+    EXPECT(owner.is_due(0));
+}
+
 }  // namespace
 
 int main() {
+    table_catching_up();
+    table_present_owner();
+    table_departure();
     table_suspicion();
     table_task_one();
     table_task_two();
--- /dev/null
+++ b/tests/locator.cpp
@@ -0,0 +1,89 @@
+// Whom a front or a side polls for news: a daemon without contact to the majority is left, and does not count for
+// readiness.
+#include "shared/news/locator.hpp"
+
+#include "check.hpp"
+
+using namespace calicostall;
+using namespace calicostall::tests;
+
+namespace {
+
+// Keeps what is asked, so that a test gives the answers.
+struct KeepingLoop : Loop {
+    struct Kept {
+        std::string address;
+        Then then;
+    };
+    std::deque<Kept> kept;
+    void ask(Ask ask, Then then) override {
+        std::string address = ask.url.substr(std::string_view("http://").size());
+        kept.push_back({address.substr(0, address.find('/')), std::move(then)});
+    }
+    std::set<std::string> polled() const {
+        std::set<std::string> addresses;
+        for (const Kept& each : kept)
+            addresses.insert(each.address);
+        return addresses;
+    }
+    void answer(const std::string& address, const NewsAnswer& news) {
+        auto found = std::find_if(kept.begin(), kept.end(), [&](const Kept& each) { return each.address == address; });
+        EXPECT_SAID(found != kept.end(), address + " is not polled");
+        if (found == kept.end()) return;
+        Then then = std::move(found->then);
+        kept.erase(found);
+        then({Answer::Fate::answered, 200, pack(news)});
+    }
+};
+
+const std::vector<std::string> seeds = {"a:1", "b:1", "c:1"};
+
+NewsAnswer news(bool in_contact) {
+    return {1, "{}", Epoch{3}, "a:1", 1, seeds, in_contact};
+}
+
+// The watcher of a daemon without contact moves to one that nobody watches; the other watcher stays.
+void leaves_a_daemon_without_contact() {
+    KeepingLoop loop;
+    Locator locator({.own = "front-1", .seeds = seeds}, loop, [] {});
+    locator.open();
+    const std::vector<std::string> order = rendezvous("front-1", seeds);
+    EXPECT(loop.polled() == std::set({order[0], order[1]}));
+    loop.answer(order[0], news(false));
+    EXPECT(loop.polled() == std::set({order[2], order[1]}));
+    // One in contact is polled again.
+    loop.answer(order[1], news(true));
+    loop.answer(order[2], news(true));
+    EXPECT(loop.polled() == std::set({order[2], order[1]}));
+    // Without any in contact they go on from one to the next, and each is polled once.
+    for (int round = 0; round < 6; ++round) {
+        loop.answer(*loop.polled().begin(), news(false));
+        EXPECT(loop.polled().size() == 2 && loop.kept.size() == 2);
+    }
+}
+
+// What a daemon without contact says is learnt, but it is no contact.
+void only_contact_counts_for_readiness() {
+    KeepingLoop loop;
+    Locator locator({.own = "front-1", .seeds = seeds}, loop, [] {});
+    locator.open();
+    const std::string first = *loop.polled().begin();
+    loop.answer(first, news(false));
+    EXPECT(locator.revision() == 1 && locator.owner() == "a:1");
+    EXPECT(!locator.in_touch(steady_now()));
+    loop.answer(*loop.polled().begin(), news(true));
+    const Micros now = steady_now();
+    EXPECT(locator.in_touch(now));
+    // A takeover, in which nobody is in contact, is waited out.
+    loop.answer(*loop.polled().begin(), news(false));
+    EXPECT(locator.in_touch(now + seconds(7)));
+    EXPECT(!locator.in_touch(now + seconds(9)));
+}
+
+}  // namespace
+
+int main() {
+    leaves_a_daemon_without_contact();
+    only_contact_counts_for_readiness();
+    return result();
+}
