--- a/source/commands/control.cpp
+++ b/source/commands/control.cpp
@@ -21,6 +21,7 @@
     settings.detector.timeout = whole("timeout-ms", 50, 60000);
     settings.detector.increment = whole("increment-ms", 0, 60000);
     settings.detector.timeout_most = std::max(settings.detector.timeout * 3, seconds(3));
+    settings.election.freeze_after = std::max(settings.detector.timeout, settings.election.freeze_after_min);
     settings.preview_reads = given.count("preview-reads") > 0;
     settings.run_lines = given.count("run-lines") > 0;
     settings.snapshot_lines = whole("snapshot-lines-s", 0, 86400) * 1000;
