Model checker: owner, replica and configuration orders under every order of steps

Reviews and random stories had missed two owners under one epoch, and state lost by two changes of membership in a row. The new subsystem tests/model/ explores the store's own code breadth-first over explicit states: delivery in every order, loss, duplicates, crashes with unsynced changes lost, wiped disks, removal, joining, takeovers, values, reads and configuration orders.

--- /dev/null
+++ b/tests/model/history.cpp
@@ -0,0 +1,150 @@
+#include "model/history.hpp"
+
+namespace calicostall::model {
+
+History::NodeNumber History::find(const std::string& key, const std::string& value) const {
+    if (value.empty()) {
+        // An ended key: the last proposal that emptied it, or the root when none did.
+        for (NodeNumber node = NodeNumber(nodes_.size()); node-- > 1;)
+            if (nodes_[node].key == key && nodes_[node].value.empty()) return node;
+        return root;
+    }
+    for (NodeNumber node = NodeNumber(nodes_.size()); node-- > 1;)
+        if (nodes_[node].key == key && nodes_[node].value == value) return node;
+    return root;
+}
+
+bool History::descends(NodeNumber node, NodeNumber ancestor) const {
+    while (node > ancestor)  // a parent has a lower number than its child
+        node = nodes_[node].parent;
+    return node == ancestor;
+}
+
+std::string History::name(NodeNumber node) const {
+    if (node == root) return "nothing";
+    const std::string& value = nodes_[node].value;
+    if (value.empty()) return "its end";
+    return nodes_[node].key == "core" ? fmt::format("core #{}", node) : value;
+}
+
+History::NodeNumber History::propose(const std::string& key, const std::string& held, const std::string& value) {
+    NodeNumber parent = find(key, held);
+    for (NodeNumber node = 1; node < nodes_.size(); ++node)
+        if (nodes_[node].key == key && nodes_[node].value == value && nodes_[node].parent == parent) return node;
+    nodes_.push_back({key, value, parent});
+    return NodeNumber(nodes_.size() - 1);
+}
+
+std::uint64_t History::begin_write(NodeNumber node, std::uint64_t term) {
+    operations_.push_back({Operation::Kind::write, node, root, term});
+    return operations_.size() - 1;
+}
+
+std::uint64_t History::begin_read(const std::string& key, const std::string& value, std::uint64_t term) {
+    auto decided = decided_.find(key);
+    NodeNumber least = decided == decided_.end() ? root : decided->second;
+    operations_.push_back({Operation::Kind::read, find(key, value), least, term});
+    return operations_.size() - 1;
+}
+
+std::uint64_t History::begin_plain() {
+    operations_.push_back({});
+    return operations_.size() - 1;
+}
+
+void History::note_term(NodeNumber node, std::uint64_t term) {
+    auto [place, fresh] = decided_under_.try_emplace(node, term);
+    place->second = std::min(place->second, term);
+}
+
+std::string History::decide(const std::string& key, NodeNumber node, std::uint64_t term, const std::string& by) {
+    note_term(node, term);
+    NodeNumber& decided = decided_.try_emplace(key, root).first->second;
+    if (descends(node, decided)) {
+        decided = node;
+        return {};
+    }
+    if (descends(decided, node)) return {};
+    return fmt::format("two values of {} are both decided, on different branches: {}, and by {}: {}", key,
+                       name(decided), by, name(node));
+}
+
+std::string History::end(std::uint64_t number, bool committed) {
+    if (number >= operations_.size()) return {};
+    Operation operation = operations_[number];
+    if (operation.kind == Operation::Kind::ended) return fmt::format("operation {} is told of its end twice", number);
+    operations_[number].kind = Operation::Kind::ended;
+    if (!committed || operation.kind == Operation::Kind::plain) return {};
+    const std::string& key = nodes_[operation.node].key;
+    if (operation.kind == Operation::Kind::write)
+        return decide(key, operation.node, operation.term, "an acknowledgement");
+    if (!descends(operation.node, operation.least))
+        return fmt::format("a read answers {}, though {} was acknowledged before it began", name(operation.node),
+                           name(operation.least));
+    return operation.node == root ? std::string() : decide(key, operation.node, operation.term, "a read");
+}
+
+std::string History::act(std::uint64_t term, std::uint64_t life, const std::map<std::string, std::string>& values) {
+    auto [place, fresh] = terms_.try_emplace(term, life);
+    if (!fresh && place->second != life) return fmt::format("two owners act under one term, {}", term);
+    for (const auto& [key, deepest] : std::map(decided_)) {
+        NodeNumber node = deepest;
+        while (node != root && (!decided_under_.contains(node) || decided_under_.at(node) >= term))
+            node = nodes_[node].parent;
+        auto held = values.find(key);
+        NodeNumber found = find(key, held == values.end() ? std::string() : held->second);
+        if (!descends(found, node))
+            return fmt::format("acknowledged value lost: the owner of term {} holds {} of {}, though {} was decided",
+                               term, name(found), key, name(node));
+    }
+    for (const auto& [key, value] : values) {
+        NodeNumber found = find(key, value);
+        if (found == root) continue;
+        if (std::string violated = decide(key, found, term, "a takeover"); !violated.empty()) return violated;
+    }
+    return {};
+}
+
+bool History::is_decided(const std::string& key, const std::string& value) const {
+    auto found = decided_.find(key);
+    for (NodeNumber node = found == decided_.end() ? root : found->second; node != root; node = nodes_[node].parent)
+        if (nodes_[node].value == value) return true;
+    return false;
+}
+
+std::string History::decided_value(const std::string& key) const {
+    auto found = decided_.find(key);
+    return found == decided_.end() ? std::string() : nodes_[found->second].value;
+}
+
+std::vector<std::string> History::possible_values(const std::string& key) const {
+    auto found = decided_.find(key);
+    NodeNumber decided = found == decided_.end() ? root : found->second;
+    std::vector<std::string> values;
+    if (decided != root) values.push_back(nodes_[decided].value);
+    for (NodeNumber node = decided + 1; node < nodes_.size(); ++node)
+        if (nodes_[node].key == key && descends(node, decided)) values.push_back(nodes_[node].value);
+    return values;
+}
+
+std::string History::describe(std::uint64_t number) const {
+    if (number >= operations_.size()) return "an operation";
+    return name(operations_[number].node);
+}
+
+void History::digest(Digester& digester) const {
+    for (const Node& node : nodes_)
+        digester.add(node.key).add(node.value).add(std::uint64_t(node.parent));
+    for (const auto& [key, node] : decided_)
+        digester.add(key).add(std::uint64_t(node));
+    for (const auto& [node, term] : decided_under_)
+        digester.add(std::uint64_t(node)).add(term);
+    for (const Operation& operation : operations_)
+        digester.add(operation.term)
+            .add(std::uint64_t(operation.kind))
+            .add(std::uint64_t(operation.node) << 32 | operation.least);
+    for (const auto& [term, life] : terms_)
+        digester.add(term).add(life);
+}
+
+}  // namespace calicostall::model
--- /dev/null
+++ b/tests/model/scenarios.cpp
@@ -0,0 +1,191 @@
+#include "model/scenarios.hpp"
+
+namespace calicostall::model {
+namespace {
+
+void must(const std::string& violated) {
+    if (!violated.empty()) throw std::runtime_error("a scenario's own steps violate: " + violated);
+}
+
+// A core in which member numbers lie 64 apart, as after many replacements; all have promised the same term.
+Scenario aged_core(bool exchanges, size_t states) {
+    Bounds bounds;
+    bounds.takeovers = 2;
+    bounds.candidates = {0, 1};
+    bounds.exchanges = exchanges;
+    bounds.states = states;
+    World world(core_of({1, 65, 66}), 0, bounds);
+    for (size_t place = 0; place < 3; ++place)
+        world.change(place).replica.change().promised = Epoch{640};
+    return {exchanges ? "aged core, exchanges" : "aged core", "numbers 1 and 65, two candidates at once",
+            std::move(world), bounds};
+}
+
+// Two of five members lag behind acknowledged values, and writes carry one entry each. Two changes of membership
+// follow, then a takeover by a member that lagged.
+Scenario lagging_members(size_t states) {
+    Bounds bounds;
+    bounds.takeovers = 1;
+    bounds.candidates = {1};
+    bounds.removals = 2;
+    bounds.exchanges = true;
+    bounds.batch_bytes = 1;
+    bounds.cut_off = {3, 4};
+    bounds.states = states;
+    World world(core_of({1, 2, 3, 4, 5}), 0, bounds);
+    must(world.take_over(0));
+    must(world.settle({0, 1, 2, 3, 4}));
+    // The first value is still under way to 2 and 3, so the others and later changes gather behind it.
+    for (const char* key : {"job/1", "job/2", "job/3"}) {
+        must(world.propose(0, key));
+        must(world.settle({0, 3, 4}));
+    }
+    return {"lagging members", "2 and 3 lack acknowledged values, two removals, a takeover", std::move(world), bounds};
+}
+
+// An owner at work; what differs between the scenarios below is what may happen.
+World settled(size_t members, size_t spares, const Bounds& bounds) {
+    std::vector<std::uint64_t> numbers;
+    for (size_t number = 1; number <= members; ++number)
+        numbers.push_back(number);
+    World world(core_of(numbers), spares, bounds);
+    std::set<size_t> all;
+    for (size_t place = 0; place < members + spares; ++place)
+        all.insert(place);
+    must(world.take_over(0));
+    must(world.settle(all));
+    return world;
+}
+
+Scenario values_and_reads(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {0, 1};
+    bounds.takeovers = 2;
+    bounds.proposals = 2;
+    bounds.reads = 1;
+    bounds.timeouts = 1;
+    bounds.exchanges = bounds.eager = true;
+    bounds.states = states;
+    return {"values and reads", "3 members, 2 takeovers, 2 values, a read, a lost answer", settled(3, 0, bounds),
+            bounds};
+}
+
+Scenario every_order(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {1};
+    bounds.takeovers = 1;
+    bounds.proposals = 1;
+    bounds.reads = 1;
+    bounds.states = states;
+    return {"every order", "3 members, a takeover, a value and a read, asks and answers apart", settled(3, 0, bounds),
+            bounds};
+}
+
+Scenario late_and_twice(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {0, 1};
+    bounds.takeovers = 2;
+    bounds.proposals = 1;
+    bounds.timeouts = 1;
+    bounds.duplicates = 1;
+    bounds.late = true;
+    bounds.exchanges = bounds.eager = true;
+    bounds.states = states;
+    return {"late and twice", "3 members, 2 takeovers, a late message and one that comes twice", settled(3, 0, bounds),
+            bounds};
+}
+
+Scenario crashes(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {0, 1, 2};
+    bounds.takeovers = 1;
+    bounds.proposals = 1;
+    bounds.crashes = 2;
+    bounds.states = states;
+    return {"crashes", "3 members, a takeover, a value, 2 crashes with what was not synced lost", settled(3, 0, bounds),
+            bounds};
+}
+
+// A member loses its disk, its address answers under a fresh identity; it is replaced, and another owner comes.
+Scenario replacement(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {1};
+    bounds.takeovers = 1;
+    bounds.proposals = 1;
+    bounds.wipes = 1;
+    bounds.removals = 1;
+    bounds.joins = 1;
+    bounds.exchanges = bounds.eager = true;
+    bounds.states = states;
+    return {"replacement", "4 members, a wiped disk, removal, joining, a takeover", settled(4, 0, bounds), bounds};
+}
+
+Scenario growth(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {1, 3};
+    bounds.takeovers = 1;
+    bounds.proposals = 1;
+    bounds.joins = 2;
+    bounds.removals = 1;
+    bounds.losses = 1;
+    bounds.exchanges = bounds.eager = true;
+    bounds.batch_bytes = 1;
+    bounds.states = states;
+    return {"growth", "3 members, 2 spares join, one goes, a loss, a takeover", settled(3, 2, bounds), bounds};
+}
+
+// A key ends while a member lags; the member comes back, or leads.
+Scenario ended_keys(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {2};
+    bounds.takeovers = 1;
+    bounds.proposals = 1;
+    bounds.forgets = 1;
+    bounds.timeouts = 1;
+    bounds.exchanges = bounds.eager = true;
+    bounds.states = states;
+    World world = settled(3, 0, bounds);
+    must(world.propose(0, "job/1"));
+    must(world.settle({0, 1, 2}));
+    return {"ended keys", "3 members, a key ends and may come again, a takeover", std::move(world), bounds};
+}
+
+// Two operators with the same base, the next change on top of one of them, and every order may be sent again.
+Scenario config_orders(size_t takeovers, size_t orders, size_t states) {
+    Bounds bounds;
+    bounds.candidates = {0, 1};
+    bounds.takeovers = takeovers;
+    bounds.orders = orders;
+    bounds.exchanges = bounds.eager = true;
+    bounds.keys = {"config"};
+    bounds.order_list = {make_order(0, 1, "first"), make_order(1, 2, "left"), make_order(1, 2, "right"),
+                         make_order(2, 3, "third")};
+    bounds.states = states;
+    World world = settled(3, 0, bounds);
+    must(world.order(0, 0));
+    must(world.settle({0, 1, 2}));
+    return {takeovers ? "orders with a takeover" : "orders", "two operators on one base, orders sent again",
+            std::move(world), bounds};
+}
+
+}  // namespace
+
+std::vector<Scenario> all_scenarios(size_t longer) {
+    std::vector<Scenario> scenarios;
+    auto states = [&](size_t thousands) { return thousands * 1000 * longer; };
+    scenarios.push_back(aged_core(true, states(100)));
+    scenarios.push_back(aged_core(false, states(100)));
+    scenarios.push_back(lagging_members(states(100)));
+    scenarios.push_back(values_and_reads(states(100)));
+    scenarios.push_back(every_order(states(100)));
+    scenarios.push_back(late_and_twice(states(100)));
+    scenarios.push_back(crashes(states(100)));
+    scenarios.push_back(replacement(states(100)));
+    scenarios.push_back(growth(states(100)));
+    scenarios.push_back(ended_keys(states(100)));
+    scenarios.push_back(config_orders(0, 4, states(100)));
+    scenarios.push_back(config_orders(1, 3, states(100)));
+    return scenarios;
+}
+
+}  // namespace calicostall::model
