--- a/source/front.cpp
+++ b/source/front.cpp
@@ -29,15 +29,15 @@
     return findings;
 }
 
-void Front::leave(std::function<void()> then) {
+void Front::leave(const std::function<void()>& then) {
     log_line("front", "draining");
     draining_ = true;
     if (front_) front_->close_gently();
     drain_until_ = steady_now() + settings_.machine.grace - milliseconds(1300);
-    watch_drain(std::move(then));
+    watch_drain(then);
 }
 
-void Front::watch_drain(std::function<void()> then) {
+void Front::watch_drain(const std::function<void()>& then) {
     Micros now = steady_now();
     bool quiet;
     {
@@ -113,10 +113,10 @@
         ++waiting->in_flight;
         ask.patience = std::min(left, settings_.send_patience);
     }
-    loop_.ask(std::move(ask), [this, handle](Answer answer) { settle(handle, std::move(answer)); });
+    loop_.ask(std::move(ask), [this, handle](const Answer& answer) { settle(handle, answer); });
 }
 
-void Front::settle(Handle handle, Answer answer) {
+void Front::settle(Handle handle, const Answer& answer) {
     auto frame = answer.good() ? unpack<CallAnswer>(answer.body) : std::nullopt;
     {
         std::lock_guard guard(lock_);
--- a/source/front.hpp
+++ b/source/front.hpp
@@ -29,7 +29,7 @@
     bool ready() const { return !draining_ && locator_.revision() > 0 && locator_.in_touch(steady_now()); }
 
     // Drains: no new clients are sent here, those that are here are served to the end.
-    void leave(std::function<void()> then);
+    void leave(const std::function<void()>& then);
     void take_settings(const Settings& machine) { locator_.add_seeds(machine.seed_replicas()); }
 
 private:
@@ -44,11 +44,11 @@
     };
     using Handle = Slab<Waiting>::Handle;
 
-    void watch_drain(std::function<void()> then);
+    void watch_drain(const std::function<void()>& then);
     void take_news();
     void take(Request request);
     void send(Handle handle);
-    void settle(Handle handle, Answer answer);
+    void settle(Handle handle, const Answer& answer);
     void give_up(Handle handle);
 
     FrontSettings settings_;
