--- a/tests/preview.cpp
+++ b/tests/preview.cpp
@@ -1,6 +1,8 @@
 // Previews: what a snapshot holds and does not hold, where tasks land, what a change moves, and whether it came true.
 #include "preview/command.hpp"
 
+#include <fstream>
+
 #include "control/jobs/scheduler.hpp"
 #include "shared/http/listener.hpp"
 
