--- a/tests/store.cpp
+++ b/tests/store.cpp
@@ -4,20 +4,13 @@
 #include "shared/wire/cbor.hpp"
 
 #include "check.hpp"
+#include "store_members.hpp"
 
 using namespace calicostall;
 using namespace calicostall::tests;
 
 namespace {
 
-Core core_of(size_t count) {
-    Core core;
-    for (size_t number = 1; number <= count; ++number)
-        core.members.push_back({number, Identity{100 + number}, fmt::format("d{}", number), ""});
-    core.next_number = count + 1;
-    core.size_wanted = count;
-    return core;
-}
 Replica replica_of(size_t number, const Core& core) {
     Replica replica;
     replica.identity = Identity{100 + number};
@@ -35,25 +28,6 @@
             value,         std::move(parts),
             false};
 }
-// What lies on a simulated disk, and a replica that opened it.
-using Entries = std::map<std::string, std::string>;
-void persist(Entries& entries, const Change& change) {
-    for (const auto& [name, bytes] : change.entries) {
-        if (bytes)
-            entries[name] = *bytes;
-        else
-            entries.erase(name);
-    }
-}
-Replica reopened(const Entries& entries, Identity identity) {
-    Replica replica;
-    replica.identity = identity;
-    bool sound = true;
-    for (const auto& [name, bytes] : entries)
-        sound = replica.load(name, bytes) && sound;
-    EXPECT(replica.finish_load() && sound);
-    return replica;
-}
 
 void prepare_table() {
     struct Row {
