--- a/tests/side.cpp
+++ b/tests/side.cpp
@@ -90,9 +90,11 @@
             if (sent.path == "/inner/side") sent.answer(pack(owner_says()));
         }
     }
-    void order_start(std::uint32_t run) {
+    void order_start(std::uint32_t run) { give_order(OrderKind::start, run); }
+    void give_order(OrderKind kind, std::uint32_t run) {
         Order order;
         order.number = ++orders;
+        order.kind = kind;
         order.life = life;
         order.task = task;
         order.run = run;
@@ -126,6 +128,28 @@
     EXPECT(scene.await_result().fate == OrderFate::turned_away);
 }
 
+// A worker that is gone while nothing but a stop is open: the owner must hear that it is silent, or its hold, and with
+// it the run that is being stopped, would never lapse.
+void a_stop_without_answer_shows_a_silent_worker() {
+    constexpr Micros patience = seconds(10);
+    Scene scene;
+    scene.give_order(OrderKind::stop, 1);
+    bool polled = false, silent = false;
+    for (Micros begun_at = steady_now(); !silent && steady_now() - begun_at < patience;) {
+        ScriptedLoop::Sent sent = scene.loop.await({"/run-stop", "/hold", "/inner/side"});
+        if (sent.path == "/inner/side") {
+            auto ask = unpack<SideAsk>(sent.ask.body);
+            silent = ask && ask->silent;
+            sent.answer(pack(scene.owner_says()));
+        } else if (sent.path == "/hold" && !std::exchange(polled, true)) {
+            sent.answer(R"({"clock_ms":1000,"active":[],"finished":[]})");
+        } else {
+            sent.lose();
+        }
+    }
+    EXPECT(silent);
+}
+
 // A worker that answers at once isn't waited for as long as one that is not known.
 void quick_answers_shorten_the_patience() {
     Scene scene;
@@ -218,6 +242,7 @@
     messages_of_workers();
     a_refusal_after_a_lost_answer_is_doubtful();
     quick_answers_shorten_the_patience();
+    a_stop_without_answer_shows_a_silent_worker();
     // The loop's thread goes on to the end: nothing that it uses may be destroyed before.
     int status = result();
     std::fflush(nullptr);
