Owner: one count of the members that hold everything up to a sequence

held_without, level_without and members_level each derived it; they share members_level now. One difference: a member whose disk is known to be lost counted for a leaving follower, and no longer does, as for a change of membership.

--- a/source/control/store/owner.cpp
+++ b/source/control/store/owner.cpp
@@ -289,11 +289,12 @@
     return first_open - 1;
 }
 
-size_t Owner::members_level(Sequence sequence) const {
+size_t Owner::members_level(Sequence sequence, std::optional<Identity> except) const {
     size_t count = 0;
     for (const Member& member : core_.members) {
         auto link = links_.find(member.identity);
-        count += link != links_.end() && acknowledged(link->second) >= sequence;
+        if (member.identity == except || link == links_.end()) continue;
+        count += acknowledged(link->second) >= sequence;
     }
     return count;
 }
@@ -311,23 +312,11 @@
 }
 
 bool Owner::level_without(Identity identity) const {
-    size_t count = 0;
-    for (const Member& member : core_.members)
-        count += member.identity != identity && level(member.identity);
-    return count >= core_.majority();
+    return acting() && held_without(identity, sequence_);
 }
 
 bool Owner::held_without(Identity identity, Sequence sequence) const {
-    size_t count = 0;
-    for (const Member& member : core_.members) {
-        auto link = links_.find(member.identity);
-        if (member.identity == identity || link == links_.end() || !link->second.synced) continue;
-        const bool waits = link->second.backlog.oldest().value_or(sequence + 1) <= sequence;
-        const bool sent = std::any_of(link->second.in_flight.begin(), link->second.in_flight.end(),
-                                      [&](const auto& each) { return each.second.missing.since <= sequence; });
-        count += !waits && !sent;
-    }
-    return count >= core_.majority();
+    return members_level(sequence, identity) >= core_.majority();
 }
 
 void Owner::begin_drain() {
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -45,8 +45,7 @@
 //   1. K and K' differ by one member, so any majority of K meets any majority of K'. So it doesn't matter by which of
 //      the two a value was committed or a takeover goes.
 //   2. What was committed before K'' begins is on a majority of K', and so is K' itself: it was proposed up to the
-//   change
-//      to K', and a majority of K' has all of that; or it was proposed after it, and was committed by K' itself.
+//      change to K', and a majority of K' has all of that; or it was proposed after it, and was committed by K' itself.
 //   3. A takeover goes by the latest core that its grants show, and needs a majority of that one. Say that is K'. Was a
 //      K'' settled under a lower term, a majority of K'' wrote it, and by 1. one of them is among the grants: it wrote
 //      K'' before it promised, and the grant shows it, or after, and refused. So at most one change is open beyond K',
@@ -56,13 +55,11 @@
 //      promised the higher term, and meets every majority of K''. Whoever still holds K'' and goes by it meets that
 //      majority, is shown the later K', and goes by that.
 //   5. Only grants of members of the core that the takeover goes by count; the core itself may be learnt from anybody,
-//   as a
-//      later one is always safe to go by. By 3. they have all that was committed; what
-//      one that was removed still holds may have been forgotten by all others since.
+//      as a later one is always safe to go by. By 3. they have all that was committed; what one that was removed still
+//      holds may have been forgotten by all others since.
 //   6. A key that was removed is forgotten only when every member and learner holds its tombstone and no change is
-//   open.
-//      So whoever takes part in a takeover, also one that joined since, holds the tombstone or nothing, never the
-//      value.
+//      open. So whoever takes part in a takeover, also one that joined since, holds the tombstone or nothing, never
+//      the value.
 // A removed member that still answers is of no use to this and does no harm: its copies are on a majority of the new
 // core before anything else changes.
 //
@@ -216,7 +213,7 @@
     void settle_tombstones();
     // Up to which proposal the member has acknowledged everything.
     Sequence acknowledged(const Link& link) const;
-    size_t members_level(Sequence sequence) const;
+    size_t members_level(Sequence sequence, std::optional<Identity> except = std::nullopt) const;
     void settle_membership(std::vector<Callback>& callbacks);
     size_t holders(const std::string& key, Version version) const;
     // Whether every member and learner has the key in this version or a later one.
