--- a/source/control/daemon/news.cpp
+++ b/source/control/daemon/news.cpp
@@ -57,8 +57,7 @@
         if (value.version != config_version_ || value.epoch != config_epoch_) {
             config_version_ = value.version;
             config_epoch_ = value.epoch;
-            Findings findings;
-            config_revision_ = parse_config(value.moving, findings).revision;
+            config_revision_ = read_config(value.moving).revision;
         }
         config = {config_revision_, &value.moving};
     }
--- a/source/front.cpp
+++ b/source/front.cpp
@@ -64,12 +64,8 @@
     // One text a revision, read once.
     if (std::uint64_t revision = locator_.revision(); revision > config_revision_) {
         config_revision_ = revision;
-        Findings findings;
-        Config config = parse_config(locator_.config(), findings);
-        if (findings.empty()) {
-            config_ = std::move(config);
-            log_line("front", "configuration {}", config_.revision);
-        }
+        config_ = read_config(locator_.config());
+        log_line("front", "configuration {}", config_.revision);
     }
 }
 
