Disk: a commit that failed at its last write no longer ends all later ones

Cause: when LMDB can't write the meta page that ends a commit, it marks its environment, and every later transaction fails with MDB_PANIC though there is room again. The writing thread tried again for good, so the member acknowledged nothing until its process was started anew; with a second member lost, no order had an answer.

Change: the environment is opened anew and the batch written again; disk_reopened counts.

Test: disk, a_disk_that_was_full_writes_again (meta page writes refused 1, 2 and 5 times). Before: no write within 5 s after the first refusal. After: all are written and loaded again.

--- a/source/control/store/disk.cpp
+++ b/source/control/store/disk.cpp
@@ -77,13 +77,44 @@
 std::string Disk::open(Replica& replica) {
     if (folder_.empty()) return {};
     if (std::string error = prepare_folder(folder_); !error.empty()) return error;
-    if (int code = mdb_env_create(&environment_)) return mdb_strerror(code);
+    if (int code = open_environment()) return mdb_strerror(code);
+    if (int code = sync_folder(folder_)) return std::strerror(code);
+    return load_all(replica);
+}
+
+int Disk::open_environment() {
+    if (int code = mdb_env_create(&environment_)) return code;
     mdb_env_set_mapsize(environment_, map_bytes(capacity_mb_));
     // One process has the folder, so there is no lock file; the meta page is synced by hand after each commit.
     unsigned int flags = MDB_NOLOCK | MDB_NOMETASYNC | MDB_NORDAHEAD;
-    if (int code = mdb_env_open(environment_, folder_.c_str(), flags, 0644)) return mdb_strerror(code);
-    if (int code = sync_folder(folder_)) return std::strerror(code);
-    return load_all(replica);
+    return mdb_env_open(environment_, folder_.c_str(), flags, 0644);
+}
+
+// A commit that fails at its last write, the meta page's, marks the environment: no transaction begins in it ever
+// after. What it holds is what was committed before, so it is opened anew, and the caller writes its batch again.
+bool Disk::reopen_environment() {
+    counters().add("disk_reopened");
+    if (environment_) mdb_env_close(environment_);
+    environment_ = nullptr;
+    int code = open_environment();
+    MDB_txn* transaction = nullptr;
+    if (code == 0) code = mdb_txn_begin(environment_, nullptr, MDB_RDONLY, &transaction);
+    if (code == 0) {
+        code = mdb_dbi_open(transaction, nullptr, 0, &table_);
+        const int ended = mdb_txn_commit(transaction);  // the table's handle stays only after a commit
+        if (code == 0) code = ended;
+    }
+    if (code == 0) return true;
+    if (environment_) mdb_env_close(environment_);
+    environment_ = nullptr;
+    return false;
+}
+
+int Disk::begin_transaction(MDB_txn** transaction) {
+    int code = environment_ ? mdb_txn_begin(environment_, nullptr, 0, transaction) : MDB_PANIC;
+    if (code != MDB_PANIC) return code;
+    if (!reopen_environment()) return MDB_PANIC;
+    return mdb_txn_begin(environment_, nullptr, 0, transaction);
 }
 
 std::string Disk::load_all(Replica& replica) {
@@ -169,7 +200,7 @@
 
 bool Disk::commit(const std::vector<Item>& batch, std::optional<Identity> identity) {
     MDB_txn* transaction = nullptr;
-    if (mdb_txn_begin(environment_, nullptr, 0, &transaction)) return false;
+    if (begin_transaction(&transaction)) return false;
     bool good = !identity || put_entry(transaction, table_, "m/identity", pack(Epoch{identity->value}));
     for (const Item& item : batch)
         good = good && apply_change(transaction, table_, item.change);
--- a/source/control/store/disk.hpp
+++ b/source/control/store/disk.hpp
@@ -42,6 +42,10 @@
     void write(const std::vector<Item>& batch);
     bool commit(const std::vector<Item>& batch, std::optional<Identity> identity);
     std::string load_all(Replica& replica);
+    // LMDB's codes, 0 when it went well. An environment that a failed commit left unusable is opened anew.
+    int open_environment();
+    int begin_transaction(MDB_txn** transaction);
+    bool reopen_environment();
 
     std::string folder_;
     std::int64_t capacity_mb_;
--- a/tests/disk.cpp
+++ b/tests/disk.cpp
@@ -37,6 +37,19 @@
     return int(syscall(SYS_fsync, handle));
 }
 
+// The disk is full for so many further writes of LMDB's two meta pages, which end a commit.
+static std::atomic<int> meta_writes_to_fail{0};
+
+extern "C" ssize_t pwrite(int handle, const void* bytes, size_t count, off_t offset) {
+    constexpr off_t meta_pages = 2 * 4096;
+    if (offset < meta_pages && meta_writes_to_fail > 0) {
+        --meta_writes_to_fail;
+        errno = ENOSPC;
+        return -1;
+    }
+    return syscall(SYS_pwrite64, handle, bytes, count, offset);
+}
+
 namespace calicostall::tests {
 namespace {
 
@@ -49,10 +62,13 @@
     ~TemporaryFolder() { std::filesystem::remove_all(path); }
 };
 
+std::future<void> begin_put(Disk& disk, Change change) {
+    auto synced = std::make_shared<std::promise<void>>();
+    disk.put(std::move(change), [synced] { synced->set_value(); });
+    return synced->get_future();
+}
 void put_and_wait(Disk& disk, Change change) {
-    std::promise<void> synced;
-    disk.put(std::move(change), [&synced] { synced.set_value(); });
-    synced.get_future().wait();
+    begin_put(disk, std::move(change)).wait();
 }
 
 // A new file's name may be lost with the power unless its folder was synced; so may a new folder's.
@@ -85,6 +101,33 @@
     EXPECT(loaded.registers == written.registers);
 }
 
+// A commit that fails at its last write leaves LMDB's environment unusable for good; the disk must write on all the
+// same once there is room again, without a restart, and lose nothing that it acknowledged before or after.
+void a_disk_that_was_full_writes_again() {
+    TemporaryFolder outer;
+    const std::string folder = outer.path + "/data";
+    Replica written;
+    written.identity = Identity{9};
+    auto* disk = new Disk(folder, 0);  // its thread runs until the process ends
+    EXPECT(disk->open(written).empty());
+    EXPECT(disk->write_identity(written.identity));
+    disk->start();
+    put_and_wait(*disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {}}));
+    for (int failures : {1, 2, 5}) {
+        meta_writes_to_fail = failures;
+        const std::string key = fmt::format("job/{}", failures);
+        auto synced = begin_put(*disk, written.found(key, Register{Epoch{1}, Version{1}, {}, "value", {}}));
+        const bool written_again = synced.wait_for(std::chrono::seconds(5)) == std::future_status::ready;
+        EXPECT_SAID(written_again, fmt::format("no write after {} that failed", failures));
+        if (!written_again) return;
+    }
+    Replica loaded;
+    Disk again(folder, 0);
+    EXPECT(again.open(loaded).empty());
+    EXPECT(loaded.identity == written.identity);
+    EXPECT(loaded.registers == written.registers);
+}
+
 void an_unusable_folder_is_an_error() {
     TemporaryFolder outer;
     Replica replica;
@@ -99,6 +142,7 @@
     using namespace calicostall::tests;
     a_new_disk_has_durable_names();
     what_was_synced_is_loaded_again();
+    a_disk_that_was_full_writes_again();
     an_unusable_folder_is_an_error();
     return result();
 }
