--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -348,7 +348,8 @@
             state_.expiries.erase(state_.expiries.begin());
             auto found = state_.jobs.find(id);
             if (found == state_.jobs.end()) continue;
-            if (found->second.job.has_placements()) {
+            // Nor while a change of it is under way: what is to follow its commit would never be done.
+            if (found->second.job.has_placements() || found->second.dirty) {
                 state_.expiries.emplace(now + seconds(1), id);
                 continue;
             }
--- a/source/side/holds.cpp
+++ b/source/side/holds.cpp
@@ -28,7 +28,8 @@
 void Side::poll_if_due(Micros now) {
     if (polling_ || now < next_poll_) return;
     // A stop that stays unanswered needs polls too: only they show that the worker is silent, so that its hold lapses.
-    if (active_ == 0 && !any_start_sent() && stops_.empty()) return;
+    // So does one that was answered: only a poll that began after it tells the owner that the run is over.
+    if (active_ == 0 && !any_start_sent() && stops_.empty() && stopped_.empty()) return;
     // An end that the owner has not noted yet would come back at once.
     bool end_unseen = highest_end_ > seen_ && now - ended_at_ < settings_.unseen_wait;
     if (!end_unseen) poll(settings_.poll_wait);
--- a/tests/side.cpp
+++ b/tests/side.cpp
@@ -150,6 +150,41 @@
     EXPECT(silent);
 }
 
+// The look that follows a stop (the short one) is lost while nothing else runs or is open: it must be made again, or
+// the owner would never hear that the stopped run is over, and its task would stay placed for good.
+void the_look_after_a_stop_is_made_until_it_is_answered() {
+    constexpr Micros patience = seconds(10);
+    Scene scene;
+    // The worker knows the fence: no look is owed for that any more.
+    scene.await("/hold").answer(R"({"clock_ms":1000,"active":[],"finished":[]})");
+    for (bool shown = false; !shown;) {
+        ScriptedLoop::Sent sent = scene.await("/inner/side");
+        auto ask = unpack<SideAsk>(sent.ask.body);
+        shown = ask && ask->report;
+        sent.answer(pack(scene.owner_says()));
+    }
+    scene.give_order(OrderKind::stop, 1);
+    bool stopped = false, lost = false, reported = false;
+    for (Micros begun_at = steady_now(); !reported && steady_now() - begun_at < patience;) {
+        ScriptedLoop::Sent sent = scene.loop.await({"/run-stop", "/hold", "/inner/side"});
+        if (sent.path == "/run-stop") {
+            stopped = true;
+            sent.answer(R"({"clock_ms":1000})");
+        } else if (sent.path == "/hold" && stopped && !lost && !sent.body().contains("wait_ms")) {
+            lost = true;
+            sent.lose();
+        } else if (sent.path == "/hold") {
+            sent.answer(R"({"clock_ms":1000,"active":[],"finished":[]})");
+        } else {
+            auto ask = unpack<SideAsk>(sent.ask.body);
+            reported = ask && ask->report && !ask->report->stops.empty();
+            sent.answer(pack(scene.owner_says()));
+        }
+    }
+    EXPECT(lost);
+    EXPECT(reported);
+}
+
 // A worker that answers at once isn't waited for as long as one that is not known.
 void quick_answers_shorten_the_patience() {
     Scene scene;
@@ -243,6 +278,7 @@
     a_refusal_after_a_lost_answer_is_doubtful();
     quick_answers_shorten_the_patience();
     a_stop_without_answer_shows_a_silent_worker();
+    the_look_after_a_stop_is_made_until_it_is_answered();
     // The loop's thread goes on to the end: nothing that it uses may be destroyed before.
     int status = result();
     std::fflush(nullptr);
