Control: an operator's call is held while the owner changes

Cause: while ownership changed, a daemon turned an operator's call away at once (503), or left it with a relay to the owner that was lost (504 after 0.9 s, or silence); the caller's pauses grow with each, so an order waited for seconds after the new owner was there.

Change: HeldCalls keeps such a call for at most 0.9 s: it is sent once an owner is known, again after 'not here' with a growing pause, and again at once when another owner is known. An order in doubt is not asked again under the same term. A daemon without contact lets go of it after 0.3 s. Orders are sent before the rest of a turn.

--- a/source/control/daemon/calls.cpp
+++ b/source/control/daemon/calls.cpp
@@ -3,12 +3,31 @@
 
 namespace calicostall {
 
+// Operators' calls are held here until they have an answer, or their time is up.
+void Control::send_held_calls(Micros now) {
+    if (held_calls_.size() == 0) return;
+    if (left_) return held_calls_.release();
+    CallRoute route{serving(), other_owner_address(), known_epoch_, in_contact(now)};
+    if (route.serves_here) route.epoch = owner_.epoch();
+    for (HeldCalls::Send& send : held_calls_.due(route, now)) {
+        auto note = [this, ticket = send.ticket](CallAnswer answer) {
+            std::lock_guard guard(lock_);
+            held_calls_.note_answer(ticket, std::move(answer), steady_now());
+            request_turn();
+        };
+        if (send.to.empty())
+            handle_call(send.ask, std::move(note));
+        else
+            relay_call(std::move(send.ask), send.to, send.patience, std::move(note));
+    }
+}
+
 void Control::handle_call(const CallAsk& ask, CallCallback respond) {
     const Micros now = steady_now();
     election_.note_activity(now);
     if (!serving()) {
         auto owner = other_owner_address();
-        if (!ask.relayed && owner) return relay_call(ask, *owner, std::move(respond));
+        if (!ask.relayed && owner) return relay_call(ask, *owner, settings_.call_relay_timeout, std::move(respond));
         counters().add("calls_elsewhere");
         return respond(CallAnswer{CallFate::elsewhere, 503, {}, 1});
     }
@@ -24,10 +43,10 @@
         scheduler_.get_config(std::move(done));
 }
 
-void Control::relay_call(CallAsk ask, const std::string& owner, CallCallback respond) {
+void Control::relay_call(CallAsk ask, const std::string& owner, Micros patience, CallCallback respond) {
     ask.relayed = true;
     counters().add("calls_relayed");
-    loop_.ask({.url = "http://" + owner + "/inner/call", .body = pack(ask), .patience = settings_.call_relay_timeout},
+    loop_.ask({.url = "http://" + owner + "/inner/call", .body = pack(ask), .patience = patience},
               [respond = std::move(respond)](Answer answer) {
                   auto frame = answer.good() ? unpack<CallAnswer>(answer.body) : std::nullopt;
                   if (frame) return respond(std::move(*frame));
--- a/source/control/daemon/control.hpp
+++ b/source/control/daemon/control.hpp
@@ -12,6 +12,7 @@
 #include "control/detector/detector.hpp"
 #include "control/detector/election.hpp"
 #include "control/detector/suspicion.hpp"
+#include "control/jobs/calls/held_calls.hpp"
 #include "control/membership/core_keeper.hpp"
 #include "control/membership/founding.hpp"
 #include "control/store/disk.hpp"
@@ -147,7 +148,8 @@
 
     // --- calls.cpp ---
     void handle_call(const CallAsk& ask, CallCallback respond);
-    void relay_call(CallAsk ask, const std::string& owner, CallCallback respond);
+    void relay_call(CallAsk ask, const std::string& owner, Micros patience, CallCallback respond);
+    void send_held_calls(Micros now);
     SnapshotMoment snapshot_moment();
     Response answer_preview(const std::string& method);
     void log_snapshot(Micros now);
@@ -228,6 +230,8 @@
     Micros timer_at_ = 0, timer_lateness_ = 0;  // the lateness is smoothed
     Micros counted_at_ = 0;
 
+    HeldCalls held_calls_;  // the operators'
+
     // Sides.
     std::list<SidePoll> side_polls_;
     std::unordered_map<std::string, SideAccount> accounts_;  // by node
--- a/source/control/daemon/news.cpp
+++ b/source/control/daemon/news.cpp
@@ -79,6 +79,7 @@
     for (SidePoll& poll : side_polls_)
         poll.reply.send(Response::cbor(pack(SideAnswer{})));
     side_polls_.clear();
+    held_calls_.release();
     for (NewsPoll& poll : news_polls_)
         poll.until = 0;
     news_due_ = 0;
--- a/source/control/daemon/routes.cpp
+++ b/source/control/daemon/routes.cpp
@@ -47,7 +47,12 @@
     auto reply = std::make_shared<Reply>(std::move(request.reply));
     const CallAsk ask{request.method, {}, "/config", std::move(request.body), request.if_match, false};
     std::lock_guard guard(lock_);
-    handle_call(ask, [reply, read_only](CallAnswer answer) { reply->send(to_response(std::move(answer), read_only)); });
+    const Micros now = steady_now();
+    election_.note_activity(now);
+    held_calls_.hold(
+        ask, [reply, read_only](CallAnswer answer) { reply->send(to_response(std::move(answer), read_only)); }, now);
+    // Before what the turn does for everybody else.
+    send_held_calls(now);
     turn();
 }
 
--- a/source/control/daemon/turn.cpp
+++ b/source/control/daemon/turn.cpp
@@ -56,13 +56,15 @@
     schedule_turn(now);
 }
 
-// First what others wait for on time (heartbeats, promises, writes), then planning, then what planning proposed.
+// First what others wait for on time (heartbeats, orders, promises, writes), then planning, then what planning
+// proposed.
 void Control::turn_round(Micros now) {
     send_founding_messages(now);
     refresh_core(now);
     locate_core(now);
     request_join(now);
     if (place_ && !left_) run_election(now);
+    send_held_calls(now);
     send_store_messages(now);
     if (acting()) confirm_ownership(now);
     if (serving()) {
@@ -117,6 +119,7 @@
         next = std::min(next, now + settings_.owner.ask_again);
     if (serving()) next = std::min(next, scheduler_.next_tick(now, clock_judge_.wall(wall_now(), now)));
     if (sides_pending_) next = std::min(next, sides_due_);
+    if (auto due = held_calls_.next_at()) next = std::min(next, *due);
     if (auto due = owner_.next_message_at()) next = std::min(next, *due);
     if (turn_requested_) next = std::min(next, turn_ended_at_ + std::min(turn_duration_, settings_.turn_pause_max));
     return std::max(next, now + timer_resolution);
--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -4,6 +4,7 @@
 #include "cluster/world.hpp"
 #include "control/detector/departure.hpp"
 #include "control/detector/election.hpp"
+#include "control/jobs/calls/held_calls.hpp"
 
 namespace calicostall::tests {
 
@@ -68,6 +69,8 @@
         std::optional<size_t> place;  // in the core
         Epoch scheduler_epoch, known_epoch;
         std::string known_owner;
+        HeldCalls held_calls;
+        Micros owner_heard_at = -seconds(3);
         Micros probed = 0, next_join = 0, next_follow = 0, next_leave_request = 0;
         Live(Daemon* daemon, Micros now)
             : detector(daemon->options.detector, 0, 1, now),
@@ -335,6 +338,7 @@
         learn_core();
         ask_to_join();
         if (my.place && !my.left) elect();
+        send_held_calls();
         for (OutgoingMessage& message : my.owner.messages_due(world.now))
             carry(std::move(message));
         if (acting() && world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100))
@@ -496,6 +500,7 @@
             const Member* from = live->core.find(ask.from);
             if (from) note_owner(ask.epoch, from->address);
             live->election.note_write(ask, world.now);
+            if (ask.from != live->replica.identity) live->owner_heard_at = world.now;
         }
         persist(std::move(change), [back, answer = std::move(answer)] { back(answer); });
     }
@@ -506,6 +511,42 @@
         Findings findings;
         return {parse_config(found->second.moving, findings).revision, found->second.moving};
     }
+    // An operator's call, held here until it has an answer or its time is up, as calls.cpp has it.
+    void serve_operator(const CallAsk& ask, std::function<void(CallFate, Response)> told) {
+        live->election.note_activity(world.now);
+        live->held_calls.hold(
+            ask,
+            [told](CallAnswer answer) {
+                Response response;
+                response.code = int(answer.code);
+                response.body = std::move(answer.body);
+                told(answer.fate, std::move(response));
+            },
+            world.now);
+        send_held_calls();
+    }
+    void send_held_calls() {
+        Live& my = *live;
+        if (my.held_calls.size() == 0) return;
+        if (my.left) return my.held_calls.release();
+        const bool here = serving();
+        CallRoute route{here, std::nullopt, here ? my.owner.epoch() : my.known_epoch, in_contact()};
+        if (auto owner = machine_at(my.known_owner); owner && *owner != place) route.owner = my.known_owner;
+        for (HeldCalls::Send& send : my.held_calls.due(route, world.now)) {
+            auto note = [this, ticket = send.ticket, life = incarnation](CallFate fate, Response response) {
+                if (incarnation != life || !up) return;
+                live->held_calls.note_answer(ticket, {fate, response.code, std::move(response.body), 0}, world.now);
+            };
+            if (send.to.empty())
+                serve_call(send.ask, note);
+            else
+                relay_call(send.ask, *machine_at(send.to), send.patience, note);
+        }
+    }
+    bool in_contact() const {
+        const Micros lately = world.now - seconds(2);
+        return acting() ? live->owner.confirmed_at() >= lately : live->owner_heard_at >= lately;
+    }
     // A call taken by any daemon: served by the owner, passed on once by the others.
     void serve_call(const CallAsk& ask, std::function<void(CallFate, Response)> told) {
         if (serves_now()) {
@@ -524,18 +565,21 @@
         if (ask.relayed || !owner || *owner == place) return told(CallFate::elsewhere, Response::later(503, 1));
         CallAsk onward = ask;
         onward.relayed = true;
-        // What is passed on may be done though no answer comes back.
+        relay_call(onward, *owner, seconds(2), std::move(told));
+    }
+    // What is passed on may be done though no answer comes back.
+    void relay_call(const CallAsk& ask, size_t owner, Micros patience, std::function<void(CallFate, Response)> told) {
         auto open = std::make_shared<bool>(true);
         auto once = [open, told](CallFate fate, Response response) {
             if (!*open) return;
             *open = false;
             told(fate, std::move(response));
         };
-        world.after(seconds(2), [this, once, life = incarnation] {
+        world.after(patience, [this, once, life = incarnation] {
             enter(life, [once] { once(CallFate::doubtful, Response::plain(504)); });
         });
-        reach(*owner, [this, onward, once](Daemon& other) {
-            other.serve_call(onward, [this, &other, once](CallFate fate, Response response) {
+        reach(owner, [this, ask, once](Daemon& other) {
+            other.serve_call(ask, [this, &other, once](CallFate fate, Response response) {
                 other.reach(place, [once, fate, response](Daemon&) { once(fate, response); });
             });
         });
