Configurations: the owner acts by one once a majority has it; a moved queue's work goes to its new service

Cause: a proposed configuration was in force at the owner at once, and for good at one that lost its majority: queues were routed and tasks planned by what might be lost. The planner kept the service of waiting tasks from before a change; an intent or a recorded start from before it became an order after it. The text in force, sent on top of itself, got 200.

Change: the newest proposed configuration is kept apart (If-Match, orders sent again, orders that build on it) and put in force by its commit, before its 200. A change of a route's service touches the ready steps of its queue, and no start is ordered on a worker of another service than the job's now. A revision that isn't above its own base is never acknowledged. 405 and 400 to a client's path wait for a majority as 404 does.

No check of an existing test changed.

--- a/source/control/jobs/calls/calls.hpp
+++ b/source/control/jobs/calls/calls.hpp
@@ -44,13 +44,17 @@
 
     // --- the configuration ---
 
-    /// A new owner reads the configuration and the orders that were taken from the `config` register.
+    /// A new owner reads the configuration and the orders that were taken from the `config` register, which a majority
+    /// has when an ownership begins.
     void begin(const Register& record) {
-        Findings findings;
-        state_.config = parse_config(record.moving, findings);
+        state_.config = read_config(record.moving);
+        proposed_ = std::make_shared<const Config>(state_.config);
         taken_orders_.load(record, state_.config.revision);
     }
-    void end_ownership() { taken_orders_.clear(); }
+    void end_ownership() {
+        taken_orders_.clear();
+        proposed_ = std::make_shared<const Config>();
+    }
 
     /// An operator's order. One that was taken is acknowledged again, or gets no clear answer; it is never refused.
     /// Every clear answer waits until a majority that was asked after the call came in has the present configuration.
@@ -61,11 +65,11 @@
             case Recall::taken:
                 return acknowledge(std::move(done));
             case Recall::other_base:
-                return is_present(order) ? acknowledge(std::move(done)) : leave_open(std::move(done));
+                return order.rises() && is_newest(order) ? acknowledge(std::move(done)) : leave_open(std::move(done));
             default:
                 break;
         }
-        if (findings.empty() && is_present(order)) return acknowledge(std::move(done));
+        if (findings.empty() && order.rises() && is_newest(order)) return acknowledge(std::move(done));
         if (std::optional<Response> refusal = refusal_of(order, findings)) {
             if (recall(order) == Recall::maybe_forgotten) return leave_open(std::move(done));
             return refuse(order, std::move(*refusal), std::move(done));
@@ -75,9 +79,13 @@
     // What fronts are told of: only a configuration that a majority has, so none that may yet lose its race.
     // Example: calls.publish(config.text);  // once it is committed
     void publish(const std::string& text) { ledger_.propose("published", std::nullopt, text, nullptr); }
+    /// Shows the configuration in force once a majority has confirmed it, and with it all that was proposed before.
     void get_config(CallDone done) {
-        if (state_.config.revision == 0) return confirmed("config", Response::later(404, 1), std::move(done));
-        confirmed("config", Response::json(200, state_.config.text), std::move(done));
+        ledger_.confirm("config", [this, done = std::move(done)](bool sure) {
+            if (!sure) return done(CallFate::elsewhere, Response::later(503, 1));
+            if (state_.config.revision == 0) return done(CallFate::settled, Response::later(404, 1));
+            done(CallFate::settled, Response::json(200, state_.config.text));
+        });
     }
     void show(const Queue& queue, const std::string& id, CallDone done) {
         auto found = state_.jobs.find(id);
@@ -116,18 +124,21 @@
         IfMatch if_match;
         TextDigest digest;
         std::optional<std::uint64_t> base() const { return if_match.version; }
+        /// Whether the revision is above the base that is named. No other order is ever valid; one whose text was taken
+        /// on another base is neither acknowledged nor refused.
+        bool rises() const { return !base() || *base() < config.revision; }
     };
 
     Recall recall(const ConfigOrder& order) const {
         return taken_orders_.recall(order.config.revision, order.base(), order.digest);
     }
-    bool is_present(const ConfigOrder& order) const {
-        const Config& present = state_.config;
-        return order.config.revision == present.revision && same_json(order.config.text, present.text);
+    /// Whether the order's configuration is the one that was taken last, committed or not.
+    bool is_newest(const ConfigOrder& order) const {
+        return order.config.revision == proposed_->revision && same_json(order.config.text, proposed_->text);
     }
-    /// Why the order can't be taken on top of the present configuration; nothing where it can.
+    /// Why the order can't be taken on top of the one that was taken last; nothing where it can.
     std::optional<Response> refusal_of(const ConfigOrder& order, const Findings& findings) const {
-        const std::uint64_t present = state_.config.revision;
+        const std::uint64_t present = proposed_->revision;
         if (!findings.empty()) return problem(400, findings.text());
         if (order.if_match.malformed) return problem(400, "If-Match: must be a whole number");
         if (order.base() != present) return problem(412, fmt::format("If-Match: version {} is current", present));
@@ -156,16 +167,23 @@
             done(CallFate::settled, refusal);
         });
     }
+    /// Proposes the order's configuration. Nothing is done by it before a majority has it: until then it may be lost.
     void take(ConfigOrder order, Micros wall, CallDone done) {
-        const std::string text = order.config.text;
         std::vector<Part> parts = taken_orders_.add({order.config.revision, *order.base(), order.digest});
-        state_.config = std::move(order.config);
+        auto config = std::make_shared<const Config>(std::move(order.config));
+        proposed_ = config;
         counters().add("configs_taken");
-        ledger_.propose("config", std::nullopt, Patch{text, std::move(parts)}, [this, text, done](bool committed) {
-            if (committed) publish(text);
-            done(committed ? CallFate::settled : CallFate::doubtful, Response::plain(committed ? 200 : 504));
-        });
-        state_.config_changed(wall);
+        ledger_.propose("config", std::nullopt, Patch{config->text, std::move(parts)},
+                        [this, config, wall, done = std::move(done)](bool committed) {
+                            if (committed) put_in_force(*config, wall);
+                            done(committed ? CallFate::settled : CallFate::doubtful,
+                                 Response::plain(committed ? 200 : 504));
+                        });
+    }
+    void put_in_force(const Config& config, Micros wall) {
+        if (config.revision <= state_.config.revision) return;
+        state_.put_in_force(config, wall);
+        publish(config.text);
     }
 
     State& state_;
@@ -173,6 +191,7 @@
     L& ledger_;
     Flush flush_;
     TakenOrders taken_orders_;
+    std::shared_ptr<const Config> proposed_ = std::make_shared<const Config>();  // the newest that was taken
 };
 
 }  // namespace calicostall
--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -250,6 +250,9 @@
         if (run == found->second.runs.end() || run->second.stop_wanted) return;
         Task* task = job->second.job.find_task(name);
         if (!task) return;
+        // A configuration has moved the queue since this run was intended: the new service's workers are to run it.
+        if (found->second.account.service != state_.service_of(job->second.job))
+            return want_stop(found->second, run->second);
         run->second.state = RunState::ordered;
         run->second.ordered_at = now;
         if (state_.tell) state_.tell({RunLine::Event::start, 0, name.task(), life, job->second.queue(), {}, name.run});
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -144,10 +144,12 @@
         std::string id = ask.path.substr(queue->prefix.size());
         if (size_t mark = id.find('?'); mark != std::string::npos) id.resize(mark);
         if (id.empty()) {
-            if (ask.method != "GET") return done(CallFate::settled, Response::plain(405));
+            if (ask.method != "GET") return calls_.confirmed("config", Response::plain(405), std::move(done));
             return calls_.count_pending(*queue, std::move(done));
         }
-        if (!valid_job_id(id)) return done(CallFate::settled, problem(400, "id: must be 16 hex digits"));
+        // Of what is no ID here a newer configuration may make one, by a longer prefix.
+        if (!valid_job_id(id))
+            return calls_.confirmed("config", problem(400, "id: must be 16 hex digits"), std::move(done));
         if (ask.method == "POST") return accept(*queue, id, ask.body, now, wall, std::move(done));
         if (ask.method == "GET") return calls_.show(*queue, id, std::move(done));
         if (ask.method == "DELETE") return calls_.cancel(*queue, id, wall, std::move(done));
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -77,10 +77,17 @@
             least = std::min(least, queue.priority);
         return least;
     }
-    // A new configuration moves queues to other services and priorities.
-    void config_changed(Micros wall) {
-        for (auto& [id, entry] : jobs)
-            if (entry.open) count_turn(entry, wall);
+    // From now on `next` is in force: it moves queues to other services and priorities.
+    void put_in_force(const Config& next, Micros wall) {
+        const Config before = std::exchange(config, next);
+        std::map<std::string, bool> moved;  // by queue
+        for (auto& [id, entry] : jobs) {
+            if (!entry.open) continue;
+            count_turn(entry, wall);
+            auto [place, fresh] = moved.try_emplace(entry.queue());
+            if (fresh) place->second = route_service(before, entry.job) != route_service(config, entry.job);
+            if (place->second) touch_steps(entry);
+        }
         for (auto& [queue, each] : backlog)
             for (const Queue& known : config.queues)
                 if (known.host + "|" + known.prefix == queue)
@@ -275,6 +282,17 @@
     };
     enum Bits : std::uint8_t { waits = 1, unfinished = 2, placed = 4, copy = 8 };
 
+    // Empty where the configuration has no such route.
+    static std::string_view route_service(const Config& config, const Job& job) {
+        const Queue* queue = config.find_exact(job.fixed.host, job.fixed.prefix);
+        return queue ? std::string_view(queue->service) : std::string_view();
+    }
+    // The planner is to look again at all steps of the job that are ready.
+    void touch_steps(const JobEntry& entry) {
+        for (const auto& [number, steps] : entry.progress)
+            for (std::uint32_t step = 0; step < steps.size(); ++step)
+                if (steps[step].listed) steps_touched.insert({entry.job.fixed.id, number, step});
+    }
     Turn turn_of(const JobEntry& entry, Micros wall) {
         const Job& job = entry.job;
         const Queue* queue = queue_of(job);
--- a/tests/cluster/run.hpp
+++ b/tests/cluster/run.hpp
@@ -325,7 +325,15 @@
         std::string text;
     };
     std::array<Front, 2> fronts;
+    // What any owner acted by, superseded ones too, which don't know of it yet: text and revision.
+    std::map<std::string, std::uint64_t> acted_by;
+    void note_owners() {
+        for (const auto& daemon : daemons)
+            if (daemon->acting() && daemon->live->scheduler.config().revision != 0)
+                acted_by.emplace(daemon->live->scheduler.config().text, daemon->live->scheduler.config().revision);
+    }
     void hear_news(size_t number) {
+        note_owners();
         Front& front = fronts[number];
         Daemon& daemon = *daemons[world.dice.roll(daemons.size())];
         if (daemon.up && !daemon.cut && !daemon.mute && world.now >= daemon.busy_until) {
@@ -679,6 +687,9 @@
             if (racing)
                 check_in_force(daemon->live->scheduler.config().text, daemon->live->scheduler.config().revision,
                                "in the end");
+            if (racing)
+                for (const auto& [text, revision] : acted_by)
+                    check_in_force(text, revision, "at an owner");
         }
     }
     std::string describe(const Job& job, Daemon& daemon) {
--- a/tests/locator.cpp
+++ b/tests/locator.cpp
@@ -80,10 +80,33 @@
     EXPECT(!locator.in_touch(now + seconds(9)));
 }
 
+// A daemon that lags, or a new owner that hasn't published yet, shows an older version: what was heard of stays.
+void a_configuration_never_goes_back() {
+    KeepingLoop loop;
+    size_t changes = 0;
+    Locator locator({.own = "front-1", .seeds = seeds}, loop, [&changes] { ++changes; });
+    locator.open();
+    auto answer = [&](std::uint64_t revision, bool in_contact) {
+        NewsAnswer told = news(in_contact);
+        told.config_revision = revision;
+        told.config = fmt::format("text {}", revision);
+        loop.answer(*loop.polled().begin(), told);
+    };
+    answer(7, true);
+    EXPECT(locator.revision() == 7 && locator.config() == "text 7" && changes == 1);
+    for (std::uint64_t older : {6, 1, 0, 7}) {
+        answer(older, older % 2 == 0);
+        EXPECT(locator.revision() == 7 && locator.config() == "text 7" && changes == 1);
+    }
+    answer(9, false);
+    EXPECT(locator.revision() == 9 && locator.config() == "text 9" && changes == 2);
+}
+
 }  // namespace
 
 int main() {
     leaves_a_daemon_without_contact();
     only_contact_counts_for_readiness();
+    a_configuration_never_goes_back();
     return result();
 }
--- a/tests/model/orders.cpp
+++ b/tests/model/orders.cpp
@@ -62,8 +62,9 @@
     orders_.push_back(order);
     Replay replay(epoch_, config_, orders_);
     const auto& asked = replay.asked.back();
-    if (!asked) return {std::nullopt, replay.replies.back()};
-    return {asked->call, std::nullopt};
+    const std::string& in_force = replay.scheduler.config().text;
+    if (!asked) return {std::nullopt, replay.replies.back(), in_force};
+    return {asked->call, std::nullopt, in_force};
 }
 
 Reply OrderDesk::reply(size_t index, bool committed) const {
--- a/tests/model/orders.hpp
+++ b/tests/model/orders.hpp
@@ -26,7 +26,8 @@
 
 struct Placed {
     std::optional<LedgerCall> call;
-    Reply reply;  // without a call
+    Reply reply;           // without a call
+    std::string in_force;  // what the owner acts by afterwards; empty: no configuration
 };
 
 // The scheduler of one acting owner, as far as orders go. It holds no callbacks, so that it can be copied: whatever is
--- a/tests/model/world.cpp
+++ b/tests/model/world.cpp
@@ -467,6 +467,8 @@
     const ConfigOrder& order = bounds_.order_list[which];
     size_t index = process.desk->placed();
     Placed placed = process.desk.change().place(order);
+    if (!placed.in_force.empty() && !history_->is_decided("config", placed.in_force))
+        return fmt::format("after order {} the owner acts by a configuration that isn't decided", which);
     if (!placed.call) return judge(which, placed.reply);
     const LedgerCall& call = *placed.call;
     auto found = process.proposer->registers().find(call.key);
