Clock: an owner goes by a majority's clocks, and hands its time on

Cause: the judge took the own clock until it had heard two others, whatever the size of the core, and its middle clock leapt when two of three were set at once; nothing was handed on, so each new owner began anew.

Change: control/clock/core_clock, pure: bounds that no minority of wrong clocks can move past the right ones; no service before a majority of the core was heard in the term; an agreed time runs by the steady clock, is slewed and leaps only after 30 s; it goes out with the writes and comes back with the grants. Clocks that are out are logged and counted.

--- a/source/control/daemon/calls.cpp
+++ b/source/control/daemon/calls.cpp
@@ -17,7 +17,7 @@
     };
     const bool of_operator = ask.path == "/config" && ask.host.empty();
     if (!of_operator)
-        scheduler_.call(ask, now, clock_judge_.wall(wall_now(), now), std::move(done));
+        scheduler_.call(ask, now, core_clock_.wall(now), std::move(done));
     else if (ask.method == "PUT")
         scheduler_.put_config(ask, std::move(done));
     else
@@ -39,7 +39,7 @@
 // Reads only: no turn follows, nothing is proposed, no worker is looked at.
 SnapshotMoment Control::snapshot_moment() {
     const Micros now = steady_now();
-    return {owner_.epoch().value, now, clock_judge_.wall(wall_now(), now), owner_.confirmed_at()};
+    return {owner_.epoch().value, now, core_clock_.wall(now), owner_.confirmed_at()};
 }
 
 Response Control::answer_preview(const std::string& method) {
--- a/source/control/daemon/control.cpp
+++ b/source/control/daemon/control.cpp
@@ -45,7 +45,7 @@
     open_listeners(findings);
     if (settings_.run_lines)
         scheduler_.tell_runs([this](RunLine line) {
-            line.wall = clock_judge_.wall(wall_now(), steady_now());
+            line.wall = core_clock_.wall(steady_now());
             log_line("run", "{}", line.line());
         });
     loop_.after(0, [this] { turn_on_timer(); });
--- a/source/control/daemon/control.hpp
+++ b/source/control/daemon/control.hpp
@@ -6,6 +6,7 @@
 // happens, and when). The protocols themselves are pure and live in control/detector, control/store and control/jobs.
 #pragma once
 #include "common.hpp"
+#include "control/clock/core_clock.hpp"
 #include "control/daemon/record_ledger.hpp"
 #include "control/daemon/settings.hpp"
 #include "control/detector/departure.hpp"
@@ -21,7 +22,6 @@
 #include "shared/http/listener.hpp"
 #include "shared/http/loop.hpp"
 #include "shared/news/locator.hpp"
-#include "shared/time/judge.hpp"
 
 namespace calicostall {
 
@@ -99,7 +99,8 @@
     // --- election.cpp ---
     // Whether this daemon owns the record and has taken it up.
     bool acting() const;
-    // The same, and it may begin something new: it is not handing over, and its term is not in doubt.
+    // The same, and it may begin something new: it is not handing over, its term is not in doubt, and a majority's
+    // clocks were heard in it.
     bool serving() const;
     void run_election(Micros now);
     void log_election(const ElectionStep& step, size_t trusted_before) const;
@@ -108,6 +109,8 @@
     void begin_ownership(Micros now);
     void end_ownership();
     void note_owner(Epoch epoch, const std::string& address);
+    // Judges the time of day anew from the clocks heard.
+    void judge_time(Micros now);
     // The replica address of the owner as last heard of; empty when unknown.
     const std::string& owner_address() const { return known_owner_; }
     // The same, when it is another daemon than this one.
@@ -142,6 +145,9 @@
     void send_store_messages(Micros now);
     void send_store_message(OutgoingMessage message);
     void send_to_own_replica(OutgoingMessage message);
+    // What a member's answer tells of the time of day.
+    void note_clock(const PrepareAnswer& answer, Epoch term, Identity member, Micros asked_at, Micros now);
+    void note_clock(const WriteAnswer& answer, Epoch term, Identity member, Micros asked_at, Micros now);
     void handle_prepare(const PrepareAsk& ask, PrepareCallback respond);
     void handle_write(const WriteAsk& ask, WriteCallback respond);
 
@@ -195,7 +201,7 @@
     SelfSuspicion suspicion_;
     PreviewReads preview_reads_;
     Micros next_snapshot_line_ = 0;
-    ClockJudge clock_judge_;
+    CoreClock core_clock_;
     std::unique_ptr<Listener> inner_listener_, operator_listener_;
     std::string own_address_;  // of the replica
 
--- a/source/control/daemon/election.cpp
+++ b/source/control/daemon/election.cpp
@@ -14,7 +14,7 @@
 }
 
 bool Control::serving() const {
-    return acting() && election_.may_serve();
+    return acting() && election_.may_serve() && core_clock_.known();
 }
 
 void Control::run_election(Micros now) {
@@ -86,6 +86,31 @@
     turn_requested_ = true;
 }
 
+void Control::judge_time(Micros now) {
+    if (owner_.state() != Owner::State::transferring && !owner_.acting()) return;
+    for (const ClockNotice& notice : core_clock_.update(owner_.core(), replica_.identity, wall_now(), now)) {
+        const Member* member = owner_.core().find(notice.member);
+        const std::string address = member ? member->address : "";
+        switch (notice.kind) {
+            case ClockNotice::Kind::out:
+                counters().add("clocks_out");
+                log_line("clock", "of {} is out by {} ms", address, notice.by / 1000);
+                break;
+            case ClockNotice::Kind::back:
+                log_line("clock", "of {} is right again, by {} ms", address, notice.by / 1000);
+                break;
+            case ClockNotice::Kind::leapt:
+                counters().add("time_leaps");
+                log_line("clock", "the judged time leaps by {} ms, as a majority has said all along", notice.by / 1000);
+                break;
+            case ClockNotice::Kind::recalled:
+                counters().add("time_recalled");
+                log_line("clock", "the judged time leaps by {} ms to an earlier owner's", notice.by / 1000);
+                break;
+        }
+    }
+}
+
 std::optional<std::string> Control::other_owner_address() const {
     if (known_owner_.empty() || known_owner_ == own_address_) return std::nullopt;
     return known_owner_;
--- a/source/control/daemon/sides.cpp
+++ b/source/control/daemon/sides.cpp
@@ -31,7 +31,7 @@
         counters().add("accounts_unknown");
         return reply.send(Response::cbor(pack(answer)));
     }
-    scheduler_.take_side(ask, now, clock_judge_.wall(wall_now(), now));
+    scheduler_.take_side(ask, now, core_clock_.wall(now));
     // An older poll of the same side is answered at once: only the newest waits.
     for (SidePoll& poll : side_polls_) {
         if (poll.node != ask.node) continue;
--- a/source/control/daemon/turn.cpp
+++ b/source/control/daemon/turn.cpp
@@ -63,11 +63,12 @@
     locate_core(now);
     request_join(now);
     if (place_ && !left_) run_election(now);
+    judge_time(now);
     send_store_messages(now);
     if (acting()) confirm_ownership(now);
     if (serving()) {
         maintain_core(now);
-        scheduler_.tick(now, clock_judge_.wall(wall_now(), now), owner_.confirmed_at());
+        scheduler_.tick(now, core_clock_.wall(now), owner_.confirmed_at());
         log_snapshot(now);
     }
     send_store_messages(now);
@@ -115,7 +116,7 @@
     if (owner_.acting()) next = std::min(next, now + acting_interval);
     if (owner_.draining() || (!owner_.acting() && owner_.state() != Owner::State::idle))
         next = std::min(next, now + settings_.owner.ask_again);
-    if (serving()) next = std::min(next, scheduler_.next_tick(now, clock_judge_.wall(wall_now(), now)));
+    if (serving()) next = std::min(next, scheduler_.next_tick(now, core_clock_.wall(now)));
     if (sides_pending_) next = std::min(next, sides_due_);
     if (auto due = owner_.next_message_at()) next = std::min(next, *due);
     if (turn_requested_) next = std::min(next, turn_ended_at_ + std::min(turn_duration_, settings_.turn_pause_max));
--- a/source/control/store/register.hpp
+++ b/source/control/store/register.hpp
@@ -1,6 +1,7 @@
 // The data types of the record: registers, members of the core, and the frames between owner and replicas.
 #pragma once
 #include "common.hpp"
+#include "control/clock/judged_time.hpp"
 
 namespace calicostall {
 
@@ -145,15 +146,16 @@
 struct PrepareAnswer {
     Verdict verdict = Verdict::error;
     Epoch promised, synced;
-    Identity promised_to;  // the candidate that `promised` was given to
-    Micros wall = 0;
+    Identity promised_to;                  // the candidate that `promised` was given to
+    Micros wall = 0;                       // this daemon's own clock
+    JudgedTime judged;                     // what it remembers of an earlier owner's time of day
     std::vector<KeyedRegister> registers;  // held here in another content than `known` says, or not known there
     std::vector<std::string> lacking;      // known there and not held here
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(verdict), visit(promised), visit(promised_to), visit(synced), visit(wall), visit(registers),
-            visit(lacking);
+        visit(verdict), visit(promised), visit(promised_to), visit(synced), visit(wall), visit(judged),
+            visit(registers), visit(lacking);
     }
 };
 
@@ -196,11 +198,12 @@
     std::vector<Purge> purges;
     bool adopt = false;                 // once an epoch: all that the replica holds gets this epoch,
     std::vector<std::string> excepted;  // but these keys
+    JudgedTime judged;                  // the time of day that the owner goes by
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
         visit(from), visit(to), visit(epoch), visit(complete), visit(level), visit(entries), visit(purges),
-            visit(adopt), visit(excepted);
+            visit(adopt), visit(excepted), visit(judged);
     }
 };
 
--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -2,6 +2,7 @@
 // real ones. Joining, the core's changes and what follows from the election are as in control/daemon, step by step.
 #pragma once
 #include "cluster/world.hpp"
+#include "control/clock/core_clock.hpp"
 #include "control/detector/departure.hpp"
 #include "control/detector/election.hpp"
 
@@ -30,6 +31,7 @@
     bool up = true, cut = false, mute = false, deaf = false, parted = false,
          removed = false;  // parted: from its peers only
     Micros slow_disk_until = 0, troubled_until = 0;
+    Micros clock_error = 0;  // of the machine's time of day, which in truth is `world.now`
     std::uint64_t incarnation = 0;
     std::uint64_t work_done = 0, turns = 0;
     Micros busy_until = 0;
@@ -63,6 +65,7 @@
         bool left = false;  // it is announced
         Ledger ledger;
         Scheduler<Ledger> scheduler;
+        CoreClock core_clock;
         Core core;
         std::optional<std::pair<Epoch, Version>> core_version;
         std::optional<size_t> place;  // in the core
@@ -118,7 +121,9 @@
     void freeze(Micros length) { busy_until = std::max(busy_until, world.now) + length; }
     bool acting() const { return up && live->owner.acting() && live->scheduler_epoch == live->owner.epoch(); }
     // As acting, and it may begin something new.
-    bool serving() const { return acting() && live->election.may_serve(); }
+    bool serving() const { return acting() && live->election.may_serve() && live->core_clock.known(); }
+    Micros own_wall() const { return world.now + clock_error; }
+    Micros judged_wall() const { return live->core_clock.wall(world.now); }
     // The same at the word of somebody outside: a freeze is noticed first.
     bool serves_now() {
         live->election.note_activity(world.now);
@@ -335,13 +340,15 @@
         learn_core();
         ask_to_join();
         if (my.place && !my.left) elect();
+        if (my.owner.state() == Owner::State::transferring || my.owner.acting())
+            my.core_clock.update(my.owner.core(), my.replica.identity, own_wall(), world.now);
         for (OutgoingMessage& message : my.owner.messages_due(world.now))
             carry(std::move(message));
         if (acting() && world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100))
             my.probed = world.now, my.owner.probe();
         if (serving()) {
             maintain_core();
-            my.scheduler.tick(world.now, world.now, my.owner.confirmed_at());
+            my.scheduler.tick(world.now, judged_wall(), my.owner.confirmed_at());
         }
         for (OutgoingMessage& message : my.owner.messages_due(world.now))
             carry(std::move(message));
@@ -441,6 +448,9 @@
         auto machine = machine_at(message.to.address);
         auto answered = std::make_shared<bool>(false);
         std::uint64_t ticket = message.ticket, life = incarnation;
+        const Epoch term = std::visit([](const auto& ask) { return ask.epoch; }, message.ask);
+        live->core_clock.begin_term(term);
+        if (auto* write = std::get_if<WriteAsk>(&message.ask)) write->judged = live->core_clock.handed_on(world.now);
         world.after(ms(700), [this, ticket, answered, life, prepare = std::holds_alternative<PrepareAsk>(message.ask)] {
             if (*answered) return;
             enter(life, [this, ticket, answered, prepare] {
@@ -453,12 +463,13 @@
             });
         });
         if (!machine) return;
-        auto serve = [this, message = std::move(message), answered, ticket](Daemon& other) {
-            auto back = [this, &other, answered, ticket](auto answer) {
-                auto land = [answered, ticket, answer](Daemon& self) {
+        auto serve = [this, message = std::move(message), answered, ticket, term, asked_at = world.now](Daemon& other) {
+            auto back = [this, &other, answered, ticket, term, asked_at, member = message.to.identity](auto answer) {
+                auto land = [answered, ticket, answer, term, asked_at, member](Daemon& self) {
                     if (*answered) return;
                     *answered = true;
                     auto frame = over_the_wire(self.options, answer);
+                    if (member != self.identity) self.note_clock(frame, term, member, asked_at);
                     self.live->owner.take(ticket, &frame, self.world.now);
                     if (self.options.meter) self.turn();
                 };
@@ -477,6 +488,12 @@
         else
             reach(*machine, serve);
     }
+    // As store_messages.cpp has it.
+    template <class Answer>
+    void note_clock(const Answer& answer, Epoch term, Identity member, Micros asked_at) {
+        live->core_clock.note_member(term, member, {answer.wall, asked_at, world.now});
+        if constexpr (std::is_same_v<Answer, PrepareAnswer>) live->core_clock.recall(answer.judged, world.now);
+    }
     template <class Back>
     void serve_prepare(const PrepareAsk& ask, Back back) {
         bool trusted = live->place && live->departure.takes_part() && live->election.may_grant(ask.from, live->core);
@@ -484,6 +501,8 @@
         if (answer.verdict == Verdict::granted && ask.from != live->replica.identity &&
             live->owner.state() != Owner::State::idle)
             live->owner.give_up();
+        answer.wall = own_wall();
+        answer.judged = live->core_clock.handed_on(world.now);
         persist(std::move(change), [back, answer = std::move(answer)] { back(answer); });
     }
     template <class Back>
@@ -491,8 +510,10 @@
         if (!live->departure.takes_part())
             return back(WriteAnswer{.promised = live->replica.promised, .promised_to = live->replica.promised_to});
         auto [answer, change] = live->replica.write(ask);
+        answer.wall = own_wall();
         if (answer.verdict == Verdict::granted) {
             learn_core();
+            if (ask.from != live->replica.identity) live->core_clock.follow(ask.judged, world.now);
             const Member* from = live->core.find(ask.from);
             if (from) note_owner(ask.epoch, from->address);
             live->election.note_write(ask, world.now);
@@ -515,7 +536,7 @@
                 else
                     live->scheduler.get_config(told);
             } else {
-                live->scheduler.call(ask, world.now, world.now, told);
+                live->scheduler.call(ask, world.now, judged_wall(), told);
             }
             if (options.meter) turn();
             return;
--- a/tests/cluster/run.hpp
+++ b/tests/cluster/run.hpp
@@ -29,7 +29,11 @@
     silent_worker,
     flapping_worker,
     draining_worker,
-    trouble_count
+    trouble_count,
+    // Played by `due_times` alone: machines' times of day are set 5.9 s ahead or back, on the core's first ones.
+    clock_ahead = trouble_count,
+    clock_back,
+    power_loss  // of all daemons, for the fault's whole length
 };
 
 // A side as the frames require it: stateless but for what the owner said last.
@@ -123,7 +127,7 @@
                 world.moment(ask.report && !ask.report->finished.empty() ? "end reported"
                              : ask.results.empty()                       ? "side heard"
                                                                          : "result heard");
-                daemon.live->scheduler.take_side(ask, world.now, world.now);
+                daemon.live->scheduler.take_side(ask, world.now, daemon.judged_wall());
                 daemon.turn();
                 world.after(world.dice.between(ms(5), ms(30)), [this, &daemon, ask, asked_at, close, blocked,
                                                                 results_sent, stops_sent] {
@@ -226,7 +230,8 @@
     size_t replacing = 0;
     std::uint64_t shown_revision = 0, taken_revision = 0, births = 0, fresh_disks = 0;
     Micros troubled_until = 0, faults_until = 0;
-    size_t wide_jobs = 6;  // how many kinds of jobs are drawn from
+    size_t wide_jobs = 6;     // how many kinds of jobs are drawn from
+    bool timed_only = false;  // each job has due times
 
     explicit Run(std::uint64_t seed, Options given = {}) : options(std::move(given)) {
         world.dice.state = seed;
@@ -385,7 +390,7 @@
     // --- clients ---
     std::string draw_body(std::string& path) {
         path = prefix;
-        switch (world.dice.roll(wide_jobs)) {
+        switch (timed_only ? 6 : world.dice.roll(wide_jobs)) {
             case 0:
                 return R"({"job_spec":"x","steps":[{"count":3,"cpu":2000,"estimate_ms":500},{"count":2,"cpu":3000,"estimate_ms":500,"depends_on":[0]}]})";
             case 1:
@@ -513,6 +518,8 @@
     }
     // At most `losses` daemons are in trouble at once; one that cannot strike now waits.
     void strike(const Fault& fault) {
+        if (fault.kind == clock_ahead || fault.kind == clock_back) return step_clock(fault);
+        if (fault.kind == power_loss) return lose_power(fault.length);
         if (of_daemon(fault.kind)) {
             Daemon* daemon = daemons[fault.target % daemons.size()].get();
             size_t most = fault.kind == kill_all ? 1 : options.losses;
@@ -552,6 +559,28 @@
                 });
         }
     }
+    // The time of day of one machine jumps, and back after a while. At most a minority is off at once.
+    void step_clock(const Fault& fault) {
+        Daemon& daemon = *daemons[fault.target % daemons.size()];
+        size_t off = 0;
+        for (const auto& each : daemons)
+            off += each->clock_error != 0;
+        if (daemon.clock_error != 0 || off >= (daemons.size() - 1) / 2) return;
+        daemon.clock_error = fault.kind == clock_ahead ? clock_step : -clock_step;
+        world.after(fault.length, [&daemon] { daemon.clock_error = 0; });
+    }
+    // All daemons lose power at once and come back one by one, the last up to two seconds after the first may.
+    void lose_power(Micros length) {
+        const Micros longest = length + seconds(2);
+        troubled_until = std::max(troubled_until, world.now + longest + seconds(4));
+        for (auto& each : daemons) {
+            each->troubled_until = world.now + longest + seconds(2);
+            if (each->up) each->kill();
+            world.after(world.dice.between(length, longest), [&daemon = *each] {
+                if (!daemon.up && !daemon.removed) daemon.begin();
+            });
+        }
+    }
     void strike_daemon(Daemon& daemon, const Fault& fault) {
         auto back = [&daemon] {
             if (!daemon.up && !daemon.removed) daemon.begin();
@@ -608,6 +637,7 @@
     }
     size_t jobs = 40;
     Micros traffic = seconds(30), length = seconds(75);
+    Micros clock_step = ms(5900);
     bool racing = false;
     std::vector<std::string> play(const std::vector<Fault>& faults) {
         const Micros end = world.now + length;
