--- a/tests/bench/drawn_days.py
+++ b/tests/bench/drawn_days.py
@@ -124,7 +124,7 @@
         day=day,
         played=floors.day_of_report(file.name, day.name, report),
         acks_ms=tuple(report["times"].get("config acked") or ()),
-        first_breaks=tuple(str(line) for line in report["first"]),
+        first_breaks=tuple(f"{each['rule']} at {each['at_s']} s: {each['what']}" for each in report["first"]),
     )
 
 
--- a/tests/bench/test_drawn_days.py
+++ b/tests/bench/test_drawn_days.py
@@ -51,7 +51,7 @@
     served = 0.3 if seed.endswith("2") else 0.9
     report = {"served": served, "unserved": 0.0, "by_class": [served, None], "by_zone": [0.9, 0.8], "fault": None, "short": []}
     report["breaks"] = {"ORDER": 3} if seed.endswith("1") else {}
-    report["first"] = ["ORDER at 9 s: too early"] if seed.endswith("1") else []
+    report["first"] = [{"rule": "ORDER", "at_s": 9, "what": "too early"}] if seed.endswith("1") else []
     report["times"] = {"config acked": [20, 900]}
     if not seed.endswith("4"):
         json.dump(report, open(sys.argv[sys.argv.index("--report") + 1], "w"))
