--- /dev/null
+++ b/source/preview/report/summary.hpp
@@ -0,0 +1,78 @@
+// What becomes of the tasks of each queue, as counts.
+#pragma once
+#include "preview/outlook.hpp"
+#include "preview/snapshot.hpp"
+#include "shared/settings/config.hpp"
+
+namespace calicostall {
+
+// Names a job's queue by its route; a queue without a route goes by host and prefix.
+// Example: QueueNames{config}.of(job) == "rider match"
+struct QueueNames {
+    const Config& config;
+    std::string of(const SnapshotJob& job) const;
+    static std::string of(const Queue& queue) { return queue.name.empty() ? queue.host + queue.prefix : queue.name; }
+    std::int64_t priority_of(const SnapshotJob& job) const;
+};
+
+// What becomes of the tasks of one queue.
+struct QueueSummary {
+    std::string name;
+    std::int64_t priority = 0;
+    size_t jobs = 0;
+    size_t running = 0;
+    size_t waiting = 0;  // of these land:
+    size_t now = 0;
+    size_t later = 0;
+    size_t beyond = 0;  // the horizon
+    size_t nowhere = 0;
+    size_t pushed = 0;  // runs that give way
+    size_t copies = 0;
+    double lost = 0;            // core-seconds, of runs that give way
+    std::vector<Micros> waits;  // of those that land
+    std::map<std::string, size_t> reasons;
+    Micros worst() const { return waits.empty() ? 0 : *std::max_element(waits.begin(), waits.end()); }
+    Micros median() const;
+};
+
+// One for each queue, the most urgent first, those with nothing waiting included.
+std::vector<QueueSummary> summarize(const Snapshot& snapshot, const Config& config, const Outlook& outlook);
+
+// One value for each queue, the most urgent first: those of the configuration, and those of jobs without a route.
+// `Value` has a name and a priority.
+// Example: QueueTable<QueueSummary> table(snapshot, config); table.of(task.key).waiting++; return table.take();
+template <class Value>
+class QueueTable {
+public:
+    QueueTable(const Snapshot& snapshot, const Config& config) : snapshot_(snapshot), names_{config} {
+        for (const Queue& queue : config.queues)
+            at(QueueNames::of(queue), queue.priority);
+    }
+    Value& of(const SnapshotJob& job) { return at(names_.of(job), names_.priority_of(job)); }
+    Value& of(const TaskKey& key) { return of(snapshot_.jobs[key.job]); }
+    std::vector<Value> take() {
+        std::vector<Value> all;
+        for (auto& [place, value] : values_)
+            all.push_back(std::move(value));
+        return all;
+    }
+
+private:
+    struct Place {
+        std::int64_t priority = 0;
+        std::string name;
+        auto operator<=>(const Place&) const = default;
+    };
+    Value& at(const std::string& name, std::int64_t priority) {
+        Value& value = values_[{priority, name}];
+        value.name = name;
+        value.priority = priority;
+        return value;
+    }
+
+    const Snapshot& snapshot_;
+    QueueNames names_;
+    std::map<Place, Value> values_;
+};
+
+}  // namespace calicostall
