--- a/source/preview/check.cpp
+++ b/source/preview/check.cpp
@@ -2,92 +2,32 @@
 
 namespace calicostall {
 
-Said read_preview(std::string_view text, const std::string& name, bool changed, Findings& findings) {
-    Said said;
-    boost::system::error_code error;
-    boost::json::value whole = boost::json::parse(text, error);
-    if (error || !whole.is_object())
-        return findings.add(name, error ? "cannot be read as JSON: " + error.message() : "must be a table"), said;
-    auto whole_number = [&](const boost::json::object& object, const std::string& place, const char* field,
-                            std::optional<std::int64_t> otherwise = {}) -> std::int64_t {
-        const auto* value = object.if_contains(field);
-        if (!value && otherwise) return *otherwise;
-        if (!value || !value->is_number())
-            return findings.add(place + "." + field, value ? "must be a number" : "is missing"), 0;
-        return value->to_number<std::int64_t>();
-    };
-    const boost::json::object& object = whole.as_object();
-    std::int64_t format = whole_number(object, name, "preview");
-    if (findings.empty() && format != preview_format)
-        findings.add(name + ".preview", fmt::format("is {}, this program reads {}", format, preview_format));
-    if (!findings.empty()) return said;
-    said.wall = whole_number(object, name, "wall_us");
-    said.epoch = std::to_string(whole_number(object, name, "epoch"));
-    said.unheard = whole_number(object, name, "unheard", 0);
-    FieldReader top(object, name, findings);
-    if (const auto* jobs = top.list("jobs", true)) {
-        for (const auto& job : *jobs) {
-            if (job.is_string())
-                said.jobs.emplace(job.as_string());
-            else
-                findings.add(name + ".jobs", "must hold texts");
-        }
-    }
-    const char* part_name = changed ? "changed" : "stands";
-    const boost::json::object* part = top.table(part_name, true);
-    if (!part) return said;
-    std::string at = name + "." + part_name;
-    FieldReader reader(*part, at, findings);
-    said.horizon = whole_number(*part, at, "horizon_us");
-    auto each = [&](const char* list_name, auto see) {
-        const auto* list = reader.list(list_name, true);
-        for (size_t place = 0; list && place < list->size(); ++place) {
-            std::string where = fmt::format("{}.{}[{}]", at, list_name, place);
-            if (!(*list)[place].is_object())
-                findings.add(where, "must be a table");
-            else
-                see((*list)[place].as_object(), where);
-        }
-    };
-    each("queues", [&](const boost::json::object& one, const std::string& where) {
-        FieldReader fields(one, where, findings);
-        said.queues.emplace_back(fields.text("queue", true), whole_number(one, where, "priority"));
-    });
-    each("tasks", [&](const boost::json::object& one, const std::string& where) {
-        FieldReader fields(one, where, findings);
-        std::string task = fields.text("task", true), landing = fields.text("landing", true);
-        Said::Task read{fields.text("queue", true), fields.text("worker", false), Landing::waits,
-                        whole_number(one, where, "at_us", -1), whole_number(one, where, "ends_us", -1)};
-        if (landing == "lands")
-            read.landing = Landing::lands;
-        else if (landing == "nowhere")
-            read.landing = Landing::nowhere;
-        else if (landing != "waits")
-            findings.add(where + ".landing", fmt::format("'{}' is unknown", landing));
-        if (!fields.flag("copy", false)) said.tasks[task] = std::move(read);
-    });
-    each("running", [&](const boost::json::object& one, const std::string& where) {
-        FieldReader fields(one, where, findings);
-        said.running[fields.text("task", true)] = {fields.text("queue", true), fields.text("worker", true),
-                                                   whole_number(one, where, "ends_us", -1)};
-    });
-    each("pushed_aside", [&](const boost::json::object& one, const std::string& where) {
-        FieldReader fields(one, where, findings);
-        said.pushed.push_back({fields.text("queue", true), fields.text("task", true), fields.text("worker", true),
-                               whole_number(one, where, "at_us")});
-    });
-    return said;
+namespace {
+
+// Example: job_of("5c0e7a21d94b36f8.0.1.17") == "5c0e7a21d94b36f8", time_of(...) == "5c0e7a21d94b36f8.0"
+std::string job_of(const std::string& task) {
+    return task.substr(0, task.find('.'));
+}
+std::string time_of(const std::string& task) {
+    return task.substr(0, task.rfind('.', task.rfind('.') - 1));
 }
 
+}  // namespace
+
 std::string Tally::text() const {
     return said ? fmt::format("{}/{} {:.0f}%", true_ones, said, 100 * double(true_ones) / double(said)) : "-";
 }
 
 QueueCheck& QueueCheck::operator+=(const QueueCheck& more) {
     priority = more.priority;
-    worker += more.worker, worker_at_once += more.worker_at_once, time += more.time, waited += more.waited,
-        pushed += more.pushed, undisturbed += more.undisturbed;
-    not_covered += more.not_covered, pushed_unsaid += more.pushed_unsaid;
+    worker += more.worker;
+    worker_at_once += more.worker_at_once;
+    time += more.time;
+    waited += more.waited;
+    pushed += more.pushed;
+    undisturbed += more.undisturbed;
+    not_covered += more.not_covered;
+    pushed_unsaid += more.pushed_unsaid;
     for (const auto& [cause, count] : more.causes)
         causes[cause] += count;
     return *this;
@@ -126,54 +66,75 @@
 
 void Checker::index() {
     for (const RunLine* line : after_) {
-        Micros at = line->wall - said_.wall;
-        std::string job = line->task.substr(0, line->task.find('.'));
-        switch (line->event) {
-            case RunLine::Event::start:
-                starts_.try_emplace(line->task, Began{line->worker, at});
-                if (!said_.jobs.contains(job)) strangers_[line->worker].push_back(at);
-                break;
-            case RunLine::Event::end:
-                ends_.try_emplace(line->task, Ended{line->worker, line->how, at});
-                if (line->how == "stopped") stops_.emplace(line->task, at);
-                if (line->how == "failed") failed_[line->worker].push_back(at), failed_jobs_[job].push_back(at);
-                break;
-            case RunLine::Event::worker_over:
-                over_.try_emplace(line->worker, at);
-                break;
-            case RunLine::Event::job_ended:
-                jobs_ended_.try_emplace(line->task, std::pair(line->how, at));
-                break;
-            case RunLine::Event::owner:
-                if (line->how != said_.epoch && !owner_changed_) owner_changed_ = at;
-                break;
-            case RunLine::Event::accepted:
-                break;
-        }
-        bool surprise = (line->event == RunLine::Event::start && !said_.jobs.contains(job)) ||
-                        line->event == RunLine::Event::accepted || line->event == RunLine::Event::worker_over ||
-                        (line->event == RunLine::Event::end && line->how == "failed") ||
-                        (line->event == RunLine::Event::job_ended && line->how != "done") ||
-                        (line->event == RunLine::Event::owner && line->how != said_.epoch);
-        if (surprise) disturbed_ = std::min(disturbed_, at);
+        index(*line);
+        if (is_surprise(*line)) disturbed_ = std::min(disturbed_, line->wall - said_.wall);
     }
-    // Runs that took longer or shorter than said: they give their room back at another time.
-    auto note_off = [&](const std::string& task, const std::string& worker, Micros began, Micros length) {
-        auto found = ends_.find(task);
-        bool over = found != ends_.end() && found->second.how == "done";
-        Micros took = (found != ends_.end() ? found->second.at : covered_) - began;
-        if (over ? std::abs(took - length) <= settings_.within
-                 : found != ends_.end() || took <= length + settings_.within)
-            return;
-        Micros at = began + std::min(took, length);
-        off_[worker].push_back(at),
-            off_jobs_[task.substr(0, task.rfind('.', task.rfind('.') - 1))].emplace_back(at, task);
-    };
     for (const auto& [task, run] : said_.running)
-        if (run.ends >= 0) note_off(task, run.worker, 0, run.ends);
-    for (const auto& [task, each] : said_.tasks)
-        if (auto began = starts_.find(task); each.ends >= 0 && began != starts_.end())
-            note_off(task, began->second.worker, began->second.at, each.ends - each.at);
+        if (run.ends >= 0) note_off(task, {run.worker, 0}, run.ends);
+    for (const auto& [task, each] : said_.tasks) {
+        auto began = starts_.find(task);
+        if (each.ends >= 0 && began != starts_.end()) note_off(task, began->second, each.ends - each.at);
+    }
+}
+
+void Checker::index(const RunLine& line) {
+    const Micros at = line.wall - said_.wall;
+    const std::string job = job_of(line.task);
+    switch (line.event) {
+        case RunLine::Event::start:
+            starts_.try_emplace(line.task, Began{line.worker, at});
+            if (!said_.jobs.contains(job)) strangers_[line.worker].push_back(at);
+            break;
+        case RunLine::Event::end:
+            ends_.try_emplace(line.task, Ended{line.worker, line.how, at});
+            if (line.how == "stopped") stops_.emplace(line.task, at);
+            if (line.how == "failed") {
+                failed_[line.worker].push_back(at);
+                failed_jobs_[job].push_back(at);
+            }
+            break;
+        case RunLine::Event::worker_over:
+            over_.try_emplace(line.worker, at);
+            break;
+        case RunLine::Event::job_ended:
+            jobs_ended_.try_emplace(line.task, std::pair(line.how, at));
+            break;
+        case RunLine::Event::owner:
+            if (line.how != said_.epoch && !owner_changed_) owner_changed_ = at;
+            break;
+        case RunLine::Event::accepted:
+            break;
+    }
+}
+
+bool Checker::is_surprise(const RunLine& line) const {
+    switch (line.event) {
+        case RunLine::Event::start:
+            return !said_.jobs.contains(job_of(line.task));
+        case RunLine::Event::end:
+            return line.how == "failed";
+        case RunLine::Event::job_ended:
+            return line.how != "done";
+        case RunLine::Event::owner:
+            return line.how != said_.epoch;
+        case RunLine::Event::accepted:
+        case RunLine::Event::worker_over:
+            return true;
+    }
+    return false;
+}
+
+void Checker::note_off(const std::string& task, const Began& began, Micros length) {
+    auto found = ends_.find(task);
+    const bool ended = found != ends_.end();
+    const bool done = ended && found->second.how == "done";
+    const Micros took = (ended ? found->second.at : covered_) - began.at;
+    const bool as_said =
+        done ? std::abs(took - length) <= settings_.within : ended || took <= length + settings_.within;
+    if (as_said) return;
+    const Micros at = began.at + std::min(took, length);
+    off_[began.worker].push_back(at);
+    off_jobs_[time_of(task)].emplace_back(at, task);
 }
 
 void Checker::miss(const std::string& task, const std::string& queue, std::string what, std::string cause) {
@@ -238,7 +199,7 @@
     for (const auto& [task, run] : said_.running) {
         auto stop = stops_.find(task);
         if (stop == stops_.end() || stop->second > covered_ || foretold.contains(task) ||
-            jobs_ended_.contains(task.substr(0, task.find('.'))))
+            jobs_ended_.contains(job_of(task)))
             continue;
         ++result_.queues[run.queue].pushed_unsaid;
         miss(task, run.queue, "was stopped though not said", cause(task, {run.worker}, stop->second));
@@ -253,7 +214,8 @@
 
 std::string Checker::cause(const std::string& task, const std::vector<std::string>& workers, Micros until,
                            bool early) const {
-    std::string job = task.substr(0, task.find('.')), time = task.substr(0, task.rfind('.', task.rfind('.') - 1));
+    const std::string job = job_of(task);
+    const std::string time = time_of(task);
     if (auto ended = jobs_ended_.find(job);
         ended != jobs_ended_.end() && ended->second.first != "done" && ended->second.second <= until)
         return "job " + ended->second.first;
@@ -284,59 +246,4 @@
     return "unexplained";
 }
 
-std::string check_text(const CheckResult& result, size_t misses_most) {
-    if (!result.compared) return "the logs hold nothing of the time after the preview\n";
-    std::string text = fmt::format("{:<32} {:>15} {:>15} {:>15} {:>15} {:>12} {:>11} {:>12}\n", "queue", "worker named",
-                                   "undisturbed", "on time", "waited so", "pushed so", "unsaid", "not covered");
-    std::vector<std::pair<std::string, QueueCheck>> rows(result.queues.begin(), result.queues.end());
-    std::stable_sort(rows.begin(), rows.end(),
-                     [](const auto& left, const auto& right) { return left.second.priority < right.second.priority; });
-    QueueCheck sum;
-    for (const auto& [name, each] : rows)
-        sum += each;
-    rows.emplace_back("all", sum);
-    for (const auto& [name, each] : rows)
-        text += fmt::format("{:<32} {:>15} {:>15} {:>15} {:>15} {:>12} {:>11} {:>12}\n", name, each.worker.text(),
-                            each.undisturbed.text(), each.time.text(), each.waited.text(), each.pushed.text(),
-                            each.pushed_unsaid, each.not_covered);
-    text += fmt::format("\ncauses of the {} misses:", result.misses.size());
-    for (const auto& [cause, count] : sum.causes)
-        text += fmt::format(" {} {},", count, cause);
-    if (text.back() == ',') text.pop_back();
-    text += "\n";
-    for (size_t place = 0; place < std::min(misses_most, result.misses.size()); ++place) {
-        const Miss& miss = result.misses[place];
-        text += fmt::format("  {} {} {}: {}\n", miss.queue, miss.task, miss.what, miss.cause);
-    }
-    if (result.misses.size() > misses_most)
-        text += fmt::format("  and {} more; --json shows all\n", result.misses.size() - misses_most);
-    return text;
-}
-
-boost::json::object check_json(const CheckResult& result) {
-    using boost::json::object;
-    boost::json::array queues, misses;
-    auto share = [](const Tally& each) { return object{{"said", each.said}, {"true", each.true_ones}}; };
-    for (const auto& [name, each] : result.queues) {
-        object causes;
-        for (const auto& [cause, count] : each.causes)
-            causes[cause] = count;
-        queues.push_back(object{{"queue", name},
-                                {"priority", each.priority},
-                                {"worker", share(each.worker)},
-                                {"worker_at_once", share(each.worker_at_once)},
-                                {"undisturbed", share(each.undisturbed)},
-                                {"time", share(each.time)},
-                                {"waited", share(each.waited)},
-                                {"pushed", share(each.pushed)},
-                                {"pushed_unsaid", each.pushed_unsaid},
-                                {"not_covered", each.not_covered},
-                                {"causes", std::move(causes)}});
-    }
-    for (const Miss& each : result.misses)
-        misses.push_back(
-            object{{"task", each.task}, {"queue", each.queue}, {"what", each.what}, {"cause", each.cause}});
-    return object{{"compared", result.compared}, {"queues", std::move(queues)}, {"misses", std::move(misses)}};
-}
-
 }  // namespace calicostall
--- a/source/preview/check.hpp
+++ b/source/preview/check.hpp
@@ -1,39 +1,10 @@
 // Compares a saved preview with what then ran, and names a cause for each miss. Pure.
 #pragma once
-#include "preview/report.hpp"
+#include "preview/check/said.hpp"
 #include "shared/record/run_line.hpp"
 
 namespace calicostall {
 
-// What a saved preview said, as far as the check needs it.
-struct Said {
-    struct Task {
-        std::string queue, worker;
-        Landing landing = Landing::waits;
-        Micros at = -1, ends = -1;
-    };
-    struct Running {
-        std::string queue, worker;
-        Micros ends = -1;
-    };
-    struct Pushed {
-        std::string queue, task, worker;
-        Micros at = 0;
-    };
-    Micros wall = 0, horizon = 0;
-    std::int64_t unheard = 0;  // workers that its owner had not heard of
-    std::string epoch;
-    std::set<std::string> jobs;
-    std::vector<std::pair<std::string, std::int64_t>> queues;
-    std::map<std::string, Task> tasks;  // without copies
-    std::map<std::string, Running> running;
-    std::vector<Pushed> pushed;
-};
-
-// Reads a preview that was saved by --json; everything wrong with it is a finding with its place.
-// Example: Findings findings; Said said = read_preview(text, "today.json", false, findings);
-Said read_preview(std::string_view text, const std::string& name, bool changed, Findings& findings);
-
 // How near is near enough for the check.
 struct CheckSettings {
     Micros within = milliseconds(500);  // a start or a stop so far off its time counts as on time
@@ -88,6 +59,11 @@
     };
 
     void index();
+    void index(const RunLine& line);
+    // Whether it is something that no preview can know.
+    bool is_surprise(const RunLine& line) const;
+    // A run that takes longer or shorter than said gives its room back at another time.
+    void note_off(const std::string& task, const Began& began, Micros length);
     void miss(const std::string& task, const std::string& queue, std::string what, std::string cause);
     void check_task(const std::string& task, const Said::Task& said);
     void check_pushed();
