--- a/source/control/daemon/news.cpp
+++ b/source/control/daemon/news.cpp
@@ -57,8 +57,7 @@
         if (value.version != config_version_ || value.epoch != config_epoch_) {
             config_version_ = value.version;
             config_epoch_ = value.epoch;
-            Findings findings;
-            config_revision_ = parse_config(value.moving, findings).revision;
+            config_revision_ = read_config(value.moving).revision;
         }
         config = {config_revision_, &value.moving};
     }
@@ -79,6 +78,7 @@
     for (SidePoll& poll : side_polls_)
         poll.reply.send(Response::cbor(pack(SideAnswer{})));
     side_polls_.clear();
+    held_calls_.release();
     for (NewsPoll& poll : news_polls_)
         poll.until = 0;
     news_due_ = 0;
