Control: owners that are all too slow no longer all stand back at once

Cause: an owner whose timers fire late gives way for 3 s, for twice as long each time (48 s at most). Three that are all too slow for ten minutes were all away at once for up to 31 s (test with virtual time), and no order had an answer meanwhile.

Change: beyond the first 3 s a daemon stands back only while it hears of another owner.

Test: detector, table_all_too_slow; with the earlier rule: no owner for 31,000 ms; now at most 3 s.

--- a/source/control/detector/election.hpp
+++ b/source/control/detector/election.hpp
@@ -59,7 +59,7 @@
 LeaveAnswer answer_leave(const Owner& owner, const LeaveAsk& ask);
 
 // Example:
-//   ElectionStep step = election.step({core, disk.stalled_for(now), suspicion.stands_back(now), now});
+//   ElectionStep step = election.step({core, disk.stalled_for(now), too_slow, now});
 //   for (size_t place : step.heartbeats) send_heartbeat(place);
 class Election {
 public:
--- a/tests/detector.cpp
+++ b/tests/detector.cpp
@@ -190,6 +190,28 @@
     EXPECT(!suspicion.fired(ms(900), std::nullopt, now));
 }
 
+// Three daemons that are all too slow as owner for ten minutes: the lowest that doesn't stand back acts, one second
+// after the last owner gave way. However long their pauses have grown, there is soon an owner again.
+void table_all_too_slow() {
+    std::vector<SelfSuspicion> daemons(3, SelfSuspicion({}));
+    std::optional<size_t> owner;
+    Micros acting_since = 0, vacant_since = 0, longest = 0;
+    std::optional<Micros> heard_at;
+    for (Micros now = seconds(100); now < seconds(700); now += ms(100)) {
+        if (owner) {
+            heard_at = now;
+            if (now % ms(500) == 0 && daemons[*owner].fired(ms(400), acting_since, now))
+                owner.reset(), vacant_since = now;
+            continue;
+        }
+        longest = std::max(longest, vacant_since ? now - vacant_since : 0);
+        for (size_t place = 0; place < 3 && !owner; ++place)
+            if (now >= vacant_since + seconds(1) && !daemons[place].stands_back_for_another(now, heard_at))
+                owner = place, acting_since = now;
+    }
+    EXPECT_SAID(longest <= seconds(3), fmt::format("no owner for {} ms", longest / 1000));
+}
+
 // One daemon's election in a core of three, whose members have identities 1, 2 and 3.
 struct Elected {
     Core core;
@@ -293,6 +315,7 @@
     table_present_owner();
     table_departure();
     table_suspicion();
+    table_all_too_slow();
     table_task_one();
     table_task_two();
     table_task_three();
