--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -140,8 +140,7 @@
         state_.close(entry);
         if (state_.tell)
             state_.tell({RunLine::Event::job_ended, 0, entry.job.fixed.id, {}, entry.queue(), entry.job.phase()});
-        state_.expiries.emplace(entry.job.moving.ended_wall + state_.settings.status_kept + seconds(30),
-                                entry.job.fixed.id);
+        state_.keep_ended(entry.job.fixed.id);
         stop_job(entry);
     }
 
@@ -250,6 +249,9 @@
         if (run == found->second.runs.end() || run->second.stop_wanted) return;
         Task* task = job->second.job.find_task(name);
         if (!task) return;
+        // A configuration has moved the queue since this run was intended: the new service's workers are to run it.
+        if (found->second.account.service != state_.service_of(job->second.job))
+            return want_stop(found->second, run->second);
         run->second.state = RunState::ordered;
         run->second.ordered_at = now;
         if (state_.tell) state_.tell({RunLine::Event::start, 0, name.task(), life, job->second.queue(), {}, name.run});
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -37,9 +37,10 @@
     std::set<StepKey> steps_touched;           // what the planner is to look at again
     std::set<std::string> workers_touched;
     std::multimap<Micros, std::string> turns_due;                      // when the hope of a job changes next (wall)
-    std::multimap<Micros, std::string> expiries;                       // when an ended job may be forgotten (wall)
+    std::multimap<Micros, std::string> expiries;                       // when an ended job may be forgotten (steady)
     std::multimap<Micros, std::pair<std::string, RunName>> looks_due;  // when a run is judged next
     std::vector<std::string> dirty;
+    Micros now = 0;  // steady, of the event that is dealt with
     Durations durations;
     HistoryRecorder history;
     Conducts conducts;
@@ -77,10 +78,17 @@
             least = std::min(least, queue.priority);
         return least;
     }
-    // A new configuration moves queues to other services and priorities.
-    void config_changed(Micros wall) {
-        for (auto& [id, entry] : jobs)
-            if (entry.open) count_turn(entry, wall);
+    // From now on `next` is in force: it moves queues to other services and priorities.
+    void put_in_force(const Config& next, Micros wall) {
+        const Config before = std::exchange(config, next);
+        std::map<std::string, bool> moved;  // by queue
+        for (auto& [id, entry] : jobs) {
+            if (!entry.open) continue;
+            count_turn(entry, wall);
+            auto [place, fresh] = moved.try_emplace(entry.queue());
+            if (fresh) place->second = route_service(before, entry.job) != route_service(config, entry.job);
+            if (place->second) touch_steps(entry);
+        }
         for (auto& [queue, each] : backlog)
             for (const Queue& known : config.queues)
                 if (known.host + "|" + known.prefix == queue)
@@ -103,6 +111,10 @@
             add_progress(entry, time);
         count_turn(entry, wall);
     }
+    // An ended job stays known for its whole time from now on. By the steady clock: the time of day may leap, and would
+    // take with it what clients may still ask for. A new owner, which can't know when a job ended, gives it all its
+    // time again.
+    void keep_ended(const std::string& id) { expiries.emplace(now + settings.ended_kept(), id); }
     // An ended job takes part in nothing any more.
     void close(JobEntry& entry) {
         if (!entry.open) return;
@@ -224,7 +236,9 @@
         worker.gpu_used += run.gpu;
         ++held;
         touch(worker);
+        const bool was_idle = entry.runs.empty();
         entry.runs[name] = &worker;
+        if (was_idle) note_idle_change(entry);
         if (worker.counted) use(loads[worker.account.service], run, 1);
         count_room(worker);
         return worker.runs[name] = run;
@@ -239,15 +253,21 @@
         --held;
         touch(worker);
         if (worker.counted) use(loads[worker.account.service], run, -1);
-        if (auto job = jobs.find(name.job); job != jobs.end()) job->second.runs.erase(name);
+        if (auto job = jobs.find(name.job); job != jobs.end()) {
+            job->second.runs.erase(name);
+            if (job->second.runs.empty()) note_idle_change(job->second);
+        }
         worker.runs.erase(found);
         count_room(worker);
         plan_wanted = true;
     }
     bool usable(const WorkerEntry& worker, Micros now) const {
+        return takes_starts(worker, now) && !conducts.paused(worker.node, now);
+    }
+    // The same, whatever its machine did lately.
+    bool takes_starts(const WorkerEntry& worker, Micros now) const {
         return worker.reconciled && !worker.silent && !worker.account.draining &&
-               now - worker.heard_at <= settings.fresh && now >= worker.avoided_until &&
-               !conducts.paused(worker.node, now);
+               now - worker.heard_at <= settings.fresh && now >= worker.avoided_until;
     }
     // Whether a task that is placed once is to get a copy elsewhere: its only run is far behind.
     bool wants_copy(const JobEntry& entry, const Time& time, std::uint32_t step, std::uint32_t index) const {
@@ -275,6 +295,17 @@
     };
     enum Bits : std::uint8_t { waits = 1, unfinished = 2, placed = 4, copy = 8 };
 
+    // Empty where the configuration has no such route.
+    static std::string_view route_service(const Config& config, const Job& job) {
+        const Queue* queue = config.find_exact(job.fixed.host, job.fixed.prefix);
+        return queue ? std::string_view(queue->service) : std::string_view();
+    }
+    // The planner is to look again at all steps of the job that are ready.
+    void touch_steps(const JobEntry& entry) {
+        for (const auto& [number, steps] : entry.progress)
+            for (std::uint32_t step = 0; step < steps.size(); ++step)
+                if (steps[step].listed) steps_touched.insert({entry.job.fixed.id, number, step});
+    }
     Turn turn_of(const JobEntry& entry, Micros wall) {
         const Job& job = entry.job;
         const Queue* queue = queue_of(job);
@@ -284,7 +315,7 @@
         // The longest chain of the whole job, and of what is left of its first open time.
         size_t count = job.fixed.spec.steps.size();
         std::vector<Micros> whole(count), left(count);
-        const Time* time = job.moving.times.empty() ? nullptr : &job.moving.times.front();
+        const Time* time = present_time(entry);
         auto progress = time ? entry.progress.find(time->number) : entry.progress.end();
         Micros chain = 0, rest = 0;
         bool lasting = false;
@@ -310,6 +341,17 @@
         Micros next = lasting || hope == Hope::none ? 0 : begun + (hope == Hope::aim ? 1 : 3) * aim - rest + 1;
         return {hope, standing, next};
     }
+    // The earliest time that has unfinished tasks; else the latest. The last one before a pause stays in the list.
+    static const Time* present_time(const JobEntry& entry) {
+        const std::vector<Time>& times = entry.job.moving.times;
+        for (const Time& time : times) {
+            auto progress = entry.progress.find(time.number);
+            if (progress == entry.progress.end()) continue;
+            for (const StepProgress& step : progress->second)
+                if (step.unfinished != 0) return &time;
+        }
+        return times.empty() ? nullptr : &times.back();
+    }
     void add_progress(JobEntry& entry, const Time& time) {
         auto& steps = entry.progress[time.number];
         steps.assign(time.steps.size(), StepProgress{});
@@ -384,6 +426,13 @@
         queue.memory += double(more) * progress.memory_each;
         if (queue.tasks == 0) queue.cpu = queue.memory = 0;  // no rounding stays behind
     }
+    // The job's first run has begun, or its last one is over: how long its steps have waited counts from anew.
+    void note_idle_change(JobEntry& entry) {
+        entry.idle_since = 0;
+        for (const auto& [number, steps] : entry.progress)
+            for (std::uint32_t step = 0; step < steps.size(); ++step)
+                if (steps[step].listed) steps_touched.insert({entry.job.fixed.id, number, step});
+    }
     static void use(Load& load, const RunEntry& run, std::int64_t sign) {
         Load::Use& each = load.used[run.priority];
         each.cpu += sign * run.cpu, each.memory += sign * run.memory, each.runs += sign;
--- a/tests/disk.cpp
+++ b/tests/disk.cpp
@@ -88,11 +88,11 @@
     std::string folder = outer.path + "/data";
     Replica written;
     written.identity = Identity{7};
-    auto* disk = new Disk(folder, 0);  // its thread runs until the process ends
-    EXPECT(disk->open(written).empty());
-    EXPECT(disk->write_identity(written.identity));
-    disk->start();
-    put_and_wait(*disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {{3, "part"}}}));
+    Disk disk(folder, 0);
+    EXPECT(disk.open(written).empty());
+    EXPECT(disk.write_identity(written.identity));
+    disk.start();
+    put_and_wait(disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {{3, "part"}}}));
 
     Replica loaded;
     Disk again(folder, 0);
@@ -108,15 +108,15 @@
     const std::string folder = outer.path + "/data";
     Replica written;
     written.identity = Identity{9};
-    auto* disk = new Disk(folder, 0);  // its thread runs until the process ends
-    EXPECT(disk->open(written).empty());
-    EXPECT(disk->write_identity(written.identity));
-    disk->start();
-    put_and_wait(*disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {}}));
+    Disk disk(folder, 0);
+    EXPECT(disk.open(written).empty());
+    EXPECT(disk.write_identity(written.identity));
+    disk.start();
+    put_and_wait(disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {}}));
     for (int failures : {1, 2, 5}) {
         meta_writes_to_fail = failures;
         const std::string key = fmt::format("job/{}", failures);
-        auto synced = begin_put(*disk, written.found(key, Register{Epoch{1}, Version{1}, {}, "value", {}}));
+        auto synced = begin_put(disk, written.found(key, Register{Epoch{1}, Version{1}, {}, "value", {}}));
         const bool written_again = synced.wait_for(std::chrono::seconds(5)) == std::future_status::ready;
         EXPECT_SAID(written_again, fmt::format("no write after {} that failed", failures));
         if (!written_again) return;
@@ -128,6 +128,29 @@
     EXPECT(loaded.registers == written.registers);
 }
 
+// A daemon whose start fails is destroyed with its disk: the writing thread is gone before what it works on.
+// (Without that the thread sanitizer reports races on the queue and the condition variable.)
+void a_disk_ends_with_its_thread() {
+    for (int round = 0; round < 20; ++round) {
+        TemporaryFolder outer;
+        Replica replica;
+        auto disk = std::make_unique<Disk>(outer.path + "/data", 0);
+        EXPECT(disk->open(replica).empty());
+        disk->start();
+        std::atomic<int> synced{0};
+        for (std::uint64_t number = 1; number <= 50; ++number) {
+            const Register value{Epoch{1}, Version{number}, {}, "value", {}};
+            disk->put(replica.found("job/1", value), [&synced] { ++synced; });
+        }
+        disk.reset();
+        // What was told as synced is there, and nothing is told any more.
+        Replica loaded;
+        Disk again(outer.path + "/data", 0);
+        EXPECT(again.open(loaded).empty());
+        if (synced > 0) EXPECT(loaded.registers.contains("job/1"));
+    }
+}
+
 void an_unusable_folder_is_an_error() {
     TemporaryFolder outer;
     Replica replica;
@@ -143,6 +166,7 @@
     a_new_disk_has_durable_names();
     what_was_synced_is_loaded_again();
     a_disk_that_was_full_writes_again();
+    a_disk_ends_with_its_thread();
     an_unusable_folder_is_an_error();
     return result();
 }
