--- a/source/shared/http/loop.hpp
+++ b/source/shared/http/loop.hpp
@@ -124,7 +124,7 @@
     std::unordered_multimap<std::string, Kept> kept_;  // by kind of call
     Micros sleeps_until_ = 0;
     std::atomic<bool> woken_{false};
-    std::thread::id runner_;
+    std::atomic<std::thread::id> runner_{};  // read by whoever asks, also before `run`
 };
 
 }  // namespace calicostall
