--- a/tests/disk.cpp
+++ b/tests/disk.cpp
@@ -88,12 +88,39 @@
     std::string folder = outer.path + "/data";
     Replica written;
     written.identity = Identity{7};
-    auto* disk = new Disk(folder, 0);  // its thread runs until the process ends
-    EXPECT(disk->open(written).empty());
-    EXPECT(disk->write_identity(written.identity));
-    disk->start();
-    put_and_wait(*disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {{3, "part"}}}));
+    Disk disk(folder, 0);
+    EXPECT(disk.open(written).empty());
+    EXPECT(disk.write_identity(written.identity));
+    disk.start();
+    put_and_wait(disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {{3, "part"}}}));
+
+    Replica loaded;
+    Disk again(folder, 0);
+    EXPECT(again.open(loaded).empty());
+    EXPECT(loaded.identity == written.identity);
+    EXPECT(loaded.registers == written.registers);
+}
 
+// A commit that fails at its last write leaves LMDB's environment unusable for good; the disk must write on all the
+// same once there is room again, without a restart, and lose nothing that it acknowledged before or after.
+void a_disk_that_was_full_writes_again() {
+    TemporaryFolder outer;
+    const std::string folder = outer.path + "/data";
+    Replica written;
+    written.identity = Identity{9};
+    Disk disk(folder, 0);
+    EXPECT(disk.open(written).empty());
+    EXPECT(disk.write_identity(written.identity));
+    disk.start();
+    put_and_wait(disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {}}));
+    for (int failures : {1, 2, 5}) {
+        meta_writes_to_fail = failures;
+        const std::string key = fmt::format("job/{}", failures);
+        auto synced = begin_put(disk, written.found(key, Register{Epoch{1}, Version{1}, {}, "value", {}}));
+        const bool written_again = synced.wait_for(std::chrono::seconds(5)) == std::future_status::ready;
+        EXPECT_SAID(written_again, fmt::format("no write after {} that failed", failures));
+        if (!written_again) return;
+    }
     Replica loaded;
     Disk again(folder, 0);
     EXPECT(again.open(loaded).empty());
@@ -124,33 +151,6 @@
     }
 }
 
-// A commit that fails at its last write leaves LMDB's environment unusable for good; the disk must write on all the
-// same once there is room again, without a restart, and lose nothing that it acknowledged before or after.
-void a_disk_that_was_full_writes_again() {
-    TemporaryFolder outer;
-    const std::string folder = outer.path + "/data";
-    Replica written;
-    written.identity = Identity{9};
-    auto* disk = new Disk(folder, 0);  // its thread runs until the process ends
-    EXPECT(disk->open(written).empty());
-    EXPECT(disk->write_identity(written.identity));
-    disk->start();
-    put_and_wait(*disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {}}));
-    for (int failures : {1, 2, 5}) {
-        meta_writes_to_fail = failures;
-        const std::string key = fmt::format("job/{}", failures);
-        auto synced = begin_put(*disk, written.found(key, Register{Epoch{1}, Version{1}, {}, "value", {}}));
-        const bool written_again = synced.wait_for(std::chrono::seconds(5)) == std::future_status::ready;
-        EXPECT_SAID(written_again, fmt::format("no write after {} that failed", failures));
-        if (!written_again) return;
-    }
-    Replica loaded;
-    Disk again(folder, 0);
-    EXPECT(again.open(loaded).empty());
-    EXPECT(loaded.identity == written.identity);
-    EXPECT(loaded.registers == written.registers);
-}
-
 void an_unusable_folder_is_an_error() {
     TemporaryFolder outer;
     Replica replica;
@@ -165,8 +165,8 @@
     using namespace calicostall::tests;
     a_new_disk_has_durable_names();
     what_was_synced_is_loaded_again();
-    a_disk_ends_with_its_thread();
     a_disk_that_was_full_writes_again();
+    a_disk_ends_with_its_thread();
     an_unusable_folder_is_an_error();
     return result();
 }
