--- a/tests/model/history.cpp
+++ b/tests/model/history.cpp
@@ -30,12 +30,16 @@
 History::NodeNumber History::propose(const std::string& key, const std::string& held, const std::string& value) {
     NodeNumber parent = find(key, held);
     for (NodeNumber node = 1; node < nodes_.size(); ++node)
-        if (nodes_[node].key == key && nodes_[node].value == value && nodes_[node].parent == parent) return node;
+        if (nodes_[node].key == key && nodes_[node].value == value && nodes_[node].parent == parent) {
+            gone_since_.erase(node);
+            return node;
+        }
     nodes_.push_back({key, value, parent});
     return NodeNumber(nodes_.size() - 1);
 }
 
 std::uint64_t History::begin_write(NodeNumber node, std::uint64_t term) {
+    nodes_[node].term = std::max(nodes_[node].term, term);
     operations_.push_back({Operation::Kind::write, node, root, term});
     return operations_.size() - 1;
 }
@@ -102,6 +106,24 @@
         if (found == root) continue;
         if (std::string violated = decide(key, found, term, "a takeover"); !violated.empty()) return violated;
     }
+    return leave_behind(term, values);
+}
+
+std::string History::leave_behind(std::uint64_t term, const std::map<std::string, std::string>& values) {
+    for (NodeNumber node = 1; node < nodes_.size(); ++node) {
+        const std::string& key = nodes_[node].key;
+        auto held = values.find(key);
+        const NodeNumber found = find(key, held == values.end() ? std::string() : held->second);
+        auto gone = gone_since_.find(node);
+        if (gone != gone_since_.end() && gone->second < term && found == node)
+            return fmt::format(
+                "a value that was left behind is back: the owner of term {} holds {} of {}, without which "
+                "the owner of term {} acted",
+                term, name(node), key, gone->second);
+        if (nodes_[node].term == 0 || nodes_[node].term >= term || descends(found, node)) continue;
+        auto [place, fresh] = gone_since_.try_emplace(node, term);
+        place->second = std::min(place->second, term);
+    }
     return {};
 }
 
@@ -134,11 +156,13 @@
 
 void History::digest(Digester& digester) const {
     for (const Node& node : nodes_)
-        digester.add(node.key).add(node.value).add(std::uint64_t(node.parent));
+        digester.add(node.key).add(node.value).add(std::uint64_t(node.parent)).add(node.term);
     for (const auto& [key, node] : decided_)
         digester.add(key).add(std::uint64_t(node));
     for (const auto& [node, term] : decided_under_)
         digester.add(std::uint64_t(node)).add(term);
+    for (const auto& [node, term] : gone_since_)
+        digester.add(std::uint64_t(node)).add(term);
     for (const Operation& operation : operations_)
         digester.add(operation.term)
             .add(std::uint64_t(operation.kind))
--- a/tests/model/history.hpp
+++ b/tests/model/history.hpp
@@ -6,7 +6,8 @@
 
 // The values of each key form a tree: a proposal is the child of the value that its owner then held. All values that
 // were acknowledged, that a new owner settled on, or that a read answered must lie on one path from the root; the
-// deepest of them is what every later owner must hold, or a descendant of it.
+// deepest of them is what every later owner must hold, or a descendant of it. And what an owner acted without is gone:
+// a value proposed under a lower term that it does not hold may not be held by any later owner.
 class History {
 public:
     using NodeNumber = std::uint32_t;
@@ -15,6 +16,7 @@
     struct Node {
         std::string key, value;
         NodeNumber parent = root;
+        std::uint64_t term = 0;  // under which it was proposed last; 0: not known
     };
 
     // A proposal of `value` on top of `held`. Returns the number of its node.
@@ -55,11 +57,15 @@
     // Takes the node into the path of decided values; returns the violation when it is on another branch.
     std::string decide(const std::string& key, NodeNumber node, std::uint64_t term, const std::string& by);
     void note_term(NodeNumber node, std::uint64_t term);
+    // Notes what the owner of the term acts without; returns what it holds though an owner before it acted without
+    // that.
+    std::string leave_behind(std::uint64_t term, const std::map<std::string, std::string>& values);
     std::string name(NodeNumber node) const;
 
     std::vector<Node> nodes_ = {Node{}};
     std::map<std::string, NodeNumber> decided_;
     std::map<NodeNumber, std::uint64_t> decided_under_;  // the lowest term that decided a node
+    std::map<NodeNumber, std::uint64_t> gone_since_;     // the lowest term that acted without a node
     std::vector<Operation> operations_;
     std::map<std::uint64_t, std::uint64_t> terms_;  // who acted under each term
 };
--- a/tests/model/scenarios.cpp
+++ b/tests/model/scenarios.cpp
@@ -150,6 +150,89 @@
     return {"ended keys", "3 members, a key ends and may come again, a takeover", std::move(world), bounds};
 }
 
+// A value that only its owner wrote; a takeover that finds it must have it on a majority before it acts, since the next
+// takeover may go by members that neither of the two has written to.
+Scenario undecided_value(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {1, 4};
+    bounds.takeovers = 3;
+    bounds.proposals = 1;
+    bounds.exchanges = bounds.eager = true;
+    bounds.states = states;
+    return {"undecided value", "5 members, a value, 3 takeovers by members 1 and 4", settled(5, 0, bounds), bounds};
+}
+
+// Members 4 and 3 of five go while 2 hears nothing of it; a value is decided by what is left, 0 and 1, and 2 takes over
+// by the core that it knows.
+Scenario later_core(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {2};
+    bounds.takeovers = 2;
+    bounds.exchanges = bounds.eager = true;
+    bounds.states = states;
+    World world = settled(5, 0, bounds);
+    auto member = [&](size_t place) { return world.process(place).replica->identity; };
+    must(world.remove(0, member(4)));
+    must(world.settle({0, 1, 3}));
+    must(world.remove(0, member(3)));
+    must(world.settle({0, 1}));
+    must(world.propose(0, "job/1"));
+    must(world.settle({0, 1}));
+    return {"later core", "5 members, two removed while one lags, which takes over", std::move(world), bounds};
+}
+
+// A value of the first term; the second owner has adopted it everywhere and written nothing. Then members crash.
+Scenario crashes_after_adoption(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {2};
+    bounds.takeovers = 2;
+    bounds.crashes = 3;
+    bounds.exchanges = bounds.eager = true;
+    bounds.states = states;
+    World world(core_of({1, 2, 3}), 0, bounds);
+    Bounds calm = bounds;  // while nobody crashes, what is answered is on the disk at once
+    calm.crashes = 0;
+    world.set_bounds(calm);
+    must(world.take_over(0));
+    must(world.settle({0, 1, 2}));
+    must(world.propose(0, "job/1"));
+    must(world.settle({0, 1, 2}));
+    must(world.take_over(1));
+    must(world.settle({0, 1, 2}));
+    world.set_bounds(bounds);
+    return {"crashes after an adoption", "3 members, a second owner, 3 crashes, a takeover", std::move(world), bounds};
+}
+
+// A value is left on one disk; the next owner acts without it, and a later one meets that disk.
+Scenario left_behind(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {1, 2};
+    bounds.takeovers = 3;
+    bounds.proposals = 1;
+    bounds.exchanges = bounds.eager = true;
+    bounds.states = states;
+    return {"left behind", "3 members, a value on one disk, takeovers by 1 and 2", settled(3, 0, bounds), bounds};
+}
+
+// Changes of one key that are lost, late or come twice: a replica may hold another version than a change builds on.
+Scenario late_changes(size_t states) {
+    Bounds bounds;
+    bounds.candidates = {1};
+    bounds.takeovers = 1;
+    bounds.proposals = 2;
+    bounds.forgets = 1;
+    bounds.timeouts = 1;
+    bounds.duplicates = 1;
+    bounds.late = true;
+    bounds.exchanges = bounds.eager = true;
+    bounds.states = states;
+    World world = settled(3, 0, bounds);
+    must(world.propose(0, "job/1"));
+    must(world.settle({0, 1, 2}));
+    return {"late changes", "3 members, changes of a key and its end, one late and one twice, a takeover",
+            std::move(world), bounds};
+}
+
 // Two operators with the same base, the next change on top of one of them, and every order may be sent again.
 Scenario config_orders(size_t takeovers, size_t orders, size_t states) {
     Bounds bounds;
@@ -183,6 +266,11 @@
     scenarios.push_back(replacement(states(100)));
     scenarios.push_back(growth(states(100)));
     scenarios.push_back(ended_keys(states(100)));
+    scenarios.push_back(undecided_value(states(100)));
+    scenarios.push_back(later_core(states(100)));
+    scenarios.push_back(crashes_after_adoption(states(100)));
+    scenarios.push_back(left_behind(states(100)));
+    scenarios.push_back(late_changes(states(100)));
     scenarios.push_back(config_orders(0, 4, states(100)));
     scenarios.push_back(config_orders(1, 3, states(100)));
     return scenarios;
