--- a/source/control/jobs/spec.hpp
+++ b/source/control/jobs/spec.hpp
@@ -137,6 +137,21 @@
     return spec;
 }
 
+// What a job asks for, for the log: its aim in microseconds, its times (first, interval, how many; zeros: now), and for
+// each step COUNTxCPUxMEMORY, `g` for a gang, `l` for one that lasts, and the places of the steps before it.
+// Example: "350000;0,0,0;31x12000x22000,4x1000x500g@0"
+inline std::string asked_text(const JobSpec& spec, Micros aim) {
+    std::string text = fmt::format("{};{},{},{};", aim, spec.first_at, spec.interval, spec.repeats);
+    for (size_t place = 0; place < spec.steps.size(); ++place) {
+        const Step& step = spec.steps[place];
+        text += fmt::format("{}{}x{}x{}{}{}", place ? "," : "", step.count, step.cpu, step.memory, step.gang ? "g" : "",
+                            step.long_running ? "l" : "");
+        for (size_t each = 0; each < step.depends.size(); ++each)
+            text += fmt::format("{}{}", each ? "+" : "@", step.depends[each]);
+    }
+    return text;
+}
+
 // Example: valid_job_id("5c0e7a21d94b36f8")
 inline bool valid_job_id(std::string_view id) {
     return id.size() == 16 && std::all_of(id.begin(), id.end(), [](char letter) {
--- a/source/shared/record/run_line.cpp
+++ b/source/shared/record/run_line.cpp
@@ -11,6 +11,7 @@
     if (!worker.empty()) object["worker"] = worker;
     if (!queue.empty()) object["queue"] = queue;
     if (!how.empty()) object["how"] = how;
+    if (!job.empty()) object["job"] = job;
     return boost::json::serialize(object);
 }
 
--- a/source/shared/record/run_line.hpp
+++ b/source/shared/record/run_line.hpp
@@ -14,6 +14,7 @@
     std::string queue;   // "HOST|PREFIX"
     std::string how;     // how a run or a job ended; of an owner: its epoch
     std::uint32_t run = 0;
+    std::string job = {};  // of an accepted job: what it asks for, see `asked_text`; not read back
 
     static constexpr std::array<const char*, 6> names{"accepted", "job_ended", "start", "end", "worker_over", "owner"};
     // Example:
