Order under overload: aims by the longest task, and what a job earns for its room

Cause: the owner took a step's usual duration for its longest, so that aims came out two to three times too early; and among jobs of the same hope the one about to miss went first, whatever it earned. Now a step counts by its longest task and in waves, the static priority has the worth for the room that the rest takes, every fourth large job has a turn, hope weighs a little more than a level, and Retry-After follows the backlog.

--- a/source/control/jobs/planning/planning.hpp
+++ b/source/control/jobs/planning/planning.hpp
@@ -214,6 +214,7 @@
         Item item;
         item.id = id;
         item.standing = steady(entry.standing);
+        item.standing.density = state_.density(entry);
         item.service = names_.of(state_.service_of(entry.job));
         item.room = {step.cpu, step.memory, step.gpu};
         item.count = std::uint32_t(tasks.size());
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -219,7 +219,7 @@
             });
             return;
         }
-        if (state_.jobs.size() >= settings_.jobs_most) return refuse(id, Admitted::full, std::move(done));
+        if (state_.jobs.size() >= settings_.jobs_most) return refuse(id, Admitted::full, seconds(1), std::move(done));
         Findings findings;
         JobSpec spec = parse_job(body, {}, findings);
         if (!findings.empty()) {
@@ -239,9 +239,12 @@
         fixed.accepted_wall = wall;
         fixed.spec = std::move(spec);
         // Without its majority the owner knows nothing of its own pace: the proposal waits, or is given up.
-        if (Admitted admitted = admit(queue, fixed, now);
-            admitted == Admitted::full || (admitted != Admitted::yes && now - confirmed_at_ < seconds(1)))
-            return refuse(id, admitted, std::move(done));
+        const NewJob asked = asked_of(queue, fixed);
+        const Load& load = state_.loads[queue.service];
+        const Admitted admitted = admission_.admit(asked, state_.jobs.size(), load, state_.backlog, now);
+        const bool sure = now - confirmed_at_ < seconds(1);
+        if (admitted == Admitted::full || (admitted != Admitted::yes && sure))
+            return refuse(id, admitted, admission_.retry_after(asked, load, state_.backlog), std::move(done));
         JobEntry& entry = state_.jobs[id];
         entry.job = Job::accept(std::move(fixed));
         counters().add("jobs_accepted");
@@ -258,39 +261,43 @@
                                  Response::plain(committed ? 200 : 504));
                         });
     }
-    Admitted admit(const Queue& queue, const JobFixed& fixed, Micros now) {
-        NewJob job{queue.host + "|" + queue.prefix, queue.service, queue.priority, 0, 0, fixed.spec.repeats > 0};
+    NewJob asked_of(const Queue& queue, const JobFixed& fixed) {
         JobEntry trial;
         trial.job.fixed = fixed;
-        std::vector<Micros> chains(fixed.spec.steps.size());
-        for (std::uint32_t step = 0; step < chains.size(); ++step) {
-            for (std::uint32_t earlier : fixed.spec.steps[step].depends)
-                chains[step] = std::max(chains[step], chains[earlier]);
-            chains[step] += state_.durations.expect(trial, step);
-            job.chain = std::max(job.chain, chains[step]);
-            job.lasting = job.lasting || fixed.spec.steps[step].long_running;
-        }
-        job.aim = Micros(queue.extension * double(job.chain)) + queue.target;
-        return admission_.admit(job, state_.jobs.size(), state_.loads[queue.service], state_.backlog, now);
+        const Standing standing = state_.standing_of(trial);
+        return {queue.host + "|" + queue.prefix,
+                queue.service,
+                queue.priority,
+                standing.rest,
+                standing.due - standing.begun,
+                standing.lasting || fixed.spec.repeats > 0};
     }
+    // Rounded up: a client that comes sooner would be refused again.
+    static int whole_seconds(Micros time) { return int((time + seconds(1) - 1) / seconds(1)); }
     // Nothing of this job was ever proposed here; that no later owner has taken it either is confirmed by a majority.
-    void refuse(const std::string& id, Admitted why, Done done) {
+    void refuse(const std::string& id, Admitted why, Micros retry_after, Done done) {
         counters().add("jobs_refused");
         counters().add(why == Admitted::full     ? "jobs_refused_full"
                        : why == Admitted::behind ? "jobs_refused_behind"
                                                  : "jobs_refused_no_room");
-        calls_.confirmed(job_key(id), Response::later(429, 1), std::move(done));
+        calls_.confirmed(job_key(id), Response::later(429, whole_seconds(retry_after)), std::move(done));
     }
     void commit_new(const std::string& id, Micros wall) {
         auto found = state_.jobs.find(id);
         if (found == state_.jobs.end()) return;
         JobEntry& entry = found->second;
         entry.committed = true;
-        if (state_.tell) state_.tell({RunLine::Event::accepted, 0, id, {}, entry.queue(), {}});
         if (!entry.job.timed()) note_arrival(entry);
         take_in(entry, wall);
+        if (state_.tell) tell_accepted(entry);
         state_.plan_wanted = true;
     }
+    void tell_accepted(const JobEntry& entry) {
+        RunLine line{RunLine::Event::accepted, 0, entry.job.fixed.id, {}, entry.queue(), {}};
+        const Standing standing = state_.standing_of(entry);
+        line.job = asked_text(entry.job.fixed.spec, standing.due - standing.begun);
+        state_.tell(std::move(line));
+    }
     void take_in(JobEntry& entry, Micros wall) {
         state_.open(entry, wall);
         if (auto due = entry.job.next_due()) due_.emplace(*due, entry.job.fixed.id);
--- a/source/control/jobs/state/job_entry.hpp
+++ b/source/control/jobs/state/job_entry.hpp
@@ -28,6 +28,7 @@
     std::map<std::uint32_t, std::pair<Micros, std::uint32_t>> took;  // step -> durations seen, in all and how many
 
     bool open = false;  // counted among the open jobs
+    bool turn = false;  // a large job whose turn it is to go before its like
     Micros idle_since =
         0;  // since when a step's turn has come while nothing of the job runs; 0: not so, or not seen yet
     Hope hope = Hope::aim;
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -7,6 +7,7 @@
 #include "control/jobs/settings.hpp"
 #include "control/jobs/state/backlog.hpp"
 #include "control/jobs/state/load.hpp"
+#include "control/plan/worth.hpp"
 #include "shared/record/log.hpp"
 #include "shared/record/run_line.hpp"
 #include "shared/settings/config.hpp"
@@ -42,6 +43,8 @@
     std::vector<std::string> dirty;
     Micros now = 0;  // steady, of the event that is dealt with
     Durations durations;
+    MeanWork mean_work;  // of the jobs of each queue
+    SizeTurns size_turns;
     HistoryRecorder history;
     Conducts conducts;
     std::function<void(RunLine)> tell;  // what is accepted, starts and ends, when somebody wants to know
@@ -105,6 +108,9 @@
         ++open_jobs;
         QueueBacklog& queue = backlog[entry.queue()];
         queue.service = service_of(entry.job);
+        const double work = work_of(entry, room_of(entry.job)).core_seconds;
+        mean_work.note(entry.queue(), work);
+        entry.turn = size_turns.takes_turn(entry.queue(), work);
         queue.priority = turn_of(entry, wall).standing.level;
         ++queue.pending;
         for (const Time& time : entry.job.moving.times)
@@ -176,6 +182,53 @@
                 for (std::uint32_t step = 0; step < time.steps.size(); ++step)
                     list(entry, time, step);
     }
+    // How the job stands at its first open time, by the wall clock.
+    // Example: Standing standing = state.standing_of(entry);
+    Standing standing_of(const JobEntry& entry) {
+        const Job& job = entry.job;
+        const Queue* queue = queue_of(job);
+        Micros target = queue ? queue->target : job.fixed.target;
+        double extension = queue ? queue->extension : job.fixed.extension;
+        const ServiceRoom room = room_of(job);
+        // The longest chain of the whole job, and of what is left of its first open time.
+        size_t count = job.fixed.spec.steps.size();
+        std::vector<Micros> whole(count), left(count);
+        Micros chain = 0;
+        Standing standing;
+        for (std::uint32_t step = 0; step < count; ++step) {
+            ++operations;
+            const Step& wanted = job.fixed.spec.steps[step];
+            Micros before = 0, before_left = 0;
+            for (std::uint32_t earlier : wanted.depends)
+                before = std::max(before, whole[earlier]), before_left = std::max(before_left, left[earlier]);
+            const Micros usual = durations.expect(entry, step);
+            const std::uint64_t open_tasks = unfinished(entry, step);
+            const StepTimes whole_step{usual, durations.longest(entry, step, wanted.count)};
+            const StepTimes rest{usual, durations.longest(entry, step, open_tasks)};
+            whole[step] = before + time_in_share(wanted, wanted.count, whole_step, room, aim_share);
+            left[step] = before_left + time_in_share(wanted, open_tasks, rest, room, whole_share);
+            chain = std::max(chain, whole[step]);
+            standing.rest = std::max(standing.rest, left[step]);
+            standing.lasting = standing.lasting || wanted.long_running;
+        }
+        const Time* time = present_time(entry);
+        standing.level = queue ? queue->priority : job.fixed.priority;
+        standing.begun = job.timed()
+                             ? job.fixed.spec.first_at + Micros(time ? time->number : 0) * job.fixed.spec.interval
+                             : job.fixed.accepted_wall;
+        standing.due = standing.begun + Micros(extension * double(chain)) + target;
+        standing.density = density(entry);
+        return standing;
+    }
+    // What the job earns for each second of its service's room that the rest of it takes.
+    double density(const JobEntry& entry) const {
+        const ServiceRoom room = room_of(entry.job);
+        double worth = job_worth(work_of(entry, room).core_seconds, mean_work.mean(entry.queue()));
+        JobWork rest;
+        for (std::uint32_t step = 0; step < entry.job.fixed.spec.steps.size(); ++step)
+            rest.add(entry.job.fixed.spec.steps[step], unfinished(entry, step), durations.expect(entry, step), room);
+        return log_density(worth, rest.room_seconds) + (entry.turn ? turn_bonus : 0);
+    }
     void turns_changed(Micros wall) {
         while (!turns_due.empty() && turns_due.begin()->first <= wall) {
             std::string id = turns_due.begin()->second;
@@ -293,7 +346,7 @@
         Standing standing;
         Micros next;  // when the hope changes by itself; 0: never
     };
-    enum Bits : std::uint8_t { waits = 1, unfinished = 2, placed = 4, copy = 8 };
+    enum Bits : std::uint8_t { waits = 1, open_task = 2, placed = 4, copy = 8 };
 
     // Empty where the configuration has no such route.
     static std::string_view route_service(const Config& config, const Job& job) {
@@ -307,40 +360,37 @@
                 if (steps[step].listed) steps_touched.insert({entry.job.fixed.id, number, step});
     }
     Turn turn_of(const JobEntry& entry, Micros wall) {
-        const Job& job = entry.job;
-        const Queue* queue = queue_of(job);
-        Micros target = queue ? queue->target : job.fixed.target;
-        double extension = queue ? queue->extension : job.fixed.extension;
-        std::int64_t priority = queue ? queue->priority : job.fixed.priority;
-        // The longest chain of the whole job, and of what is left of its first open time.
-        size_t count = job.fixed.spec.steps.size();
-        std::vector<Micros> whole(count), left(count);
-        const Time* time = present_time(entry);
-        auto progress = time ? entry.progress.find(time->number) : entry.progress.end();
-        Micros chain = 0, rest = 0;
-        bool lasting = false;
-        for (std::uint32_t step = 0; step < count; ++step) {
-            ++operations;
-            Micros before = 0, before_left = 0;
-            for (std::uint32_t earlier : job.fixed.spec.steps[step].depends)
-                before = std::max(before, whole[earlier]), before_left = std::max(before_left, left[earlier]);
-            Micros length = durations.expect(entry, step);
-            bool done = progress != entry.progress.end() ? progress->second[step].unfinished == 0
-                                                         : time && time->steps[step].done();
-            whole[step] = before + length;
-            left[step] = before_left + (done ? 0 : length);
-            chain = std::max(chain, whole[step]);
-            rest = std::max(rest, left[step]);
-            lasting = lasting || job.fixed.spec.steps[step].long_running;
-        }
-        Micros begun = job.timed() ? job.fixed.spec.first_at + Micros(time ? time->number : 0) * job.fixed.spec.interval
-                                   : job.fixed.accepted_wall;
-        Micros aim = Micros(extension * double(chain)) + target;
-        Standing standing{priority, begun, begun + aim, rest, lasting};
+        Standing standing = standing_of(entry);
         Hope hope = hope_of(standing, wall);
-        Micros next = lasting || hope == Hope::none ? 0 : begun + (hope == Hope::aim ? 1 : 3) * aim - rest + 1;
+        Micros aim = standing.due - standing.begun;
+        Micros next = standing.lasting || hope == Hope::none
+                          ? 0
+                          : standing.begun + (hope == Hope::aim ? 1 : 3) * aim - standing.rest + 1;
         return {hope, standing, next};
     }
+    // How many tasks of the step are not done at the job's first open time; all of them before it has one.
+    static std::uint64_t unfinished(const JobEntry& entry, std::uint32_t step) {
+        const std::uint64_t all = entry.job.fixed.spec.steps[step].count;
+        const Time* time = present_time(entry);
+        if (!time) return all;
+        auto progress = entry.progress.find(time->number);
+        if (progress != entry.progress.end()) return progress->second[step].unfinished;
+        return time->steps[step].done() ? 0 : all;
+    }
+    ServiceRoom room_of(const Job& job) const {
+        auto load = loads.find(service_of(job));
+        if (load == loads.end()) return {};
+        return {double(load->second.whole_cpu), double(load->second.whole_memory)};
+    }
+    // The whole of one occurrence.
+    JobWork work_of(const JobEntry& entry, const ServiceRoom& room) const {
+        JobWork work;
+        for (std::uint32_t step = 0; step < entry.job.fixed.spec.steps.size(); ++step) {
+            const Step& wanted = entry.job.fixed.spec.steps[step];
+            work.add(wanted, wanted.count, durations.expect(entry, step), room);
+        }
+        return work;
+    }
     // The earliest time that has unfinished tasks; else the latest. The last one before a pause stays in the list.
     static const Time* present_time(const JobEntry& entry) {
         const std::vector<Time>& times = entry.job.moving.times;
@@ -376,7 +426,7 @@
         const Task& task = time.steps[step].tasks[index];
         std::uint8_t bits = 0;
         if (task.waiting()) bits |= waits;
-        if (!task.done) bits |= unfinished;
+        if (!task.done) bits |= open_task;
         if (!task.placements.empty()) bits |= placed;
         if (wants_copy(entry, time, step, index)) bits |= copy;
         std::uint8_t changed = bits ^ progress.bits[index];
@@ -384,7 +434,7 @@
         progress.bits[index] = bits;
         if (changed & waits) bits& waits ? void(progress.waiting.insert(index)) : void(progress.waiting.erase(index));
         if (changed & copy) bits& copy ? void(progress.copies.insert(index)) : void(progress.copies.erase(index));
-        if (changed & unfinished) bits& unfinished ? ++progress.unfinished : --progress.unfinished;
+        if (changed & open_task) bits& open_task ? ++progress.unfinished : --progress.unfinished;
         if (changed & placed) bits& placed ? ++progress.placed : --progress.placed;
     }
     // Puts the step into the order of what is ready, or takes it out, and counts what waits.
--- a/source/control/plan/sense.hpp
+++ b/source/control/plan/sense.hpp
@@ -33,6 +33,12 @@
         whole_.add(log_took);
         if (estimate > 0) off_.add(log_took - std::log(double(estimate)));
     }
+    // How far the durations of tasks that are said to be alike lie apart: the deviation of their logarithms.
+    double spread() const {
+        if (whole_.count() < 8) return 0;
+        double variance = off_.count() >= 8 ? std::min(off_.variance(), whole_.variance()) : whole_.variance();
+        return std::sqrt(variance);
+    }
     // Weighs the corrected estimate against the usual duration by how well each has told so far.
     Micros expect(Micros estimate) const {
         if (estimate <= 0) return whole_.count() ? Micros(std::exp(whole_.mean())) : seconds(1);
@@ -46,6 +52,16 @@
     LogMean off_, whole_;
 };
 
+// What the largest of `count` values drawn from a normal distribution is expected to be, in deviations above the mean
+// (Blom's approximation with formula 26.2.22 of Abramowitz and Stegun).
+// Example: expected_largest(1) is about 0, expected_largest(30) about 2.04
+inline double expected_largest(std::uint64_t count) {
+    if (count < 2) return 0;
+    double above = 1 - (double(count) - 0.375) / (double(count) + 0.25);
+    double root = std::sqrt(-2 * std::log(above));
+    return root - (2.30753 + 0.27061 * root) / (1 + 0.99229 * root + 0.04481 * root * root);
+}
+
 // How a worker's runs compare with their siblings elsewhere: 1 is usual, 3 is three times as long.
 class Pace {
 public:
--- a/source/control/plan/settings.hpp
+++ b/source/control/plan/settings.hpp
@@ -13,10 +13,11 @@
     Micros stop_grace = milliseconds(900), restore = milliseconds(250), checkpoint_every = seconds(1);
     // Stage one: points of the static priority.
     double weight_level = 1000;       // a level of the operator's priority
-    double weight_aim = 500;          // can still make its aim
+    double weight_aim = 1020;         // can still make its aim: a little more than a level
     double weight_hopeless = 100000;  // taken off what can earn nothing any more
     double weight_slack = 1;          // a second less of slack, of what can make its aim
     double weight_waiting = 1;        // a second of waiting, of what is late
+    double weight_density = 8;        // each doubling of what a job earns for the room that it still takes
     double weight_room = 1;           // taken off for room: a whole mean worker
     double points_double = 500;       // so many points more are twice the priority (for the ratio below)
     // Stage two: points of the dynamic rank.
@@ -58,6 +59,7 @@
     see("weight-hopeless", "points taken off a job past three times its aim", settings.weight_hopeless);
     see("weight-slack", "points of a second less of slack", settings.weight_slack);
     see("weight-waiting", "points of a second of waiting, of late jobs", settings.weight_waiting);
+    see("weight-density", "points of a doubling of what is earned for the room taken", settings.weight_density);
     see("weight-room", "points taken off for room, a whole mean worker", settings.weight_room);
     see("points-double", "so many points are the double priority", settings.points_double);
     see("weight-load", "points of an empty against a full worker", settings.weight_load);
--- a/source/control/plan/view.hpp
+++ b/source/control/plan/view.hpp
@@ -43,6 +43,7 @@
     Micros due = 0;          // until when it earns everything (its aim)
     Micros rest = 0;         // the longest chain of work still before it, its own duration included
     bool lasting = false;    // runs until cancelled: it has no aim
+    double density = 0;      // log2 of what it earns for each second of the service's room that it still takes
     auto operator<=>(const Standing&) const = default;
 };
 
--- a/source/control/plan/waiting.hpp
+++ b/source/control/plan/waiting.hpp
@@ -18,7 +18,8 @@
 // The static priority in points at time `now`. It rises at the same rate for all of the same hope: their order stays.
 // Example: static_points(settings, item.standing, share_of_a_worker, now)
 inline double static_points(const PlannerSettings& settings, const Standing& standing, double room_share, Micros now) {
-    double points = -settings.weight_level * double(standing.level) - settings.weight_room * room_share;
+    double points = -settings.weight_level * double(standing.level) - settings.weight_room * room_share +
+                    settings.weight_density * standing.density;
     switch (hope_of(standing, now)) {
         case Hope::aim:
             return points + settings.weight_aim -
--- /dev/null
+++ b/tests/worth.cpp
@@ -0,0 +1,233 @@
+// What jobs are worth and need, and what the order of the waiting work earns under a drawn overload.
+#include "control/plan/worth.hpp"
+
+#include <random>
+
+#include "check.hpp"
+#include "control/jobs/spec.hpp"
+#include "control/plan/planner.hpp"
+#include "control/plan/sense.hpp"
+
+using namespace calicostall;
+using namespace calicostall::tests;
+
+namespace {
+
+Step step_of(std::uint32_t count, std::int64_t cpu, std::int64_t memory = 0) {
+    Step step;
+    step.count = count, step.cpu = cpu, step.memory = memory;
+    return step;
+}
+
+void measures() {
+    const ServiceRoom room{64000, 100000};
+    EXPECT(share_of_room(step_of(1, 16000, 1000), room) == 0.25);
+    EXPECT(share_of_room(step_of(1, 16000, 50000), room) == 0.5);  // by what it takes most of
+    EXPECT(share_of_room(step_of(1, 16000), {}) == 0);             // no worker is known yet
+    const StepTimes times{seconds(1), seconds(2)};
+    EXPECT(time_in_share(step_of(1, 16000), 1, times, room, aim_share) == seconds(2));
+    EXPECT(time_in_share(step_of(2, 16000), 2, times, room, aim_share) == seconds(3));
+    EXPECT(time_in_share(step_of(9, 16000), 0, times, room, aim_share) == 0);
+    EXPECT(time_in_share(step_of(8, 16000), 8, times, room, whole_share) == seconds(3));
+    EXPECT(time_in_share(step_of(8, 16000), 8, times, {}, aim_share) == seconds(2));
+    Step gang = step_of(8, 16000);
+    gang.gang = true;
+    EXPECT(time_in_share(gang, 8, times, room, aim_share) == seconds(2));
+    EXPECT(std::abs(expected_largest(1)) < 0.01 && std::abs(expected_largest(30) - 2.04) < 0.02);
+    EXPECT(job_worth(50, 0) == 1);
+    EXPECT(std::abs(job_worth(100, 100) - 1) < 1e-9);
+    EXPECT(job_worth(1e6, 100) == 4);
+    EXPECT(log_density(1, 2) == -1);
+    EXPECT(log_density(1, 0) == 0);
+    SizeTurns turns;
+    std::array<int, 3> taken{};  // of the largest tenth, the fifth below it, and the rest
+    for (int job = 0; job < 6400; ++job) {
+        int size = job * 37 % 100;
+        taken[size >= 90 ? 0 : size >= 70 ? 1 : 2] += turns.takes_turn("a|/", size);
+    }
+    EXPECT(taken[0] >= 130 && taken[0] <= 190);  // every fourth of 640, as far as 64 jobs tell the tenth
+    EXPECT(taken[1] >= 270 && taken[1] <= 370);
+    EXPECT(taken[2] <= 60);
+    MeanWork means;
+    EXPECT(means.mean("a|/") == 0);
+    means.note("a|/", 10), means.note("a|/", 20);
+    EXPECT(means.mean("a|/") == 15 && means.mean("b|/") == 0);
+}
+
+// A service of alike workers and jobs of one step, planned every 10 ms. Times are drawn, all else follows.
+class Overload {
+public:
+    Overload(std::uint64_t seed, double offered, bool by_density)
+        : by_density_(by_density), items_(settings_), demand_(settings_), random_(seed) {
+        for (int worker = 0; worker < workers; ++worker) {
+            PlanWorker fresh;
+            fresh.service = 1, fresh.capacity = {worker_cpu, 1000000, 0};
+            fleet_.add(fresh);
+        }
+        draw_jobs(offered);
+    }
+    // The share of the worth owed that is earned.
+    double earned() {
+        Micros last = traffic + seconds(20);
+        for (now_ = 0; now_ <= last; now_ += milliseconds(10))
+            turn();
+        double earned = 0, owed = 0;
+        for (const Drawn& job : jobs_) {
+            owed += job.worth;
+            Micros took = job.left == 0 ? job.ended - job.at : never;
+            earned += took <= job.aim ? job.worth : took <= 3 * job.aim ? late_worth * job.worth : 0;
+        }
+        return earned / owed;
+    }
+    bool all_done() const {
+        return std::all_of(jobs_.begin(), jobs_.end(), [](const Drawn& job) { return job.left == 0; });
+    }
+    // The jobs of the largest tenth that earned something, against all.
+    std::pair<double, double> served_large_and_all() const {
+        std::vector<const Drawn*> order;
+        for (const Drawn& job : jobs_)
+            order.push_back(&job);
+        std::sort(order.begin(), order.end(),
+                  [](const Drawn* left, const Drawn* right) { return left->step.count > right->step.count; });
+        auto served = [&](size_t most) {
+            size_t count = 0;
+            for (size_t place = 0; place < most; ++place)
+                count += order[place]->left == 0 && order[place]->ended - order[place]->at <= 3 * order[place]->aim;
+            return double(count) / double(most);
+        };
+        return {served(order.size() / 10), served(order.size())};
+    }
+
+private:
+    static constexpr int workers = 14;
+    static constexpr std::int64_t worker_cpu = 64000;
+    static constexpr Micros length = milliseconds(240), target = milliseconds(250), traffic = seconds(20);
+    static constexpr double extension = 1.5, late_worth = 0.3;
+    const ServiceRoom room_{workers * worker_cpu, workers * 1000000};
+
+    struct Drawn {
+        Micros at = 0, aim = 0, ended = 0;
+        Step step;
+        double worth = 0;
+        bool turn = false;
+        std::uint32_t left = 0, waiting = 0;
+    };
+    void draw_jobs(double offered) {
+        std::lognormal_distribution<double> width(std::log(24.0), 0.8);
+        double work = 0, sum = 0;
+        const double whole = double(workers * worker_cpu) / 1000 * double(traffic) / 1e6;
+        while (work < offered * whole) {
+            Drawn job;
+            job.at = Micros(random_() % std::uint64_t(traffic));
+            job.step = step_of(std::uint32_t(std::clamp(width(random_), 1.0, 190.0)), 12000, 1000);
+            job.left = job.waiting = job.step.count;
+            job.aim = Micros(extension * double(time_of(job, job.left, aim_share))) + target;
+            work += work_of(job).core_seconds;
+            jobs_.push_back(job);
+        }
+        for (const Drawn& job : jobs_)
+            sum += work_of(job).core_seconds;
+        mean_ = sum / double(jobs_.size());
+        for (Drawn& job : jobs_)
+            job.worth = job_worth(work_of(job).core_seconds, mean_);
+        std::sort(jobs_.begin(), jobs_.end(), [](const Drawn& left, const Drawn& right) { return left.at < right.at; });
+        SizeTurns turns;
+        for (Drawn& job : jobs_)
+            job.turn = turns.takes_turn("", work_of(job).core_seconds);
+    }
+    Micros time_of(const Drawn& job, std::uint64_t tasks, double share) const {
+        return time_in_share(job.step, tasks, {length, length}, room_, share);
+    }
+    JobWork work_of(const Drawn& job, std::uint64_t tasks = 0) const {
+        JobWork work;
+        work.add(job.step, tasks ? tasks : job.step.count, length, room_);
+        return work;
+    }
+    void put(size_t place) {
+        const Drawn& job = jobs_[place];
+        items_.erase(place + 1);
+        if (job.waiting == 0) return;
+        Item item;
+        item.id = place + 1, item.service = 1, item.room = {job.step.cpu, job.step.memory, 0};
+        item.duration = length, item.count = job.waiting;
+        // The order before: no waves in the aim, and nothing of what a job earns.
+        Micros aim = by_density_ ? job.aim : Micros(extension * double(length)) + target;
+        item.standing = {0, job.at, job.at + aim, length, false};
+        if (by_density_) {
+            item.standing.rest = time_of(job, job.left, whole_share);
+            item.standing.density =
+                log_density(job.worth, work_of(job, job.left).room_seconds) + (job.turn ? turn_bonus : 0);
+        }
+        items_.put(std::move(item), now_);
+    }
+    void turn() {
+        while (!ends_.empty() && ends_.begin()->first <= now_) {
+            auto [place, run, worker] = ends_.begin()->second;
+            ends_.erase(ends_.begin());
+            fleet_.end_run(worker, run);
+            jobs_[place].ended = now_;
+            --jobs_[place].left;
+            put(place);
+        }
+        for (; next_ < jobs_.size() && jobs_[next_].at <= now_; ++next_)
+            put(next_);
+        if (items_.empty()) return;
+        items_.advance(now_);
+        Plan plan = make_plan({settings_, items_, fleet_, demand_, 0, now_});
+        for (const Start& start : plan.starts)
+            begin(size_t(start.item - 1), start.worker);
+        for (const Start& start : plan.starts)
+            put(size_t(start.item - 1));
+    }
+    void begin(size_t place, std::uint32_t worker) {
+        PlanRun run;
+        run.id = ++last_run_, run.room = {jobs_[place].step.cpu, jobs_[place].step.memory, 0};
+        run.started = now_, run.expected_end = now_ + length;
+        fleet_.begin_run(worker, run);
+        ends_.emplace(now_ + length, std::tuple(place, run.id, worker));
+        --jobs_[place].waiting;
+    }
+
+    PlannerSettings settings_;
+    bool by_density_;
+    WaitingItems items_;
+    Fleet fleet_;
+    UrgentDemand demand_;
+    std::mt19937_64 random_;
+    std::vector<Drawn> jobs_;
+    std::multimap<Micros, std::tuple<size_t, std::uint64_t, std::uint32_t>> ends_;
+    double mean_ = 0;
+    size_t next_ = 0;
+    std::uint64_t last_run_ = 0;
+    Micros now_ = 0;
+};
+
+// In the mean of drawn overloads the order earns more than the one before, serves the large ones, and forgets none.
+void overload_earns_more() {
+    for (double offered : {1.2, 1.6, 2.2}) {
+        double before = 0, after = 0, large = 0, all = 0;
+        constexpr int draws = 6;
+        for (std::uint64_t seed = 1; seed <= draws; ++seed) {
+            before += Overload(seed, offered, false).earned() / draws;
+            Overload now(seed, offered, true);
+            after += now.earned() / draws;
+            auto [of_large, of_all] = now.served_large_and_all();
+            large += of_large / draws, all += of_all / draws;
+            EXPECT_SAID(offered > 1.6 || now.all_done(), fmt::format("offered {}: a job was forgotten", offered));
+        }
+        fmt::print("offered {}: earned {:.3f} before, {:.3f} now; served {:.3f} of the largest tenth, {:.3f} of all\n",
+                   offered, before, after, large, all);
+        EXPECT_SAID(after >= before + 0.05,
+                    fmt::format("offered {}: {:.3f} is earned, not over {:.3f}", offered, after, before));
+        EXPECT_SAID(large >= all / 2,
+                    fmt::format("offered {}: the largest are served {:.3f} of {:.3f}", offered, large, all));
+    }
+}
+
+}  // namespace
+
+int main() {
+    measures();
+    overload_earns_more();
+    return result();
+}
