Clock: sides remember the last owner's time for a core that was down as a whole

Cause: with all of the core down nobody in it knew the time, and two of three clocks ahead are a majority.

Change: sides keep what the owner tells with its answers and tell it with their reports; an owner that has only clocks to go by begins and forgets nothing by time, and hands nothing on, until it was told or for 2 s.

--- a/source/control/clock/core_clock.cpp
+++ b/source/control/clock/core_clock.cpp
@@ -59,7 +59,7 @@
         if (state_ == State::agreed)
             slew(*may_be, self, now, notices);
         else
-            judge_anew(*may_be);
+            judge_anew(*may_be, now);
         judged_term_ = term_;
         tell_clocks_out(core, notices);
     }
@@ -83,7 +83,8 @@
     return Bounds{lows[std::min(not_ahead, not_behind)], highs[std::max(not_ahead, not_behind)]};
 }
 
-void CoreClock::judge_anew(const Bounds& bounds) {
+void CoreClock::judge_anew(const Bounds& bounds, Micros now) {
+    if (state_ == State::unknown) judged_since_ = now;
     offset_ = bounds.low;
     from_start_ = true;
     state_ = bounds.high - bounds.low <= settings_.agreement ? State::agreed : State::provisional;
@@ -118,7 +119,8 @@
 }
 
 JudgedTime CoreClock::handed_on(Micros now) const {
-    if (state_ != State::agreed) return {};
+    const bool may_be_replaced = from_start_ && now - judged_since_ < settings_.memory_patience;
+    if (state_ != State::agreed || may_be_replaced) return {};
     return {judged_term_, wall(now)};
 }
 
--- a/source/control/clock/core_clock.hpp
+++ b/source/control/clock/core_clock.hpp
@@ -16,8 +16,8 @@
 // what an owner hands on was made in this way. The time an earlier owner went by counts for more than clocks read after
 // a start: it saw them before they were set, and nobody can set a steady clock.
 #pragma once
-#include "control/clock/judged_time.hpp"
 #include "control/store/register.hpp"
+#include "shared/time/judged_time.hpp"
 
 namespace calicostall {
 
@@ -31,6 +31,8 @@
     Micros slew_part = 20;
     // A majority's clocks that say another time for so long are believed at once.
     Micros leap_after = seconds(30);
+    // A time that was judged by clocks alone waits so long for somebody who remembers an earlier owner's.
+    Micros memory_patience = seconds(2);
 };
 
 // A member's time of day, and between which times of the own steady clock it was read.
@@ -63,7 +65,7 @@
     // What the present owner goes by, as its writes tell it.
     void follow(const JudgedTime& told, Micros now);
 
-    // What a member remembers of an earlier owner, as it grants the term.
+    // What a member remembers of an earlier owner, as it grants the term, or a side, as it reports.
     void recall(const JudgedTime& remembered, Micros now);
 
     // To be called by an owner often enough, and before it asks for the time.
@@ -71,10 +73,15 @@
 
     // Whether a majority of the core was heard in this term, so that an owner may go by the time.
     bool known() const { return heard_ && state_ != State::unknown; }
+    // Whether what is due may be done: the time was handed on, or nobody came who remembers one. When the whole core
+    // was down, sides still know it, and a majority of clocks may have been set while nobody watched.
+    bool settled(Micros now) const {
+        return known() && (!from_start_ || now - judged_since_ >= settings_.memory_patience);
+    }
     State state() const { return state_; }
     // The judged time of day.
     Micros wall(Micros now) const { return offset_ + now; }
-    // What is handed on: nothing unless the time is agreed.
+    // What is handed on: nothing unless the time is agreed, and nobody is waited for who remembers a better one.
     JudgedTime handed_on(Micros now) const;
 
 private:
@@ -88,7 +95,7 @@
     void take(const JudgedTime& time, Micros now);
     // None unless a majority was heard.
     std::optional<Bounds> bounds(const Core& core, Micros now) const;
-    void judge_anew(const Bounds& bounds);
+    void judge_anew(const Bounds& bounds, Micros now);
     void slew(const Bounds& bounds, Identity self, Micros now, std::vector<ClockNotice>& notices);
     void tell_clocks_out(const Core& core, std::vector<ClockNotice>& notices);
 
@@ -99,6 +106,7 @@
     bool heard_ = false;       // a majority, in this term
     bool from_start_ = false;  // judged by clocks alone, nothing was handed on
     Micros offset_ = 0, updated_at_ = 0;
+    Micros judged_since_ = 0;  // by clocks alone
     std::optional<Micros> disagreed_since_;
     std::optional<Micros> recalled_by_;
     std::map<Identity, Offset> readings_;  // of this term
--- a/source/control/daemon/sides.cpp
+++ b/source/control/daemon/sides.cpp
@@ -24,6 +24,7 @@
         if (!ask.relayed && owner) return relay_side_poll(std::move(ask), *owner, std::move(reply));
         return reply.send(Response::cbor(pack(not_served())));
     }
+    core_clock_.recall(ask.judged, now);
     if (!resolve_account(ask)) {
         SideAnswer answer;
         answer.served = answer.whole = true;
@@ -97,6 +98,7 @@
     SideAnswer answer = scheduler_.answer_side(poll.node, owner_.confirmed_at(), now);
     if (poll.superseded) answer.orders.clear();
     answer.gather_specs();
+    answer.judged = core_clock_.handed_on(now);
     answer.pause = pause;
     counters().add("sides_answered");
     if (pause > 0) counters().add("pauses_told");
--- a/source/control/daemon/turn.cpp
+++ b/source/control/daemon/turn.cpp
@@ -68,7 +68,7 @@
     if (acting()) confirm_ownership(now);
     if (serving()) {
         maintain_core(now);
-        scheduler_.tick(now, core_clock_.wall(now), owner_.confirmed_at());
+        scheduler_.tick(now, core_clock_.wall(now), owner_.confirmed_at(), core_clock_.settled(now));
         log_snapshot(now);
     }
     send_store_messages(now);
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -173,15 +173,17 @@
 
     // --- time ---
 
-    // Lapses, due times and placements; to be called at least every few milliseconds while anything moves.
-    void tick(Micros now, Micros wall, Micros confirmed_at) {
+    // Lapses, due times and placements; to be called at least every few milliseconds while anything moves. Until `wall`
+    // is settled nothing is begun or forgotten by it.
+    void tick(Micros now, Micros wall, Micros confirmed_at, bool wall_settled = true) {
         wall_ = wall;
+        wall_settled_ = wall_settled;
         confirmed_at_ = confirmed_at;
         admission_.lag.note_tick(promised_, now);
         promised_ = 0;
         runs_.lapses_due(now, wall);
         if (now >= next_upkeep_) upkeep(now, wall);
-        begin_due(wall);
+        if (wall_settled) begin_due(wall);
         if (state_.plan_wanted && now >= next_plan_) {
             state_.plan_wanted = false;
             next_plan_ = now + milliseconds(2);
@@ -193,7 +195,8 @@
     Micros next_tick(Micros now, Micros wall) {
         Micros next = now + milliseconds(50);
         if (state_.plan_wanted) next = std::min(next, std::max(now, next_plan_));
-        if (!due_.empty()) next = std::min(next, now + std::max<Micros>(0, due_.begin()->first - wall));
+        if (wall_settled_ && !due_.empty())
+            next = std::min(next, now + std::max<Micros>(0, due_.begin()->first - wall));
         promised_ = next;
         return next;
     }
@@ -334,7 +337,7 @@
         runs_.looks_due(now);
         state_.turns_changed(wall);
         admission_.learn(state_.loads, state_.backlog);
-        while (!state_.expiries.empty() && state_.expiries.begin()->first < wall) {
+        while (wall_settled_ && !state_.expiries.empty() && state_.expiries.begin()->first < wall) {
             std::string id = state_.expiries.begin()->second;
             state_.expiries.erase(state_.expiries.begin());
             auto found = state_.jobs.find(id);
@@ -397,6 +400,7 @@
     Calls<L> calls_;
     std::multimap<Micros, std::string> due_;  // jobs whose next time falls due (wall)
     std::vector<std::string> recorded_;
+    bool wall_settled_ = false;
     Micros wall_ = 0, promised_ = 0, confirmed_at_ = 0;
     Micros next_plan_ = 0, next_upkeep_ = 0;
     std::uint32_t run_ = 0;
--- a/source/control/store/register.hpp
+++ b/source/control/store/register.hpp
@@ -1,7 +1,7 @@
 // The data types of the record: registers, members of the core, and the frames between owner and replicas.
 #pragma once
 #include "common.hpp"
-#include "control/clock/judged_time.hpp"
+#include "shared/time/judged_time.hpp"
 
 namespace calicostall {
 
--- a/source/shared/time/judged_time.hpp
+++ b/source/shared/time/judged_time.hpp
@@ -1,4 +1,4 @@
-// The time of day as one owner hands it on to the next.
+// The time of day as one owner hands it on to the next, and a daemon's memory of it in between.
 #pragma once
 #include "common.hpp"
 
@@ -16,4 +16,20 @@
     bool operator==(const JudgedTime&) const = default;
 };
 
+// Remembers the last time of day that the newest owner told, and runs it on by the steady clock.
+// Example: memory.note(answer.judged, now); ... ask.judged = memory.tell(now);
+class TimeMemory {
+public:
+    void note(const JudgedTime& told, Micros now) {
+        if (told.wall == 0 || told.term < term_) return;
+        offset_ = told.wall - now;
+        term_ = told.term;
+    }
+    JudgedTime tell(Micros now) const { return offset_ ? JudgedTime{term_, *offset_ + now} : JudgedTime{}; }
+
+private:
+    Epoch term_;
+    std::optional<Micros> offset_;
+};
+
 }  // namespace calicostall
--- a/source/shared/wire/frames.hpp
+++ b/source/shared/wire/frames.hpp
@@ -1,5 +1,6 @@
 // The frames between front, control and side.
 #pragma once
+#include "shared/time/judged_time.hpp"
 #include "shared/wire/cbor.hpp"
 
 namespace calicostall {
@@ -165,12 +166,13 @@
     std::vector<OrderResult> results;
     bool silent = false;  // the worker does not answer
     bool relayed = false;
+    JudgedTime judged;  // the time of day as the last owner told it
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
         visit(node), visit(incarnation), visit(number), visit(epoch), visit(taken), visit(seen), visit(worker),
             visit(account_mark), visit(leaves_in), visit(over), visit(report), visit(results), visit(silent),
-            visit(relayed);
+            visit(relayed), visit(judged);
     }
 };
 
@@ -186,11 +188,12 @@
     std::vector<std::string> specs;  // each once, however many orders share it
     Micros pause = 0;                // before the next ask
     bool whole = false;              // nothing of the ask was taken: the account that its mark means is not known here
+    JudgedTime judged;               // the time of day that the owner goes by
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
         visit(served), visit(epoch), visit(allowance), visit(life), visit(era), visit(seen), visit(look), visit(orders),
-            visit(specs), visit(pause), visit(whole);
+            visit(specs), visit(pause), visit(whole), visit(judged);
     }
     // Siblings share the text of their job: on the way it is written once.
     void gather_specs() {
--- a/source/side/reports.cpp
+++ b/source/side/reports.cpp
@@ -60,6 +60,7 @@
 
 SideAsk Side::make_ask(Micros now) {
     SideAsk ask;
+    ask.judged = time_memory_.tell(now);
     ask.node = settings_.machine.node;
     ask.incarnation = incarnation_;
     ask.number = ++ask_number_;
@@ -126,6 +127,7 @@
 void Side::follow(const ReportContext& context, const SideAnswer& answer) {
     if (answer.epoch < epoch_ || context.number < answered_) return;
     answered_ = context.number;
+    time_memory_.note(answer.judged, steady_now());
     if (answer.epoch > epoch_) {
         // A new owner: the orders of the old one are void, and the worker is to learn the new fence first.
         epoch_ = answer.epoch;
--- a/source/side/side.hpp
+++ b/source/side/side.hpp
@@ -175,6 +175,7 @@
 
     // Holds and polls.
     std::optional<std::pair<Micros, Micros>> clock_base_;  // the worker's clock, and ours at that moment
+    TimeMemory time_memory_;
     Micros allowed_until_ = 0;
     Epoch fence_shown_;
     std::uint64_t highest_end_ = 0;
--- a/tests/cluster/world.hpp
+++ b/tests/cluster/world.hpp
@@ -67,6 +67,7 @@
     size_t alone = 0, starts = 0;
     std::map<std::string, Job> sent;  // jobs as clients sent them, by ID
     std::uint32_t attempts_most = 3;
+    Micros early_most = 0;  // how far ahead of its time a start may come
     Micros cancel_within = seconds(5), drain_within = seconds(5);
 };
 
--- a/tests/core_clock.cpp
+++ b/tests/core_clock.cpp
@@ -166,6 +166,23 @@
         clock.recall({Epoch{2}, true_wall(now) + seconds(9)}, now);
         EXPECT_SAID(clock.wall(now) == true_wall(now), "the time of a term before that counts no more");
     }
+    {
+        CoreClock clock;
+        clock.begin_term(Epoch{4});
+        both_ahead(clock, Epoch{4});
+        EXPECT_SAID(clock.known() && !clock.settled(now), "a time by clocks alone waits for a memory");
+        EXPECT(clock.handed_on(now).wall == 0);
+        EXPECT(clock.settled(now + seconds(2)) && clock.handed_on(now + seconds(2)).wall != 0);
+        clock.recall(right, now);
+        EXPECT_SAID(clock.settled(now), "which settles it");
+        both_ahead(clock, Epoch{4});
+        TimeMemory memory;
+        EXPECT(memory.tell(now).wall == 0);
+        memory.note(clock.handed_on(now), now);
+        EXPECT((memory.tell(now + 7) == JudgedTime{Epoch{4}, true_wall(now + 7)}));
+        memory.note({Epoch{3}, true_wall(now) + 9}, now);
+        EXPECT_SAID((memory.tell(now) == JudgedTime{Epoch{4}, true_wall(now)}), "an older owner's time is not taken");
+    }
     {
         CoreClock clock;
         clock.follow(right, now);
