Owner: a side's poll is looked at when there is news for its side, not in every turn

Cause: each turn asked the scheduler about every poll that waited, and each new poll was compared with all of them: with S sides and P polls a second that is S x P looks, which grows with the square of the sides.

Change: SidePolls keeps the polls by node and by their time; the scheduler notes the sides for which something new came up (an order, an end in the record, a doubt about what runs there), where it comes up. A poll is looked at when it comes, when its side is noted, and when its time is up. Semantics are unchanged.

--- a/source/control/daemon/control.hpp
+++ b/source/control/daemon/control.hpp
@@ -8,6 +8,7 @@
 #include "common.hpp"
 #include "control/daemon/record_ledger.hpp"
 #include "control/daemon/settings.hpp"
+#include "control/daemon/side_polls.hpp"
 #include "control/detector/departure.hpp"
 #include "control/detector/detector.hpp"
 #include "control/detector/election.hpp"
@@ -44,15 +45,6 @@
     using WriteCallback = std::function<void(WriteAnswer)>;
     using CallCallback = std::function<void(CallAnswer)>;
 
-    // A side's poll that waits for orders or other news.
-    struct SidePoll {
-        Reply reply;
-        std::string node;
-        Epoch epoch;
-        std::uint64_t orders_taken = 0, ends_seen = 0;
-        Micros until = 0;
-        bool superseded = false;  // a newer poll of the same side is here: that one gets the orders
-    };
     // What a side last said of its worker, under the mark by which it refers to that from then on.
     struct SideAccount {
         std::uint64_t incarnation = 0, mark = 0;
@@ -229,7 +221,7 @@
     Micros counted_at_ = 0;
 
     // Sides.
-    std::list<SidePoll> side_polls_;
+    SidePolls side_polls_;
     std::unordered_map<std::string, SideAccount> accounts_;  // by node
     Micros sides_due_ = 0;
     bool sides_pending_ = false;  // sides are to be answered when that time comes
--- a/source/control/daemon/news.cpp
+++ b/source/control/daemon/news.cpp
@@ -76,9 +76,8 @@
 }
 
 void Control::answer_all_waiting() {
-    for (SidePoll& poll : side_polls_)
+    for (SidePoll& poll : side_polls_.take_all())
         poll.reply.send(Response::cbor(pack(SideAnswer{})));
-    side_polls_.clear();
     for (NewsPoll& poll : news_polls_)
         poll.until = 0;
     news_due_ = 0;
--- a/source/control/daemon/sides.cpp
+++ b/source/control/daemon/sides.cpp
@@ -32,15 +32,9 @@
         return reply.send(Response::cbor(pack(answer)));
     }
     scheduler_.take_side(ask, now, clock_judge_.wall(wall_now(), now));
-    // An older poll of the same side is answered at once: only the newest waits.
-    for (SidePoll& poll : side_polls_) {
-        if (poll.node != ask.node) continue;
-        poll.until = 0;
-        poll.superseded = true;
-    }
     const bool same_epoch = ask.epoch == owner_.epoch();
-    side_polls_.push_back({std::move(reply), ask.node, ask.epoch, same_epoch ? ask.taken : 0, same_epoch ? ask.seen : 0,
-                           now + settings_.side_poll_timeout});
+    side_polls_.add({std::move(reply), ask.node, ask.epoch, same_epoch ? ask.taken : 0, same_epoch ? ask.seen : 0,
+                     now + settings_.side_poll_timeout});
 }
 
 void Control::relay_side_poll(SideAsk ask, const std::string& owner, Reply reply) {
@@ -80,20 +74,21 @@
     if (sides_pending_) return;
     const Micros pause = ask_pause(settings_.side_pause, timer_lateness_);
     sides_due_ = now + std::min(pause / gather_part, gather_max);
-    for (auto poll = side_polls_.begin(); poll != side_polls_.end();) {
-        const bool waits = serving() && now < poll->until &&
-                           !scheduler_.has_news(poll->node, poll->epoch, poll->orders_taken, poll->ends_seen);
-        if (waits) {
-            ++poll;
-            continue;
-        }
-        answer_side(*poll, pause, now);
-        poll = side_polls_.erase(poll);
+    if (!serving()) {
+        for (SidePoll& poll : side_polls_.take_all())
+            poll.reply.send(Response::cbor(pack(not_served())));
+        return;
     }
+    for (const std::string& node : scheduler_.take_sides_with_news())
+        side_polls_.note_news(node);
+    auto has_news = [this](const SidePoll& poll) {
+        return scheduler_.has_news(poll.node, poll.epoch, poll.orders_taken, poll.ends_seen);
+    };
+    for (SidePoll& poll : side_polls_.take_due(now, has_news))
+        answer_side(poll, pause, now);
 }
 
 void Control::answer_side(SidePoll& poll, Micros pause, Micros now) {
-    if (!serving()) return poll.reply.send(Response::cbor(pack(not_served())));
     SideAnswer answer = scheduler_.answer_side(poll.node, owner_.confirmed_at(), now);
     if (poll.superseded) answer.orders.clear();
     answer.gather_specs();
--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -158,7 +158,7 @@
             if (!worker.runs.empty() && now > worker.lapses_at)
                 lapse(worker, now, wall);
             else if (worker.reconciled && now - worker.heard_at > state_.settings.lapse_after(0))
-                worker.reconciled = false, worker.look = true;
+                doubt(worker);
             auto known = state_.nodes.find(worker.node);
             if (worker.runs.empty() && now - worker.heard_at > seconds(30) && !worker.node.empty() &&
                 (known == state_.nodes.end() || known->second != life)) {
@@ -236,11 +236,18 @@
         state_.uncount(place->second);
         state_.workers.erase(place);
     }
+    // What runs there is not known for sure any more: the side is to look.
+    void doubt(WorkerEntry& worker) {
+        worker.reconciled = false;
+        worker.look = true;
+        state_.note_side_news(worker);
+    }
     void give_order(WorkerEntry& worker, Order order) {
         // One counter for all workers: a side that meets a new life has taken none of its orders yet.
         order.number = ++last_order_;
         order.life = worker.account.life;
         worker.orders.push_back(std::move(order));
+        state_.note_side_news(worker);
     }
     void order_start(const std::string& life, const RunName& name, Micros now) {
         auto found = state_.workers.find(life);
@@ -419,6 +426,7 @@
             worker.seen = worker.ends.begin()->first;
             worker.ends.erase(worker.ends.begin());
         }
+        state_.note_side_news(worker);
     }
     // Everything that ran on this life is over.
     void clear_runs(WorkerEntry& worker, End how, Micros wall, Micros now) {
@@ -451,8 +459,7 @@
     void lapse(WorkerEntry& worker, Micros now, Micros wall) {
         log_line("scheduler", "the hold of {} on {} has lapsed with {} runs", worker.account.life, worker.node,
                  worker.runs.size());
-        worker.reconciled = false;
-        worker.look = true;
+        doubt(worker);
         ++worker.era;
         // A side that is heard all the while lost its hold by the owner's doing, not by its worker's.
         if (worker.silent || now - worker.heard_at > seconds(1)) state_.conducts.note_lapse(worker.node, now);
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -162,6 +162,8 @@
     SideAnswer answer_side(const std::string& node, Micros confirmed_at, Micros now) {
         return runs_.answer(node, confirmed_at, now);
     }
+    // The sides for which something new has come up since the last call; whether it is news to them, `has_news` tells.
+    std::set<std::string> take_sides_with_news() { return std::exchange(state_.sides_with_news, {}); }
     // Whether a waiting ask should be answered now.
     bool has_news(const std::string& node, Epoch epoch, std::uint64_t taken, std::uint64_t seen_told) const {
         auto known = state_.nodes.find(node);
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -36,6 +36,7 @@
     std::set<StepKey> ready;                   // steps with waiting tasks whose turn has come
     std::set<StepKey> steps_touched;           // what the planner is to look at again
     std::set<std::string> workers_touched;
+    std::set<std::string> sides_with_news;  // side machines that may be owed an answer
     std::multimap<Micros, std::string> turns_due;                      // when the hope of a job changes next (wall)
     std::multimap<Micros, std::string> expiries;                       // when an ended job may be forgotten (wall)
     std::multimap<Micros, std::pair<std::string, RunName>> looks_due;  // when a run is judged next
@@ -52,7 +53,7 @@
 
     void clear() {
         jobs.clear(), dirty.clear(), workers.clear(), nodes.clear(), loads.clear(), backlog.clear(), ready.clear();
-        steps_touched.clear(), workers_touched.clear();
+        steps_touched.clear(), workers_touched.clear(), sides_with_news.clear();
         turns_due.clear(), expiries.clear(), looks_due.clear();
         history.clear(), conducts.clear();
         config = Config{};
@@ -262,6 +263,10 @@
     }
 
     void touch(const WorkerEntry& worker) { workers_touched.insert(worker.account.life); }
+    // There is something new to tell the worker's side: an order, an end that is in the record, or that it is to look.
+    void note_side_news(const WorkerEntry& worker) {
+        if (!worker.node.empty()) sides_with_news.insert(worker.node);
+    }
     void mark(JobEntry& entry) {
         if (!entry.dirty) dirty.push_back(entry.job.fixed.id);
         entry.dirty = true;
--- a/source/hollow/inside.cpp
+++ b/source/hollow/inside.cpp
@@ -103,6 +103,7 @@
     machine.worker = std::make_unique<HollowWorker>(board_);
     machine.worker->started = [this](const std::string& task, Micros now) { note_start(task, now); };
     machine.ask_at = now_ + Micros(load_.random() % 400000);
+    places_[machine.node] = machines_.size();
     machines_.push_back(std::move(machine));
 }
 
@@ -146,9 +147,10 @@
     tick_ms.add(took * 1000);
     std::vector<Machine*> with_news;
     charge("news", [&] {
-        for (Machine& machine : machines_)
-            if (scheduler_.has_news(machine.node, machine.epoch, machine.taken, machine.seen))
-                with_news.push_back(&machine);
+        for (const std::string& node : scheduler_.take_sides_with_news()) {
+            Machine& machine = machines_[places_.at(node)];
+            if (scheduler_.has_news(node, machine.epoch, machine.taken, machine.seen)) with_news.push_back(&machine);
+        }
     });
     for (Machine* machine : with_news)
         hear(*machine);
--- a/source/hollow/inside.hpp
+++ b/source/hollow/inside.hpp
@@ -76,6 +76,7 @@
     Scheduler<InstantLedger> scheduler_;
     GangBoard board_;
     std::vector<Machine> machines_;
+    std::map<std::string, size_t> places_;  // by node, in `machines_`
     std::map<std::string, std::pair<Micros, std::int64_t>> sent_;
     std::map<std::string, double> parts_;
     Result sums_;
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -45,9 +45,11 @@
         std::map<std::string, std::uint32_t> active;
         std::deque<FinishedRun> finished;
         std::vector<std::string> stops;
-        std::uint64_t taken = 0;
+        std::uint64_t taken = 0, seen = 0, told_by = 0;  // of the last answer: orders, ends, epoch
+        bool owed = false;                               // there was more news right after it
         bool draining = false;
     };
+    std::set<std::string> announced;  // sides with news since their last answer
     std::vector<Worker> workers;
 
     explicit Bench(size_t count, SchedulerSettings settings = {}) : scheduler(settings, ledger) {
@@ -106,6 +108,21 @@
                 end(worker, order.task, "stopped");
             worker.stops.push_back(fmt::format("{} {}", order.task, order.run));
         }
+        worker.seen = answer.seen, worker.told_by = answer.epoch.value;
+        worker.owed = has_news(worker);
+        announced.merge(scheduler.take_sides_with_news());
+        announced.erase(worker.node);
+    }
+    bool has_news(const Worker& worker) const {
+        return scheduler.has_news(worker.node, Epoch{worker.told_by}, worker.taken, worker.seen);
+    }
+    // A side whose poll came when there was no news, and has since come to be owed some without being announced.
+    std::optional<std::string> passed_over() {
+        announced.merge(scheduler.take_sides_with_news());
+        for (const Worker& worker : workers)
+            if (worker.told_by == epoch && !worker.owed && has_news(worker) && !announced.contains(worker.node))
+                return worker.node;
+        return std::nullopt;
     }
     void end(Worker& worker, const std::string& task, const std::string& how) {
         auto found = worker.active.find(task);
@@ -276,6 +293,7 @@
             bench.turn();
             auto differs = differences(bench.scheduler.state());
             if (!differs.empty()) RC_FAIL(differs.front());
+            if (auto side = bench.passed_over()) RC_FAIL("news for " + *side + " that was not announced");
         }
     });
     property("counts equal walks", good);
