Planner: plans only for news, one look at each worker for an item, a pause by the plan's work

Causes, found by a profile of the owner with 240 sides and 930 starts a second (loopback): 17% of its processor time went to planning, over half of it to asking the trust of every worker by name before each plan. And by count: a plan that started something called for the next one, which found nothing; each of up to 8 reservations of one item looked at all workers again, and so did the search for runs to push out; plans followed each other after 2 ms whatever they cost.

Change: a plan's own starts want no other plan; an item's slots are found once, a reservation renews those of its own worker only (a stop renews all); no victims are looked for again once there are none; after a plan the next one waits by its work (1 us for each item and worker looked at, 2 to 20 ms); worker and conduct are kept by place in the fleet, and a machine without bad ends needs no exponential. A worker entry that is made anew gets its place.

--- a/source/control/jobs/judging/conduct.hpp
+++ b/source/control/jobs/judging/conduct.hpp
@@ -24,8 +24,10 @@
     }
     // 1: as good as the fleet. 0: everything it ran lately went wrong while others' did not.
     double trust(double fleet_share, Micros now) const {
+        const double borne = std::min(fleet_share, 0.5) + 0.2;
+        if (share_ <= borne) return 1;  // it only fades from here
         double kept = std::exp(-double(std::max<Micros>(0, now - faded_at_)) / double(memory));
-        double over = share_ * kept - std::min(fleet_share, 0.5) - 0.2;
+        double over = share_ * kept - borne;
         double by_ends = std::clamp(1 - 2.5 * std::max(0.0, over), 0.0, 1.0);
         return noted_ < 3 ? std::max(by_ends, 0.5) : by_ends;
     }
@@ -55,6 +57,9 @@
         fleet_.note(bad, weight / 10, now);
     }
     void note_lapse(const std::string& node, Micros now) { each_[node].note_lapse(now); }
+    // The machine's own; it stays where it is until `clear`.
+    const Conduct& of(const std::string& node) { return each_[node]; }
+    double trust(const Conduct& conduct, Micros now) const { return conduct.trust(fleet_.share(), now); }
     double trust(const std::string& node, Micros now) const {
         auto found = each_.find(node);
         return found == each_.end() ? 1.0 : found->second.trust(fleet_.share(), now);
--- a/source/control/jobs/planning/planning.hpp
+++ b/source/control/jobs/planning/planning.hpp
@@ -5,31 +5,38 @@
 
 namespace calicostall {
 
+// What a plan came to.
+struct PlanOutcome {
+    bool finished = true;    // everything ready was looked at; else the next plan goes on where this one stopped
+    bool crowded = false;    // a start was left out as another of the same plan had taken its place
+    std::uint64_t work = 0;  // items and workers looked at
+};
+
 class Planning {
 public:
     explicit Planning(State& state) : state_(state), items_(state.settings.planner), demand_(state.settings.planner) {}
 
     // `start` is called for each run that is to begin: start(entry, time, step, index, worker, first of its gang), and
     // answers its entry; `stop` for each that is to make way: stop(worker, run).
-    // Returns whether everything ready was looked at; otherwise the next call goes on where this one stopped.
     template <class Start, class Stop>
-    bool plan(Micros now, Micros wall, Start start, Stop stop) {
+    PlanOutcome plan(Micros now, Micros wall, Start start, Stop stop) {
         bring_up_to_date(now, wall);
-        if (items_.empty()) return resume_.reset(), true;
+        if (items_.empty()) return resume_.reset(), PlanOutcome{};
         items_.advance(now);
         demand_.advance(now);
         Plan plan =
             make_plan({state_.settings.planner, items_, fleet_, demand_, state_.least_priority(), now, resume_});
-        state_.operations += plan.looked_at + plan.evaluations;
+        const std::uint64_t work = plan.looked_at + plan.evaluations;
+        state_.operations += work;
         resume_ = plan.resume;
         for (const calicostall::Stop& each : plan.stops)
             carry_out(each, stop);
-        carry_out_starts(plan, now, start);
-        return !plan.unfinished;
+        const bool crowded = carry_out_starts(plan, now, start);
+        return {!plan.unfinished, crowded, work};
     }
     void clear() {
         resume_.reset();
-        places_.clear(), lives_.clear(), steps_.clear(), keys_.clear();
+        places_.clear(), workers_.clear(), steps_.clear(), keys_.clear();
         items_.clear(), demand_.clear();
         fleet_ = Fleet{};
     }
@@ -53,6 +60,12 @@
         StepKey step;
         std::vector<std::uint32_t> tasks;
     };
+    // Whom a place in the fleet stands for; it is renewed with each change of the worker, before it is used.
+    struct WorkerOfPlace {
+        std::string life;
+        WorkerEntry* entry = nullptr;      // none: the place is free
+        const Conduct* conduct = nullptr;  // of its machine
+    };
 
     void bring_up_to_date(Micros now, Micros wall) {
         // The planner's clock is the steady one; due times follow the wall clock, which may be set.
@@ -62,12 +75,8 @@
         }
         for (const std::string& life : std::exchange(state_.workers_touched, {}))
             update_worker(life, now);
-        for (auto& [life, worker] : state_.workers) {
-            if (!worker.counted || !places_.contains(life)) continue;
-            double trust = state_.conducts.trust(worker.node, now);
-            fleet_.judge(worker.place, state_.usable(worker, now), worker.pace.value(),
-                         std::max(trust, state_.settings.planner.trust_least), trust < 0.4 ? 1 : 0);
-        }
+        for (std::uint32_t place = 0; place < workers_.size(); ++place)
+            if (workers_[place].entry) judge(place, now);
         for (const StepKey& key : std::exchange(state_.steps_touched, {}))
             update_step(key, now);
     }
@@ -79,6 +88,15 @@
 
     // --- workers ---
 
+    // How the worker is thought of changes with time too: this is done for all of them before each plan.
+    void judge(std::uint32_t place, Micros now) {
+        const WorkerEntry& worker = *workers_[place].entry;
+        const Conduct& conduct = *workers_[place].conduct;
+        const double trust = state_.conducts.trust(conduct, now);
+        const bool open = !conduct.paused(now) && state_.usable_but_for_conduct(worker, now);
+        fleet_.judge(place, open, worker.pace.value(), std::max(trust, state_.settings.planner.trust_least),
+                     trust < 0.4 ? 1 : 0);
+    }
     void update_worker(const std::string& life, Micros now) {
         auto found = state_.workers.find(life);
         auto known = places_.find(life);
@@ -87,10 +105,12 @@
             for (const PlanRun& run : fleet_.at(known->second).runs)
                 demand_.remove(fleet_.at(known->second).service, run.standing.level, run.room);
             fleet_.remove(known->second);
+            workers_[known->second] = {};
             places_.erase(known);
             return;
         }
         WorkerEntry& worker = found->second;
+        if (known != places_.end()) worker.place = known->second;
         Name service = names_.of(worker.account.service);
         std::vector<Name> labels;
         for (const std::string& label : worker.account.labels)
@@ -102,8 +122,8 @@
             fresh.service = service, fresh.labels = labels, fresh.rack = rack, fresh.capacity = capacity;
             worker.place = fleet_.add(std::move(fresh));
             places_[life] = worker.place;
-            if (lives_.size() <= worker.place) lives_.resize(worker.place + 1);
-            lives_[worker.place] = life;
+            if (workers_.size() <= worker.place) workers_.resize(worker.place + 1);
+            workers_[worker.place].life = life;
         } else if (const PlanWorker& old = fleet_.at(worker.place);
                    old.service != service || old.labels != labels || old.capacity != capacity) {
             for (const PlanRun& run : old.runs)
@@ -111,6 +131,8 @@
             fleet_.renew_runs(worker.place, {});
             fleet_.describe(worker.place, service, labels, rack, capacity);
         }
+        workers_[worker.place].entry = &worker;
+        workers_[worker.place].conduct = &state_.conducts.of(worker.node);
         for (const PlanRun& run : fleet_.at(worker.place).runs)
             demand_.remove(service, run.standing.level, run.room);
         std::vector<PlanRun> runs;
@@ -249,10 +271,10 @@
 
     template <class Stop>
     void carry_out(const calicostall::Stop& each, Stop& stop) {
-        auto worker = state_.workers.find(lives_[each.worker]);
-        if (worker == state_.workers.end()) return;
-        for (auto& [name, run] : worker->second.runs)
-            if (run.serial == each.run) return stop(worker->second, run);
+        WorkerEntry* worker = workers_[each.worker].entry;
+        if (!worker) return;
+        for (auto& [name, run] : worker->runs)
+            if (run.serial == each.run) return stop(*worker, run);
     }
     // A step's tasks may be several items, which don't know of each other within one plan.
     static bool crowds(const JobEntry& entry, const Time& time, std::uint32_t step, const std::string& life) {
@@ -264,25 +286,27 @@
                 there += entry.job.moving.workers[placement.worker].life == life;
         return there >= wanted.anti_affinity;
     }
+    // Whether a start was left out as another item of the same step has taken its place within this plan.
     template <class Start>
-    void carry_out_starts(const Plan& plan, Micros now, Start& start) {
+    bool carry_out_starts(const Plan& plan, Micros now, Start& start) {
+        bool crowded = false;
         for (const calicostall::Start& each : plan.starts) {
             auto item = keys_.find(each.item);
             if (item == keys_.end()) continue;
             const ItemPlace& place = item->second;
             JobEntry& entry = state_.jobs.at(place.step.job);
             Time* time = entry.job.find_time(place.step.time);
-            auto worker = state_.workers.find(lives_[each.worker]);
-            if (!time || worker == state_.workers.end() || each.task >= place.tasks.size()) continue;
-            if (crowds(entry, *time, place.step.step, worker->first)) {
-                // Another item of the same step has taken the place within this plan.
+            const auto& [life, worker, conduct] = workers_[each.worker];
+            if (!time || !worker || each.task >= place.tasks.size()) continue;
+            if (crowds(entry, *time, place.step.step, life)) {
                 state_.steps_touched.insert(place.step);
-                state_.plan_wanted = true;
+                crowded = true;
                 continue;
             }
-            start(entry, *time, place.step.step, place.tasks[each.task], worker->second, each.task == 0, now).backfill =
+            start(entry, *time, place.step.step, place.tasks[each.task], *worker, each.task == 0, now).backfill =
                 each.backfill;
         }
+        return crowded;
     }
 
     State& state_;
@@ -291,7 +315,7 @@
     WaitingItems items_;
     UrgentDemand demand_;
     std::map<std::string, std::uint32_t> places_;  // life -> place in the fleet
-    std::vector<std::string> lives_;               // place in the fleet -> life
+    std::vector<WorkerOfPlace> workers_;           // by place in the fleet
     std::map<StepKey, StepItems> steps_;
     std::unordered_map<std::uint64_t, ItemPlace> keys_;
     std::uint64_t last_item_ = 0;
--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -41,6 +41,7 @@
             worker.orders.clear();
         }
         bool was_usable = state_.usable(worker, now), was_leaving = worker.account.draining;
+        if (worker.node != ask.node) state_.touch(worker);
         worker.node = ask.node;
         state_.account_changed(worker, *ask.worker);
         worker.silent = ask.silent;
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -185,9 +185,7 @@
         if (now >= next_upkeep_) upkeep(now, wall);
         begin_due(wall);
         if (state_.plan_wanted && now >= next_plan_) {
-            state_.plan_wanted = false;
-            next_plan_ = now + milliseconds(2);
-            plan(now, wall, confirmed_at);
+            next_plan_ = now + plan(now, wall, confirmed_at);
         }
         flush();
     }
@@ -355,8 +353,10 @@
         for (std::uint32_t step = 0; step < entry.job.fixed.spec.steps.size(); ++step)
             state_.history.note_arrival(entry, step, state_.durations.expect(entry, step));
     }
-    void plan(Micros now, Micros wall, Micros confirmed_at) {
-        if (confirmed_at < 0 || now - confirmed_at > settings_.hold / 2) return;
+    // Returns how long the next plan is to wait.
+    Micros plan(Micros now, Micros wall, Micros confirmed_at) {
+        state_.plan_wanted = false;
+        if (confirmed_at < 0 || now - confirmed_at > settings_.hold / 2) return settings_.plan_pause_least;
         auto start = [this, wall](JobEntry& entry, Time& time, std::uint32_t step, std::uint32_t index,
                                   WorkerEntry& worker, bool first, Micros at) -> RunEntry& {
             bool gang = entry.job.fixed.spec.steps[step].gang;
@@ -364,10 +364,13 @@
             entry.job.place(time, step, index, run_, {worker.account.life, worker.node});
             return runs_.intend(entry, time, step, index, run_, worker, at, wall);
         };
-        bool finished = planning_.plan(now, wall, start,
-                                       [this](WorkerEntry& worker, RunEntry& run) { runs_.push_out(worker, run); });
-        admission_.lag.plan_finished(finished, now);
-        if (!finished) state_.plan_wanted = true;
+        PlanOutcome outcome = planning_.plan(
+            now, wall, start, [this](WorkerEntry& worker, RunEntry& run) { runs_.push_out(worker, run); });
+        admission_.lag.plan_finished(outcome.finished, now);
+        // What the plan itself has changed calls for no other: it has looked at all that is left.
+        state_.plan_wanted = !outcome.finished || outcome.crowded;
+        return std::clamp(Micros(outcome.work) * settings_.plan_pause_per_work, settings_.plan_pause_least,
+                          settings_.plan_pause_most);
     }
 
     // --- changes ---
--- a/source/control/jobs/settings.hpp
+++ b/source/control/jobs/settings.hpp
@@ -20,6 +20,9 @@
     Micros settle = seconds(6);      // a new owner learns its workers, and clients try again what an earlier one had
     std::int64_t tasks_most = 5000;  // tasks that wait for a start; beyond it no job is taken
     Micros lag_most = milliseconds(600);  // an owner later than this takes no new job
+    // Between two plans: so much for each item and worker that the first one looked at, so that planning leaves the
+    // processor to what else an owner does (an evaluation takes some tenths of a microsecond).
+    Micros plan_pause_per_work = 1, plan_pause_least = milliseconds(2), plan_pause_most = milliseconds(20);
     PlannerSettings planner;
     // When a hold that was last allowed at `allowed` has surely lapsed (a worker's clock may run 2% slow).
     Micros lapse_after(Micros confirmed) const { return confirmed + hold + hold / 50 + hold_margin; }
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -246,9 +246,11 @@
         plan_wanted = true;
     }
     bool usable(const WorkerEntry& worker, Micros now) const {
+        return usable_but_for_conduct(worker, now) && !conducts.paused(worker.node, now);
+    }
+    bool usable_but_for_conduct(const WorkerEntry& worker, Micros now) const {
         return worker.reconciled && !worker.silent && !worker.account.draining &&
-               now - worker.heard_at <= settings.fresh && now >= worker.avoided_until &&
-               !conducts.paused(worker.node, now);
+               now - worker.heard_at <= settings.fresh && now >= worker.avoided_until;
     }
     // Whether a task that is placed once is to get a copy elsewhere: its only run is far behind.
     bool wants_copy(const JobEntry& entry, const Time& time, std::uint32_t step, std::uint32_t index) const {
--- a/source/control/plan/planner.hpp
+++ b/source/control/plan/planner.hpp
@@ -347,26 +347,37 @@
             return std::tie(finish, busy, place) < std::tie(other.finish, other.busy, other.place);
         }
     };
-    // The slot in which one task ends first; of equal ones that of the worker with the least work before it.
-    Slotted earliest_slot(bool nearby_only) {
-        Slotted best;
+    // The earliest slot of one task on a worker; without one, it begins `never`.
+    Slotted slot_on(std::uint32_t place, bool nearby_only) {
+        Slotted slot{place, never, never, 0, {}};
+        if (!suitable(place)) return slot;
+        const PlanWorker& worker = view_.fleet.at(place);
+        if (nearby_only && !worker.has(item_->affinity)) return slot;
+        ++plan_.evaluations;
+        const Micros length = length_on(worker);
+        Timeline& line = timeline(place);
+        slot.from = line.earliest(item_->room, length, std::max(now_, item_->earliest));
+        if (!nearby_only) sooner_by_pushing(slot, line, worker, length);
+        if (slot.from < never) slot.finish = slot.from + length;
+        return slot;
+    }
+    // Those of all workers on which there is one.
+    std::vector<Slotted> slots_on_all(bool nearby_only) {
+        std::vector<Slotted> slots;
         view_.fleet.candidates(item_->service, {}, [&](std::uint32_t place) {
-            if (!suitable(place)) return;
-            const PlanWorker& worker = view_.fleet.at(place);
-            if (nearby_only && !worker.has(item_->affinity)) return;
-            ++plan_.evaluations;
-            Micros length = length_on(worker);
-            // A slot that begins when the best one found ends is no better: no need of a timeline.
-            if (best.finish <= std::max(now_, item_->earliest) + length && best.from <= now_) return;
-            Timeline& line = timeline(place);
-            Slotted slot{place, line.earliest(item_->room, length, std::max(now_, item_->earliest)), never, 0, {}};
-            if (!nearby_only) sooner_by_pushing(slot, line, worker, length);
-            if (slot.from >= never) return;
-            slot.finish = slot.from + length;
-            if (slot.finish > best.finish) return;
-            slot.busy = busy_before(line, worker, slot.from);
-            if (slot.before(best)) best = slot;
+            Slotted slot = slot_on(place, nearby_only);
+            if (slot.from < never) slots.push_back(std::move(slot));
         });
+        return slots;
+    }
+    // The slot in which one task ends first; of equal ones that of the worker with the least work before it.
+    Slotted* earliest_of(std::vector<Slotted>& slots) {
+        Slotted* best = nullptr;
+        for (Slotted& slot : slots) {
+            if (slot.from >= never || (best && slot.finish > best->finish)) continue;
+            slot.busy = busy_before(timeline(slot.place), view_.fleet.at(slot.place), slot.from);
+            if (!best || slot.before(*best)) best = &slot;
+        }
         return best;
     }
     // Runs that were started into a gap count as gone when the gap ends, where that costs less than it saves.
@@ -417,18 +428,25 @@
     bool reserve_nearby(std::uint32_t task) {
         if (!may_reserve() || item_->standing.lasting) return false;
         Micros away = now_ + Micros(double(item_->duration) * settings_.remote_factor);
-        Slotted slot = earliest_slot(true);
-        if (slot.from >= never || slot.finish >= away || slot.from <= now_) return false;
-        reserve_at(slot.place, task, slot.from, slot.finish);
+        std::vector<Slotted> slots = slots_on_all(true);
+        const Slotted* slot = earliest_of(slots);
+        if (!slot || slot->finish >= away || slot->from <= now_) return false;
+        reserve_at(slot->place, task, slot->from, slot->finish);
         ++reservations_made_;
         return true;
     }
     // Earliest feasible times for the first tasks that did not fit; runs are pushed out where that earns more.
     Reason reserve(std::uint32_t left, std::uint32_t first_task, const Failed* like) {
         bool pushing = false;
+        std::vector<Slotted> slots;
+        std::optional<size_t> stops_before;  // when `slots` was made: a stop changes it all
+        no_victims_ = false;
         for (std::uint32_t task = 0; task < std::min(left, reservations_each()) && may_reserve(); ++task) {
             if (item_->standing.lasting && task > 0) break;
-            Slotted slot = earliest_slot(false);
+            if (stops_before != plan_.stops.size()) slots = slots_on_all(false);
+            stops_before = plan_.stops.size();
+            Slotted* earliest = earliest_of(slots);
+            Slotted slot = earliest ? *earliest : Slotted{};
             if (slot.push.empty()) {
                 if (Slotted pushed = push_out(slot); pushed.from < never) slot = pushed, pushing = true;
             } else if (slot.from <= now_ + stop_time() + settings_.push_early &&
@@ -440,6 +458,8 @@
             if (slot.from >= never) break;
             reserve_at(slot.place, first_task + task, slot.from, item_->standing.lasting ? never : slot.finish);
             ++reservations_made_;
+            // A reservation changes the slots of its own worker only.
+            if (earliest && stops_before == plan_.stops.size()) *earliest = slot_on(earliest->place, false);
         }
         if (pushing) return Reason::pushing;
         if (item_->earliest > now_) return Reason::due_time;
@@ -522,7 +542,8 @@
     Slotted push_out(const Slotted& otherwise) {
         Slotted none;
         Micros limit = threshold(), ready = now_ + stop_time();
-        if (limit == 0 || item_->earliest > now_ || plan_.stops.size() >= settings_.stops_most) return none;
+        if (limit == 0 || no_victims_ || item_->earliest > now_ || plan_.stops.size() >= settings_.stops_most)
+            return none;
         bool needed = otherwise.from >= never || otherwise.from + item_->standing.rest > limit;
         bool in_time = limit >= never || ready + item_->standing.rest <= limit;
         if (!needed || !in_time) return none;
@@ -536,6 +557,7 @@
             auto victims = victims_on(place, worker);
             if (victims && (!best || victims->waste < best->waste)) best = std::move(victims), best_place = place;
         });
+        no_victims_ = !best;  // nor will there be any once more is reserved
         if (!best || best->waste > settings_.waste_most * double(item_->room.cpu) * double(item_->duration) ||
             plan_.stops.size() + best->runs.size() > settings_.stops_most)
             return none;
@@ -718,6 +740,7 @@
     std::vector<Failed> failed_;
     std::set<std::uint64_t> stopped_;
     size_t reservations_made_ = 0;  // a gang counts once
+    bool no_victims_ = false;       // for the present item, as found by a look at all workers
     std::map<Name, Resources> planned_;
     std::map<std::pair<Name, std::int64_t>, std::uint32_t> planned_levels_;
     std::map<std::pair<std::uint64_t, std::uint32_t>, std::uint32_t> started_;  // (item, worker) -> tasks of this plan
