--- a/source/control/daemon/sides.cpp
+++ b/source/control/daemon/sides.cpp
@@ -31,7 +31,7 @@
         counters().add("accounts_unknown");
         return reply.send(Response::cbor(pack(answer)));
     }
-    scheduler_.take_side(ask, now, clock_judge_.wall(wall_now(), now));
+    scheduler_.take_side(ask, now, core_clock_.wall(now));
     const bool same_epoch = ask.epoch == owner_.epoch();
     side_polls_.add({std::move(reply), ask.node, ask.epoch, same_epoch ? ask.taken : 0, same_epoch ? ask.seen : 0,
                      now + settings_.side_poll_timeout});
--- a/source/control/jobs/planning/planning.hpp
+++ b/source/control/jobs/planning/planning.hpp
@@ -93,9 +93,8 @@
         const WorkerEntry& worker = *workers_[place].entry;
         const Conduct& conduct = *workers_[place].conduct;
         const double trust = state_.conducts.trust(conduct, now);
-        const bool open = !conduct.paused(now) && state_.usable_but_for_conduct(worker, now);
-        fleet_.judge(place, open, worker.pace.value(), std::max(trust, state_.settings.planner.trust_least),
-                     trust < 0.4 ? 1 : 0);
+        fleet_.judge(place, state_.takes_starts(worker, now), worker.pace.value(),
+                     std::max(trust, state_.settings.planner.trust_least), trust < 0.4 ? 1 : 0, conduct.paused(now));
     }
     void update_worker(const std::string& life, Micros now) {
         auto found = state_.workers.find(life);
@@ -241,6 +240,8 @@
         item.duration = std::max<Micros>(1, state_.durations.expect(entry, key.step));
         item.needs = names_.of(step.needs), item.affinity = names_.of(step.affinity);
         item.anti_affinity = step.anti_affinity;
+        if (entry.runs.empty() && entry.idle_since == 0) entry.idle_since = now;
+        item.idle_since = entry.runs.empty() ? entry.idle_since : 0;
         item.gang = step.gang, item.same_rack = step.same_rack, item.checkpoints = step.checkpoints;
         item.preemptable = !step.long_running;
         item.standing.lasting = step.long_running;
--- a/source/control/jobs/settings.hpp
+++ b/source/control/jobs/settings.hpp
@@ -11,6 +11,7 @@
     Micros hold_margin = milliseconds(250);
     Micros fresh = milliseconds(2500);  // a worker heard later than this gets no start
     Micros status_kept = seconds(120);
+    Micros resend_margin = seconds(30);  // an ended job is known for so much longer to a client that sends it again
     Micros early = 0;
     Micros resend_start = seconds(1);
     size_t jobs_most = 20000;
@@ -24,6 +25,8 @@
     // processor to what else an owner does (an evaluation takes some tenths of a microsecond).
     Micros plan_pause_per_work = 1, plan_pause_least = milliseconds(2), plan_pause_most = milliseconds(20);
     PlannerSettings planner;
+    // How long an ended job stays known.
+    Micros ended_kept() const { return status_kept + resend_margin; }
     // When a hold that was last allowed at `allowed` has surely lapsed (a worker's clock may run 2% slow).
     Micros lapse_after(Micros confirmed) const { return confirmed + hold + hold / 50 + hold_margin; }
 };
--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -2,8 +2,10 @@
 // real ones. Joining, the core's changes and what follows from the election are as in control/daemon, step by step.
 #pragma once
 #include "cluster/world.hpp"
+#include "control/clock/core_clock.hpp"
 #include "control/detector/departure.hpp"
 #include "control/detector/election.hpp"
+#include "control/jobs/calls/held_calls.hpp"
 
 namespace calicostall::tests {
 
@@ -30,6 +32,7 @@
     bool up = true, cut = false, mute = false, deaf = false, parted = false,
          removed = false;  // parted: from its peers only
     Micros slow_disk_until = 0, troubled_until = 0;
+    Micros clock_error = 0;  // of the machine's time of day, which in truth is `world.now`
     std::uint64_t incarnation = 0;
     std::uint64_t work_done = 0, turns = 0;
     Micros busy_until = 0;
@@ -63,11 +66,14 @@
         bool left = false;  // it is announced
         Ledger ledger;
         Scheduler<Ledger> scheduler;
+        CoreClock core_clock;
         Core core;
         std::optional<std::pair<Epoch, Version>> core_version;
         std::optional<size_t> place;  // in the core
         Epoch scheduler_epoch, known_epoch;
         std::string known_owner;
+        HeldCalls held_calls;
+        Micros owner_heard_at = -seconds(3);
         Micros probed = 0, next_join = 0, next_follow = 0, next_leave_request = 0;
         Live(Daemon* daemon, Micros now)
             : detector(daemon->options.detector, 0, 1, now),
@@ -118,7 +124,9 @@
     void freeze(Micros length) { busy_until = std::max(busy_until, world.now) + length; }
     bool acting() const { return up && live->owner.acting() && live->scheduler_epoch == live->owner.epoch(); }
     // As acting, and it may begin something new.
-    bool serving() const { return acting() && live->election.may_serve(); }
+    bool serving() const { return acting() && live->election.may_serve() && live->core_clock.known(); }
+    Micros own_wall() const { return world.now + clock_error; }
+    Micros judged_wall() const { return live->core_clock.wall(world.now); }
     // The same at the word of somebody outside: a freeze is noticed first.
     bool serves_now() {
         live->election.note_activity(world.now);
@@ -335,13 +343,16 @@
         learn_core();
         ask_to_join();
         if (my.place && !my.left) elect();
+        if (my.owner.state() == Owner::State::transferring || my.owner.acting())
+            my.core_clock.update(my.owner.core(), my.replica.identity, own_wall(), world.now);
+        send_held_calls();
         for (OutgoingMessage& message : my.owner.messages_due(world.now))
             carry(std::move(message));
         if (acting() && world.now - my.owner.confirmed_at() > ms(200) && world.now - my.probed > ms(100))
             my.probed = world.now, my.owner.probe();
         if (serving()) {
             maintain_core();
-            my.scheduler.tick(world.now, world.now, my.owner.confirmed_at());
+            my.scheduler.tick(world.now, judged_wall(), my.owner.confirmed_at());
         }
         for (OutgoingMessage& message : my.owner.messages_due(world.now))
             carry(std::move(message));
@@ -441,6 +452,9 @@
         auto machine = machine_at(message.to.address);
         auto answered = std::make_shared<bool>(false);
         std::uint64_t ticket = message.ticket, life = incarnation;
+        const Epoch term = std::visit([](const auto& ask) { return ask.epoch; }, message.ask);
+        live->core_clock.begin_term(term);
+        if (auto* write = std::get_if<WriteAsk>(&message.ask)) write->judged = live->core_clock.handed_on(world.now);
         world.after(ms(700), [this, ticket, answered, life, prepare = std::holds_alternative<PrepareAsk>(message.ask)] {
             if (*answered) return;
             enter(life, [this, ticket, answered, prepare] {
@@ -453,12 +467,13 @@
             });
         });
         if (!machine) return;
-        auto serve = [this, message = std::move(message), answered, ticket](Daemon& other) {
-            auto back = [this, &other, answered, ticket](auto answer) {
-                auto land = [answered, ticket, answer](Daemon& self) {
+        auto serve = [this, message = std::move(message), answered, ticket, term, asked_at = world.now](Daemon& other) {
+            auto back = [this, &other, answered, ticket, term, asked_at, member = message.to.identity](auto answer) {
+                auto land = [answered, ticket, answer, term, asked_at, member](Daemon& self) {
                     if (*answered) return;
                     *answered = true;
                     auto frame = over_the_wire(self.options, answer);
+                    if (member != self.identity) self.note_clock(frame, term, member, asked_at);
                     self.live->owner.take(ticket, &frame, self.world.now);
                     if (self.options.meter) self.turn();
                 };
@@ -477,6 +492,12 @@
         else
             reach(*machine, serve);
     }
+    // As store_messages.cpp has it.
+    template <class Answer>
+    void note_clock(const Answer& answer, Epoch term, Identity member, Micros asked_at) {
+        live->core_clock.note_member(term, member, {answer.wall, asked_at, world.now});
+        if constexpr (std::is_same_v<Answer, PrepareAnswer>) live->core_clock.recall(answer.judged, world.now);
+    }
     template <class Back>
     void serve_prepare(const PrepareAsk& ask, Back back) {
         bool trusted = live->place && live->departure.takes_part() && live->election.may_grant(ask.from, live->core);
@@ -484,6 +505,8 @@
         if (answer.verdict == Verdict::granted && ask.from != live->replica.identity &&
             live->owner.state() != Owner::State::idle)
             live->owner.give_up();
+        answer.wall = own_wall();
+        answer.judged = live->core_clock.handed_on(world.now);
         persist(std::move(change), [back, answer = std::move(answer)] { back(answer); });
     }
     template <class Back>
@@ -491,11 +514,14 @@
         if (!live->departure.takes_part())
             return back(WriteAnswer{.promised = live->replica.promised, .promised_to = live->replica.promised_to});
         auto [answer, change] = live->replica.write(ask);
+        answer.wall = own_wall();
         if (answer.verdict == Verdict::granted) {
             learn_core();
+            if (ask.from != live->replica.identity) live->core_clock.follow(ask.judged, world.now);
             const Member* from = live->core.find(ask.from);
             if (from) note_owner(ask.epoch, from->address);
             live->election.note_write(ask, world.now);
+            if (ask.from != live->replica.identity) live->owner_heard_at = world.now;
         }
         persist(std::move(change), [back, answer = std::move(answer)] { back(answer); });
     }
@@ -506,6 +532,42 @@
         Findings findings;
         return {parse_config(found->second.moving, findings).revision, found->second.moving};
     }
+    // An operator's call, held here until it has an answer or its time is up, as calls.cpp has it.
+    void serve_operator(const CallAsk& ask, std::function<void(CallFate, Response)> told) {
+        live->election.note_activity(world.now);
+        live->held_calls.hold(
+            ask,
+            [told](CallAnswer answer) {
+                Response response;
+                response.code = int(answer.code);
+                response.body = std::move(answer.body);
+                told(answer.fate, std::move(response));
+            },
+            world.now);
+        send_held_calls();
+    }
+    void send_held_calls() {
+        Live& my = *live;
+        if (my.held_calls.size() == 0) return;
+        if (my.left) return my.held_calls.release();
+        const bool here = serving();
+        CallRoute route{here, std::nullopt, here ? my.owner.epoch() : my.known_epoch, in_contact()};
+        if (auto owner = machine_at(my.known_owner); owner && *owner != place) route.owner = my.known_owner;
+        for (HeldCalls::Send& send : my.held_calls.due(route, world.now)) {
+            auto note = [this, ticket = send.ticket, life = incarnation](CallFate fate, Response response) {
+                if (incarnation != life || !up) return;
+                live->held_calls.note_answer(ticket, {fate, response.code, std::move(response.body), 0}, world.now);
+            };
+            if (send.to.empty())
+                serve_call(send.ask, note);
+            else
+                relay_call(send.ask, *machine_at(send.to), send.patience, note);
+        }
+    }
+    bool in_contact() const {
+        const Micros lately = world.now - seconds(2);
+        return acting() ? live->owner.confirmed_at() >= lately : live->owner_heard_at >= lately;
+    }
     // A call taken by any daemon: served by the owner, passed on once by the others.
     void serve_call(const CallAsk& ask, std::function<void(CallFate, Response)> told) {
         if (serves_now()) {
@@ -515,7 +577,7 @@
                 else
                     live->scheduler.get_config(told);
             } else {
-                live->scheduler.call(ask, world.now, world.now, told);
+                live->scheduler.call(ask, world.now, judged_wall(), told);
             }
             if (options.meter) turn();
             return;
@@ -524,18 +586,21 @@
         if (ask.relayed || !owner || *owner == place) return told(CallFate::elsewhere, Response::later(503, 1));
         CallAsk onward = ask;
         onward.relayed = true;
-        // What is passed on may be done though no answer comes back.
+        relay_call(onward, *owner, seconds(2), std::move(told));
+    }
+    // What is passed on may be done though no answer comes back.
+    void relay_call(const CallAsk& ask, size_t owner, Micros patience, std::function<void(CallFate, Response)> told) {
         auto open = std::make_shared<bool>(true);
         auto once = [open, told](CallFate fate, Response response) {
             if (!*open) return;
             *open = false;
             told(fate, std::move(response));
         };
-        world.after(seconds(2), [this, once, life = incarnation] {
+        world.after(patience, [this, once, life = incarnation] {
             enter(life, [once] { once(CallFate::doubtful, Response::plain(504)); });
         });
-        reach(*owner, [this, onward, once](Daemon& other) {
-            other.serve_call(onward, [this, &other, once](CallFate fate, Response response) {
+        reach(owner, [this, ask, once](Daemon& other) {
+            other.serve_call(ask, [this, &other, once](CallFate fate, Response response) {
                 other.reach(place, [once, fate, response](Daemon&) { once(fate, response); });
             });
         });
