--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -22,10 +22,7 @@
         const std::string& life = ask.worker->life;
         if (ended_.contains(life)) return;
         // One machine has one worker: another life there means that the earlier one is over.
-        auto& here = lives_[ask.node];
-        for (const std::string& other : std::set<std::string>(here))
-            if (other != life) end_life(other, now, wall);
-        lives_[ask.node].insert(life);
+        end_other_lives(ask.node, life, now, wall);
         state_.nodes[ask.node] = life;
         auto [place, fresh] = state_.workers.try_emplace(life);
         WorkerEntry& worker = place->second;
@@ -199,6 +196,13 @@
     }
 
 private:
+    void end_other_lives(const std::string& node, const std::string& life, Micros now, Micros wall) {
+        const std::set<std::string>& here = lives_[node];
+        if (here.size() == 1 && *here.begin() == life) return;
+        for (const std::string& other : std::set<std::string>(here))
+            if (other != life) end_life(other, now, wall);
+        lives_[node].insert(life);
+    }
     struct Incarnation {
         std::uint64_t present = 0, number = 0;
         std::deque<std::uint64_t> past;
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -36,7 +36,7 @@
     std::set<StepKey> ready;                   // steps with waiting tasks whose turn has come
     std::set<StepKey> steps_touched;           // what the planner is to look at again
     std::set<std::string> workers_touched;
-    std::set<std::string> sides_with_news;  // side machines that may be owed an answer
+    std::set<std::string> sides_with_news;                             // side machines that may be owed an answer
     std::multimap<Micros, std::string> turns_due;                      // when the hope of a job changes next (wall)
     std::multimap<Micros, std::string> expiries;                       // when an ended job may be forgotten (steady)
     std::multimap<Micros, std::pair<std::string, RunName>> looks_due;  // when a run is judged next
@@ -195,7 +195,7 @@
         if (worker.counted && worker.account.life == account.life && worker.account.service == account.service &&
             worker.account.cpu == account.cpu && worker.account.memory == account.memory &&
             worker.account.gpu == account.gpu && worker.account.labels == account.labels) {
-            worker.account = account;
+            if (worker.account != account) worker.account = account;
             return;
         }
         uncount(worker);
