--- a/source/control/daemon/control.hpp
+++ b/source/control/daemon/control.hpp
@@ -9,6 +9,7 @@
 #include "control/clock/core_clock.hpp"
 #include "control/daemon/record_ledger.hpp"
 #include "control/daemon/settings.hpp"
+#include "control/daemon/side_polls.hpp"
 #include "control/detector/departure.hpp"
 #include "control/detector/detector.hpp"
 #include "control/detector/election.hpp"
@@ -45,15 +46,6 @@
     using WriteCallback = std::function<void(WriteAnswer)>;
     using CallCallback = std::function<void(CallAnswer)>;
 
-    // A side's poll that waits for orders or other news.
-    struct SidePoll {
-        Reply reply;
-        std::string node;
-        Epoch epoch;
-        std::uint64_t orders_taken = 0, ends_seen = 0;
-        Micros until = 0;
-        bool superseded = false;  // a newer poll of the same side is here: that one gets the orders
-    };
     // What a side last said of its worker, under the mark by which it refers to that from then on.
     struct SideAccount {
         std::uint64_t incarnation = 0, mark = 0;
@@ -232,14 +224,14 @@
 
     // Turns.
     bool in_turn_ = false, turn_requested_ = false;
-    Micros turn_ended_at_ = 0, turn_duration_ = 0;
+    TurnPace turn_pace_;
     Micros timer_at_ = 0, timer_lateness_ = 0;  // the lateness is smoothed
     Micros counted_at_ = 0;
 
     HeldCalls held_calls_;  // the operators'
 
     // Sides.
-    std::list<SidePoll> side_polls_;
+    SidePolls side_polls_;
     std::unordered_map<std::string, SideAccount> accounts_;  // by node
     Micros sides_due_ = 0;
     bool sides_pending_ = false;  // sides are to be answered when that time comes
--- a/source/control/daemon/news.cpp
+++ b/source/control/daemon/news.cpp
@@ -75,9 +75,8 @@
 }
 
 void Control::answer_all_waiting() {
-    for (SidePoll& poll : side_polls_)
+    for (SidePoll& poll : side_polls_.take_all())
         poll.reply.send(Response::cbor(pack(SideAnswer{})));
-    side_polls_.clear();
     held_calls_.release();
     for (NewsPoll& poll : news_polls_)
         poll.until = 0;
--- a/source/control/jobs/runs/runs.hpp
+++ b/source/control/jobs/runs/runs.hpp
@@ -22,10 +22,7 @@
         const std::string& life = ask.worker->life;
         if (ended_.contains(life)) return;
         // One machine has one worker: another life there means that the earlier one is over.
-        auto& here = lives_[ask.node];
-        for (const std::string& other : std::set<std::string>(here))
-            if (other != life) end_life(other, now, wall);
-        lives_[ask.node].insert(life);
+        end_other_lives(ask.node, life, now, wall);
         state_.nodes[ask.node] = life;
         auto [place, fresh] = state_.workers.try_emplace(life);
         WorkerEntry& worker = place->second;
@@ -41,6 +38,7 @@
             worker.orders.clear();
         }
         bool was_usable = state_.usable(worker, now), was_leaving = worker.account.draining;
+        if (worker.node != ask.node) state_.touch(worker);
         worker.node = ask.node;
         state_.account_changed(worker, *ask.worker);
         worker.silent = ask.silent;
@@ -157,7 +155,7 @@
             if (!worker.runs.empty() && now > worker.lapses_at)
                 lapse(worker, now, wall);
             else if (worker.reconciled && now - worker.heard_at > state_.settings.lapse_after(0))
-                worker.reconciled = false, worker.look = true;
+                doubt(worker);
             auto known = state_.nodes.find(worker.node);
             if (worker.runs.empty() && now - worker.heard_at > seconds(30) && !worker.node.empty() &&
                 (known == state_.nodes.end() || known->second != life)) {
@@ -198,6 +196,13 @@
     }
 
 private:
+    void end_other_lives(const std::string& node, const std::string& life, Micros now, Micros wall) {
+        const std::set<std::string>& here = lives_[node];
+        if (here.size() == 1 && *here.begin() == life) return;
+        for (const std::string& other : std::set<std::string>(here))
+            if (other != life) end_life(other, now, wall);
+        lives_[node].insert(life);
+    }
     struct Incarnation {
         std::uint64_t present = 0, number = 0;
         std::deque<std::uint64_t> past;
@@ -235,11 +240,18 @@
         state_.uncount(place->second);
         state_.workers.erase(place);
     }
+    // What runs there is not known for sure any more: the side is to look.
+    void doubt(WorkerEntry& worker) {
+        worker.reconciled = false;
+        worker.look = true;
+        state_.note_side_news(worker);
+    }
     void give_order(WorkerEntry& worker, Order order) {
         // One counter for all workers: a side that meets a new life has taken none of its orders yet.
         order.number = ++last_order_;
         order.life = worker.account.life;
         worker.orders.push_back(std::move(order));
+        state_.note_side_news(worker);
     }
     void order_start(const std::string& life, const RunName& name, Micros now) {
         auto found = state_.workers.find(life);
@@ -421,6 +433,7 @@
             worker.seen = worker.ends.begin()->first;
             worker.ends.erase(worker.ends.begin());
         }
+        state_.note_side_news(worker);
     }
     // Everything that ran on this life is over.
     void clear_runs(WorkerEntry& worker, End how, Micros wall, Micros now) {
@@ -453,8 +466,7 @@
     void lapse(WorkerEntry& worker, Micros now, Micros wall) {
         log_line("scheduler", "the hold of {} on {} has lapsed with {} runs", worker.account.life, worker.node,
                  worker.runs.size());
-        worker.reconciled = false;
-        worker.look = true;
+        doubt(worker);
         ++worker.era;
         // A side that is heard all the while lost its hold by the owner's doing, not by its worker's.
         if (worker.silent || now - worker.heard_at > seconds(1)) state_.conducts.note_lapse(worker.node, now);
--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -169,6 +169,8 @@
     SideAnswer answer_side(const std::string& node, Micros confirmed_at, Micros now) {
         return runs_.answer(node, confirmed_at, now);
     }
+    // The sides for which something new has come up since the last call; whether it is news to them, `has_news` tells.
+    std::set<std::string> take_sides_with_news() { return std::exchange(state_.sides_with_news, {}); }
     // Whether a waiting ask should be answered now.
     bool has_news(const std::string& node, Epoch epoch, std::uint64_t taken, std::uint64_t seen_told) const {
         auto known = state_.nodes.find(node);
@@ -193,9 +195,7 @@
         if (now >= next_upkeep_) upkeep(now, wall);
         if (wall_settled) begin_due(wall);
         if (state_.plan_wanted && now >= next_plan_) {
-            state_.plan_wanted = false;
-            next_plan_ = now + milliseconds(2);
-            plan(now, wall, confirmed_at);
+            next_plan_ = now + plan(now, wall, confirmed_at);
         }
         flush();
     }
@@ -375,8 +375,10 @@
         for (std::uint32_t step = 0; step < entry.job.fixed.spec.steps.size(); ++step)
             state_.history.note_arrival(entry, step, state_.durations.expect(entry, step));
     }
-    void plan(Micros now, Micros wall, Micros confirmed_at) {
-        if (confirmed_at < 0 || now - confirmed_at > settings_.hold / 2) return;
+    // Returns how long the next plan is to wait.
+    Micros plan(Micros now, Micros wall, Micros confirmed_at) {
+        state_.plan_wanted = false;
+        if (confirmed_at < 0 || now - confirmed_at > settings_.hold / 2) return settings_.plan_pause_least;
         auto start = [this, wall](JobEntry& entry, Time& time, std::uint32_t step, std::uint32_t index,
                                   WorkerEntry& worker, bool first, Micros at) -> RunEntry& {
             bool gang = entry.job.fixed.spec.steps[step].gang;
@@ -384,10 +386,13 @@
             entry.job.place(time, step, index, run_, {worker.account.life, worker.node});
             return runs_.intend(entry, time, step, index, run_, worker, at, wall);
         };
-        bool finished = planning_.plan(now, wall, start,
-                                       [this](WorkerEntry& worker, RunEntry& run) { runs_.push_out(worker, run); });
-        admission_.lag.plan_finished(finished, now);
-        if (!finished) state_.plan_wanted = true;
+        PlanOutcome outcome = planning_.plan(
+            now, wall, start, [this](WorkerEntry& worker, RunEntry& run) { runs_.push_out(worker, run); });
+        admission_.lag.plan_finished(outcome.finished, now);
+        // What the plan itself has changed calls for no other: it has looked at all that is left.
+        state_.plan_wanted = !outcome.finished || outcome.crowded;
+        return std::clamp(Micros(outcome.work) * settings_.plan_pause_per_work, settings_.plan_pause_least,
+                          settings_.plan_pause_most);
     }
 
     // --- changes ---
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -45,9 +45,11 @@
         std::map<std::string, std::uint32_t> active;
         std::deque<FinishedRun> finished;
         std::vector<std::string> stops;
-        std::uint64_t taken = 0;
+        std::uint64_t taken = 0, seen = 0, told_by = 0;  // of the last answer: orders, ends, epoch
+        bool owed = false;                               // there was more news right after it
         bool draining = false;
     };
+    std::set<std::string> announced;  // sides with news since their last answer
     std::vector<Worker> workers;
 
     explicit Bench(size_t count, SchedulerSettings settings = {}) : scheduler(settings, ledger) {
@@ -106,6 +108,21 @@
                 end(worker, order.task, "stopped");
             worker.stops.push_back(fmt::format("{} {}", order.task, order.run));
         }
+        worker.seen = answer.seen, worker.told_by = answer.epoch.value;
+        worker.owed = has_news(worker);
+        announced.merge(scheduler.take_sides_with_news());
+        announced.erase(worker.node);
+    }
+    bool has_news(const Worker& worker) const {
+        return scheduler.has_news(worker.node, Epoch{worker.told_by}, worker.taken, worker.seen);
+    }
+    // A side whose poll came when there was no news, and has since come to be owed some without being announced.
+    std::optional<std::string> passed_over() {
+        announced.merge(scheduler.take_sides_with_news());
+        for (const Worker& worker : workers)
+            if (worker.told_by == epoch && !worker.owed && has_news(worker) && !announced.contains(worker.node))
+                return worker.node;
+        return std::nullopt;
     }
     void end(Worker& worker, const std::string& task, const std::string& how) {
         auto found = worker.active.find(task);
@@ -276,6 +293,7 @@
             bench.turn();
             auto differs = differences(bench.scheduler.state());
             if (!differs.empty()) RC_FAIL(differs.front());
+            if (auto side = bench.passed_over()) RC_FAIL("news for " + *side + " that was not announced");
         }
     });
     property("counts equal walks", good);
@@ -303,6 +321,65 @@
     return bench.scheduler.state().operations - before;
 }
 
+// All workers are busy for long, and one wide job waits.
+struct FullBench : Bench {
+    explicit FullBench(size_t worker_count, SchedulerSettings settings = {}) : Bench(worker_count, settings) {
+        for (size_t round = 0; round < 4; ++round) {
+            if (round == 0) post("/a/", 1, wide_job(worker_count));
+            step();
+        }
+        post("/a/", 2, wide_job(100));
+        step();
+    }
+    static std::string wide_job(size_t tasks) {
+        return fmt::format(R"({{"job_spec":"x","steps":[{{"count":{},"cpu":16000,"estimate_ms":600000}}]}})", tasks);
+    }
+    void step() {
+        now += milliseconds(30);
+        turn();
+        for (Worker& worker : workers)
+            report(worker);
+        turn();
+    }
+    // What one tick costs, so long after the last.
+    std::uint64_t cost_of_a_tick(Micros wait) {
+        now += wait;
+        const std::uint64_t before = scheduler.state().operations;
+        scheduler.tick(now, now, now);
+        ledger.commit();
+        return scheduler.state().operations - before;
+    }
+};
+
+void plans_cost_what_they_need() {
+    // The tasks of one item look at each worker once, not once for each reservation.
+    FullBench full(60);
+    EXPECT(full.scheduler.state().held == 60);
+    const std::uint64_t plan = full.cost_of_a_tick(milliseconds(260));
+    EXPECT_SAID(plan > 60 && plan < 300, fmt::format("a plan of {} operations for one item on 60 workers", plan));
+    // Starts of a plan call for no other plan.
+    auto& worker = full.workers[0];
+    full.end(worker, worker.active.begin()->first, "done");
+    full.now += milliseconds(30);
+    full.report(worker);
+    full.ledger.commit();
+    const std::uint64_t with_a_start = full.cost_of_a_tick(0), after_it = full.cost_of_a_tick(milliseconds(25));
+    EXPECT(full.scheduler.state().held == 60);
+    EXPECT_SAID(with_a_start > 60 && after_it < 10,
+                fmt::format("{} operations for a plan with a start, {} for the tick after it", with_a_start, after_it));
+    // The pause after a plan is as long as its work demands, within bounds.
+    SchedulerSettings settings;
+    settings.plan_pause_per_work = 1000, settings.plan_pause_most = milliseconds(15);
+    FullBench paced(60, settings);
+    EXPECT(paced.cost_of_a_tick(milliseconds(260)) > 60);
+    auto& first = paced.workers[0];
+    paced.end(first, first.active.begin()->first, "done");
+    paced.report(first);
+    paced.ledger.commit();
+    const std::uint64_t within = paced.cost_of_a_tick(milliseconds(14)), past = paced.cost_of_a_tick(milliseconds(2));
+    EXPECT_SAID(within < 10 && past > 60, fmt::format("{} operations in the pause, {} past it", within, past));
+}
+
 void cost_stays() {
     std::uint64_t small = cost_of_an_end(10, 4), large = cost_of_an_end(600, 60);
     EXPECT(small > 0);
@@ -642,6 +719,7 @@
     std::freopen("/dev/null", "w", stdout);
     counts_equal_walks();
     cost_stays();
+    plans_cost_what_they_need();
     admission_table();
     trust_table();
     attempts_are_spread();
