--- a/source/control/plan/settings.hpp
+++ b/source/control/plan/settings.hpp
@@ -13,7 +13,7 @@
     Micros stop_grace = milliseconds(900), restore = milliseconds(250), checkpoint_every = seconds(1);
     // Stage one: points of the static priority.
     double weight_level = 1000;       // a level of the operator's priority
-    double weight_aim = 1020;         // can still make its aim: a little more than a level
+    double weight_aim = 500;          // can still make its aim
     double weight_hopeless = 100000;  // taken off what can earn nothing any more
     double weight_slack = 1;          // a second less of slack, of what can make its aim
     double weight_waiting = 1;        // a second of waiting, of what is late
