Tests: a grant's frame has the judged time too

The table of frames names each field of a grant; the one that came with the core's clock was missing, so that the test did not build.

--- a/tests/store.cpp
+++ b/tests/store.cpp
@@ -401,6 +401,7 @@
                          Epoch{1},
                          Identity{7},
                          5,
+                         JudgedTime{Epoch{1}, 6},
                          {{"a", Register{Epoch{1}, Version{2}, "f", "m", {{7, "seven"}, {9, "nine"}}}}},
                          {"b"}};
     std::string packed = pack(answer);
