HTTP: connections from one local port are told apart

Cause: the loop looked up a connection's socket by its local port, which the system gives to several connections with different peers. A fresh connection was dropped for the end of an old one, or one that had ended was used. test_resend's failures at 'warm' and 'sent more than once' were this, not its timing.

Change: sockets are known by both ends.

--- a/source/shared/http/loop.cpp
+++ b/source/shared/http/loop.cpp
@@ -1,5 +1,6 @@
 #include "shared/http/loop.hpp"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -12,14 +13,27 @@
 constexpr unsigned int unacknowledged_most_ms = 3000;  // until a connection counts as dead
 constexpr Micros connect_most = milliseconds(500);
 
-// The local port of a socket, 0 when it has none.
-int local_port_of(curl_socket_t socket) {
-    sockaddr_storage address{};
-    socklen_t size = sizeof address;
-    if (getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) != 0) return 0;
-    if (address.ss_family == AF_INET) return ntohs(reinterpret_cast<sockaddr_in&>(address).sin_port);
-    if (address.ss_family == AF_INET6) return ntohs(reinterpret_cast<sockaddr_in6&>(address).sin6_port);
-    return 0;
+// No text and port 0 for a family that is not of the internet.
+SocketAddress numeric(const sockaddr& address) {
+    char text[INET6_ADDRSTRLEN] = "";
+    if (address.sa_family == AF_INET) {
+        const auto& four = reinterpret_cast<const sockaddr_in&>(address);
+        return {inet_ntop(AF_INET, &four.sin_addr, text, sizeof text), ntohs(four.sin_port)};
+    }
+    if (address.sa_family == AF_INET6) {
+        const auto& six = reinterpret_cast<const sockaddr_in6&>(address);
+        return {inet_ntop(AF_INET6, &six.sin6_addr, text, sizeof text), ntohs(six.sin6_port)};
+    }
+    return {};
+}
+
+// Also after the peer has reset the connection, when the system no longer tells the peer.
+SocketAddress local_end_of(curl_socket_t socket) {
+    sockaddr_storage storage{};
+    auto* address = reinterpret_cast<sockaddr*>(&storage);
+    socklen_t size = sizeof storage;
+    if (getsockname(socket, address, &size) != 0) return {};
+    return numeric(*address);
 }
 
 long whole_ms(Micros time) {
@@ -30,21 +44,22 @@
 
 // --- SocketTable ---
 
-void SocketTable::opened(curl_socket_t socket) {
+void SocketTable::opened(curl_socket_t socket, const sockaddr& peer) {
     closed(socket);
-    unnamed_.insert(socket);
+    unnamed_[socket] = numeric(peer);
 }
 
 void SocketTable::closed(curl_socket_t socket) {
     unnamed_.erase(socket);
-    auto known = port_of_.find(socket);
-    if (known == port_of_.end()) return;
-    by_port_.erase(known->second);
-    port_of_.erase(known);
+    auto known = ends_of_.find(socket);
+    if (known == ends_of_.end()) return;
+    auto named = by_ends_.find(known->second);
+    if (named != by_ends_.end() && named->second == socket) by_ends_.erase(named);
+    ends_of_.erase(known);
 }
 
-SocketTable::Rest SocketTable::look(int local_port) {
-    std::optional<curl_socket_t> socket = find(local_port);
+SocketTable::Rest SocketTable::look(const ConnectionEnds& ends) {
+    std::optional<curl_socket_t> socket = find(ends);
     if (!socket) return Rest::clean;
     char byte;
     ssize_t got = recv(*socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -52,16 +67,18 @@
     return nothing_there ? Rest::clean : Rest::unclean;
 }
 
-std::optional<curl_socket_t> SocketTable::find(int local_port) {
-    if (auto known = by_port_.find(local_port); known != by_port_.end()) return known->second;
-    for (curl_socket_t socket : unnamed_) {
-        if (local_port_of(socket) != local_port) continue;
-        unnamed_.erase(socket);
-        by_port_[local_port] = socket;
-        port_of_[socket] = local_port;
-        return socket;
+std::optional<curl_socket_t> SocketTable::find(const ConnectionEnds& ends) {
+    // First the new ones: after a reset the system may give both ends to another connection.
+    for (const auto& [socket, peer] : unnamed_) {
+        if (peer != ends.peer || local_end_of(socket) != ends.local) continue;
+        const curl_socket_t found = socket;
+        unnamed_.erase(found);
+        by_ends_[ends] = found;
+        ends_of_[found] = ends;
+        return found;
     }
-    return std::nullopt;
+    auto known = by_ends_.find(ends);
+    return known == by_ends_.end() ? std::nullopt : std::optional(known->second);
 }
 
 // --- Loop ---
@@ -172,8 +189,8 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, long(CURL_HTTP_VERSION_1_1));
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Loop::prepare_socket);
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Loop::open_socket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Loop::close_socket);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Loop::before_request);
@@ -261,10 +278,12 @@
     return size * count;
 }
 
-int Loop::prepare_socket(void* loop, curl_socket_t socket, curlsocktype) {
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_most_ms, sizeof unacknowledged_most_ms);
-    static_cast<Loop*>(loop)->sockets_.opened(socket);
-    return CURL_SOCKOPT_OK;
+curl_socket_t Loop::open_socket(void* loop, curlsocktype, curl_sockaddr* peer) {
+    curl_socket_t opened = ::socket(peer->family, peer->socktype, peer->protocol);
+    if (opened == CURL_SOCKET_BAD) return opened;
+    setsockopt(opened, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_most_ms, sizeof unacknowledged_most_ms);
+    static_cast<Loop*>(loop)->sockets_.opened(opened, peer->addr);
+    return opened;
 }
 
 int Loop::close_socket(void* loop, curl_socket_t socket) {
@@ -273,14 +292,15 @@
 }
 
 // libcurl calls this when a connection is ready, before the first byte of each request that it sends on it.
-int Loop::before_request(void* data, char*, char*, int, int local_port) {
+int Loop::before_request(void* data, char* peer_address, char* local_address, int peer_port, int local_port) {
     Call& call = *static_cast<Call*>(data);
     if (call.sent) {
         // A kept connection ended without an answer, and libcurl would send the request again.
         counters().add("repeats_prevented");
         return CURL_PREREQFUNC_ABORT;
     }
-    if (call.loop->sockets_.look(local_port) == SocketTable::Rest::unclean) {
+    if (call.loop->sockets_.look({{local_address, local_port}, {peer_address, peer_port}}) ==
+        SocketTable::Rest::unclean) {
         call.unclean = true;
         return CURL_PREREQFUNC_ABORT;
     }
--- a/source/shared/http/loop.hpp
+++ b/source/shared/http/loop.hpp
@@ -28,24 +28,40 @@
     Micros patience = seconds(1);                   // until the ask counts as unanswered
 };
 
-// The local sockets of a loop's connections. libcurl shows a connection by its local port only; a connection at rest
-// is looked at by its socket before it is used again.
+// One end of a TCP connection.
+struct SocketAddress {
+    std::string address;  // numeric, as "10.0.0.4"
+    int port = 0;
+    auto operator<=>(const SocketAddress&) const = default;
+};
+
+// Both ends of a TCP connection. Only together they name it: the system gives one local port to several connections at
+// once as long as their peers differ.
+struct ConnectionEnds {
+    SocketAddress local, peer;
+    auto operator<=>(const ConnectionEnds&) const = default;
+};
+
+// The local sockets of a loop's connections. libcurl shows a connection by its ends only; a connection at rest is
+// looked at by its socket before it is used again.
 class SocketTable {
 public:
     enum class Rest { clean, unclean };
 
-    void opened(curl_socket_t socket);
+    // `peer`: what the socket is about to be connected to.
+    void opened(curl_socket_t socket, const sockaddr& peer);
     void closed(curl_socket_t socket);
     // `unclean`: bytes lie there that no request asked for, or the peer has ended the connection. A connection that
     // is not known here is clean: it has just been made.
-    Rest look(int local_port);
+    Rest look(const ConnectionEnds& ends);
 
 private:
-    std::optional<curl_socket_t> find(int local_port);
+    std::optional<curl_socket_t> find(const ConnectionEnds& ends);
 
-    std::set<curl_socket_t> unnamed_;       // opened, their port not yet known
-    std::map<int, curl_socket_t> by_port_;  // local port -> socket
-    std::map<curl_socket_t, int> port_of_;  // the same, the other way round
+    // Opened and with their peers; their own ends are known only after they are connected.
+    std::map<curl_socket_t, SocketAddress> unnamed_;
+    std::map<ConnectionEnds, curl_socket_t> by_ends_;
+    std::map<curl_socket_t, ConnectionEnds> ends_of_;  // the same, the other way round
 };
 
 // Sends requests and runs timers. Each ask is on the wire at most once: libcurl's own repeat on a kept connection that
@@ -111,9 +127,9 @@
 
     // Callbacks of libcurl.
     static size_t take_bytes(char* data, size_t size, size_t count, void* body);
-    static int prepare_socket(void* loop, curl_socket_t socket, curlsocktype purpose);
+    static curl_socket_t open_socket(void* loop, curlsocktype purpose, curl_sockaddr* peer);
     static int close_socket(void* loop, curl_socket_t socket);
-    static int before_request(void* call, char* peer, char* local, int peer_port, int local_port);
+    static int before_request(void* call, char* peer_address, char* local_address, int peer_port, int local_port);
 
     CURLM* multi_ = nullptr;
     SocketTable sockets_;
--- a/tests/resend.cpp
+++ b/tests/resend.cpp
@@ -72,9 +72,14 @@
     void answer(int code, std::string_view body) {
         write(fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}", code, body.size(), body));
     }
-    // Wakes whoever waits for bytes here.
-    void shut() { shutdown(socket_, SHUT_RDWR); }
+    // Wakes whoever waits for bytes here. From any thread: it takes turns with `end`, so that it doesn't shut a
+    // descriptor that was closed and given to somebody else.
+    void shut() {
+        std::lock_guard guard(lock_);
+        if (socket_ >= 0) shutdown(socket_, SHUT_RDWR);
+    }
     void end(Ending ending) {
+        std::lock_guard guard(lock_);
         linger now{1, 0};
         if (ending == Ending::reset) setsockopt(socket_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
         ::close(socket_);
@@ -86,6 +91,7 @@
         size_t place = head.find("Content-Length: ");
         return place == std::string::npos ? 0 : std::stoul(head.substr(place + 16));
     }
+    std::mutex lock_;
     int socket_;
 };
 
@@ -152,10 +158,13 @@
     return *running;
 }
 
+// The promise belongs to the loop's thread too: it is still inside `set_value` when the waiting one already has the
+// answer.
 Answer await(Ask ask) {
-    std::promise<Answer> promise;
-    loop().ask(std::move(ask), [&promise](Answer answer) { promise.set_value(std::move(answer)); });
-    return promise.get_future().get();
+    auto promise = std::make_shared<std::promise<Answer>>();
+    std::future<Answer> answered = promise->get_future();
+    loop().ask(std::move(ask), [promise](Answer answer) { promise->set_value(std::move(answer)); });
+    return answered.get();
 }
 
 // --- how often a request is read ---
@@ -379,6 +388,70 @@
     EXPECT(await(ask).body == "two");
 }
 
+// --- which connection is looked at ---
+
+SocketAddress bound_to(int socket) {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    EXPECT(getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    return {"127.0.0.1", ntohs(address.sin_port)};
+}
+
+sockaddr_in loopback(int port) {
+    return {.sin_family = AF_INET, .sin_port = htons(std::uint16_t(port)), .sin_addr = {htonl(INADDR_LOOPBACK)}};
+}
+
+// Both sockets of a connection to a server of its own, from `local_port`, or from any free one for 0.
+struct Pair {
+    int near = socket(AF_INET, SOCK_STREAM, 0), far = -1;
+    SocketAddress peer;
+
+    Pair(SocketTable& table, int local_port) {
+        int listener = socket(AF_INET, SOCK_STREAM, 0), yes = 1;
+        sockaddr_in any = loopback(0), from = loopback(local_port);
+        EXPECT(bind(listener, reinterpret_cast<sockaddr*>(&any), sizeof any) == 0);
+        EXPECT(listen(listener, 1) == 0);
+        peer = bound_to(listener);
+        sockaddr_in to = loopback(peer.port);
+        table.opened(near, reinterpret_cast<sockaddr&>(to));
+        setsockopt(near, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+        EXPECT(bind(near, reinterpret_cast<sockaddr*>(&from), sizeof from) == 0);
+        EXPECT(connect(near, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+        far = accept(listener, nullptr, nullptr);
+        EXPECT(far >= 0);
+        close(listener);
+    }
+    Pair(const Pair&) = delete;
+    ~Pair() {
+        close(near);
+        close(far);
+    }
+    ConnectionEnds ends() const { return {bound_to(near), peer}; }
+};
+
+// The system gives one local port to connections with different peers: what happened to one says nothing of another.
+// Taken for one, a fresh connection was thrown away for the end of an old one, unused, and an old one that had ended
+// was used for the sake of a fresh one.
+void connections_from_one_local_port_are_told_apart() {
+    SocketTable table;
+    Pair first(table, 0);
+    EXPECT(table.look(first.ends()) == SocketTable::Rest::clean);
+    Pair second(table, first.ends().local.port);
+    EXPECT(first.ends().local == second.ends().local);
+    EXPECT(send(first.far, "x", 1, 0) == 1);
+    EXPECT(table.look(first.ends()) == SocketTable::Rest::unclean);
+    EXPECT(table.look(second.ends()) == SocketTable::Rest::clean);
+    EXPECT(shutdown(second.far, SHUT_WR) == 0);
+    EXPECT(table.look(second.ends()) == SocketTable::Rest::unclean);
+    char byte;
+    EXPECT(recv(first.near, &byte, 1, 0) == 1);
+    EXPECT(table.look(first.ends()) == SocketTable::Rest::clean);
+    table.closed(second.near);
+    EXPECT(send(first.far, "x", 1, 0) == 1);
+    EXPECT(table.look(first.ends()) == SocketTable::Rest::unclean);
+    table.closed(first.near);
+}
+
 }  // namespace
 
 int main() {
@@ -388,6 +461,7 @@
     a_stray_answer_is_nobodys();
     a_late_answer_is_nobodys();
     interim_heads_are_passed_over();
+    connections_from_one_local_port_are_told_apart();
     // The loop's thread goes on to the end: nothing that it uses may be destroyed before.
     int status = result();
     std::fflush(nullptr);
