--- a/source/control/daemon/turn_pace.hpp
+++ b/source/control/daemon/turn_pace.hpp
@@ -5,17 +5,14 @@
 namespace calicostall {
 
 struct TurnPaceSettings {
-    // An owner at work takes in what comes within this time and answers it by one
-    // turn: a turn costs the same for one report as for ten, and so do the
-    // proposals, messages and syncs that follow from it.
+    // An owner at work takes in what comes within this time and answers it by one turn: a turn costs the same for one
+    // report as for ten, and so do the proposals, messages and syncs that follow from it.
     Micros gather = milliseconds(1);
-    // A daemon whose turns take long pauses as long between them, but no longer
-    // than this.
+    // A daemon whose turns take long pauses as long between them, but no longer than this.
     Micros pause_most = milliseconds(8);
 };
 
-// Example: TurnPace pace({}); pace.ended(begun, now); if (now >=
-// pace.earliest(acting)) turn();
+// Example: TurnPace pace({}); pace.ended(begun, now); if (now >= pace.earliest(acting)) turn();
 class TurnPace {
 public:
     explicit TurnPace(TurnPaceSettings settings) : settings_(settings) {}
--- a/source/preview/change.cpp
+++ b/source/preview/change.cpp
@@ -2,6 +2,15 @@
 
 namespace calicostall {
 
+PlannerSettings planner_settings_of(const Snapshot& snapshot, const ProposedChange& change) {
+    PlannerSettings settings;
+    for (const PlannerField& field : snapshot.planner)
+        set_planner_field(settings, field.name, double(field.thousandths) / 1000);
+    for (const auto& [name, value] : change.planner)
+        set_planner_field(settings, name, value);
+    return settings;
+}
+
 void read_configuration(std::string_view text, const std::string& name, const Snapshot* snapshot,
                         ProposedChange& change, Findings& findings) {
     Findings inner;
--- a/source/preview/change.hpp
+++ b/source/preview/change.hpp
@@ -23,6 +23,10 @@
     bool empty() const { return !config && planner.empty() && workers.empty(); }
 };
 
+// The planner's settings as the snapshot has them, with those of the change put in their place.
+// Example: planner_settings_of(snapshot, change).weight_aim
+PlannerSettings planner_settings_of(const Snapshot& snapshot, const ProposedChange& change);
+
 // A configuration that control would refuse on top of the snapshot's is refused here as well.
 // Example: read_configuration(text, "next.json", &snapshot, change, findings);
 void read_configuration(std::string_view text, const std::string& name, const Snapshot* snapshot,
--- a/source/preview/command.cpp
+++ b/source/preview/command.cpp
@@ -22,13 +22,8 @@
 
 void check_planner(const Snapshot& snapshot, const ProposedChange& change, const std::string& name,
                    Findings& findings) {
-    PlannerSettings settings;
-    for (const PlannerField& field : snapshot.planner)
-        set_planner_field(settings, field.name, double(field.thousandths) / 1000);
-    for (const auto& [field, value] : change.planner)
-        set_planner_field(settings, field, value);
     Findings inner;
-    settings.check(inner);
+    planner_settings_of(snapshot, change).check(inner);
     for (const Finding& finding : inner.list())
         findings.add(name + ".planner", finding.place + " " + finding.text);
 }
--- a/source/preview/forward/state.cpp
+++ b/source/preview/forward/state.cpp
@@ -2,19 +2,6 @@
 
 namespace calicostall {
 
-namespace {
-
-PlannerSettings planner_settings_of(const Snapshot& snapshot, const ProposedChange& change) {
-    PlannerSettings settings;
-    for (const PlannerField& field : snapshot.planner)
-        set_planner_field(settings, field.name, double(field.thousandths) / 1000);
-    for (const auto& [name, value] : change.planner)
-        set_planner_field(settings, name, value);
-    return settings;
-}
-
-}  // namespace
-
 bool ForwardJob::turn_has_come(const std::vector<ForwardStep>& steps, std::uint32_t step) const {
     const std::vector<std::uint32_t>& depends = job->steps[step].wanted.depends;
     return std::none_of(depends.begin(), depends.end(), [&](std::uint32_t earlier) { return steps[earlier].open > 0; });
--- a/tests/disk.cpp
+++ b/tests/disk.cpp
@@ -71,6 +71,21 @@
     begin_put(disk, std::move(change)).wait();
 }
 
+// Opens a new disk for the replica, whose identity it keeps, and begins to write.
+void begin(Disk& disk, Replica& replica) {
+    EXPECT(disk.open(replica).empty());
+    EXPECT(disk.write_identity(replica.identity));
+    disk.start();
+}
+// What the folder holds is just what the replica has.
+void expect_loaded_again(const std::string& folder, const Replica& written) {
+    Replica loaded;
+    Disk again(folder, 0);
+    EXPECT(again.open(loaded).empty());
+    EXPECT(loaded.identity == written.identity);
+    EXPECT(loaded.registers == written.registers);
+}
+
 // A new file's name may be lost with the power unless its folder was synced; so may a new folder's.
 void a_new_disk_has_durable_names() {
     TemporaryFolder outer;
@@ -89,16 +104,10 @@
     Replica written;
     written.identity = Identity{7};
     Disk disk(folder, 0);
-    EXPECT(disk.open(written).empty());
-    EXPECT(disk.write_identity(written.identity));
-    disk.start();
+    begin(disk, written);
     put_and_wait(disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {{3, "part"}}}));
 
-    Replica loaded;
-    Disk again(folder, 0);
-    EXPECT(again.open(loaded).empty());
-    EXPECT(loaded.identity == written.identity);
-    EXPECT(loaded.registers == written.registers);
+    expect_loaded_again(folder, written);
 }
 
 // A commit that fails at its last write leaves LMDB's environment unusable for good; the disk must write on all the
@@ -109,9 +118,7 @@
     Replica written;
     written.identity = Identity{9};
     Disk disk(folder, 0);
-    EXPECT(disk.open(written).empty());
-    EXPECT(disk.write_identity(written.identity));
-    disk.start();
+    begin(disk, written);
     put_and_wait(disk, written.found("core", Register{Epoch{0}, Version{1}, {}, "members", {}}));
     for (int failures : {1, 2, 5}) {
         meta_writes_to_fail = failures;
@@ -121,11 +128,7 @@
         EXPECT_SAID(written_again, fmt::format("no write after {} that failed", failures));
         if (!written_again) return;
     }
-    Replica loaded;
-    Disk again(folder, 0);
-    EXPECT(again.open(loaded).empty());
-    EXPECT(loaded.identity == written.identity);
-    EXPECT(loaded.registers == written.registers);
+    expect_loaded_again(folder, written);
 }
 
 // A daemon whose start fails is destroyed with its disk: the writing thread is gone before what it works on.
