Incident, sight: a line for each read of the configuration, where it was asked and at the owner

What could not be told from the logs: which daemon answered a read, when it was sent, and by which revision.

--- a/source/control/daemon/calls.cpp
+++ b/source/control/daemon/calls.cpp
@@ -40,7 +40,11 @@
     else if (ask.method == "PUT")
         scheduler_.put_config(ask, std::move(done));
     else
-        scheduler_.get_config(std::move(done));
+        scheduler_.get_config([this, now, done = std::move(done)](CallFate fate, Response response) {
+            log_line("config", "read confirmed after {} ms: {} with revision {} under epoch {}",
+                     (steady_now() - now) / 1000, response.code, scheduler_.config().revision, owner_.epoch().value);
+            done(fate, std::move(response));
+        });
 }
 
 void Control::relay_call(CallAsk ask, const std::string& owner, Micros patience, CallCallback respond) {
--- a/source/control/daemon/control.hpp
+++ b/source/control/daemon/control.hpp
@@ -87,6 +87,7 @@
     void receive_news_poll(Request request);
     void receive_call(Request request);
     void receive_side_poll(Request request);
+    void log_config_read(const Response& response, Micros asked_at) const;
     void refuse_frame(Reply& reply);
 
     // --- election.cpp ---
--- a/source/control/daemon/routes.cpp
+++ b/source/control/daemon/routes.cpp
@@ -49,13 +49,24 @@
     std::lock_guard guard(lock_);
     const Micros now = steady_now();
     election_.note_activity(now);
-    held_calls_.hold(
-        ask, [reply, read_only](CallAnswer answer) { reply->send(to_response(std::move(answer), read_only)); }, now);
+    auto respond = [this, reply, read_only, now](CallAnswer answer) {
+        Response response = to_response(std::move(answer), read_only);
+        if (read_only) log_config_read(response, now);
+        reply->send(std::move(response));
+    };
+    held_calls_.hold(ask, std::move(respond), now);
     // Before what the turn does for everybody else.
     send_held_calls(now);
     turn();
 }
 
+// Reads of the configuration are few, and whoever finds an old one wants to know which daemon gave it, and when.
+void Control::log_config_read(const Response& response, Micros asked_at) const {
+    const std::string from = serving() ? "here" : known_owner_.empty() ? "nobody" : known_owner_;
+    log_line("config", "read asked {} ms ago is answered {} with {} bytes, owner {} under epoch {}",
+             (steady_now() - asked_at) / 1000, response.code, response.body.size(), from, known_epoch_.value);
+}
+
 void Control::refuse_frame(Reply& reply) {
     counters().add("frames_refused");
     reply.send(Response::plain(400));
