Core: a disk that is known to be lost counts for nothing, and silence costs no copy that may come back

Cause: an answer of another identity at a member's address (stranger) was noted as a sign of life of the member, and what the lost disk had acknowledged went on counting as held. So the owner removed a member that was only cut off, and its core's majority needed the lost disk. Class: proof of life of an identity that is known to be gone.

Change: Owner looks at members through living_link, which knows no lost ones, wherever a majority is counted: commits, rounds, levels, confirmations, who is heard, who follows. CoreKeeper asks for a majority of the core after a change that is able, without lost disks, for additions too. A silent member goes from even cores of four and more only; from an odd core a joiner is added first: the other way round costs a loss that could be borne.

--- a/source/control/membership/core_keeper.cpp
+++ b/source/control/membership/core_keeper.cpp
@@ -58,8 +58,10 @@
     if (core.members.size() >= settings_.size_max || should_wait_for_member(core, health, now)) return {};
     const Member* joiner = find_ready_joiner(health);
     if (!joiner) return {};
+    CoreChange change = addition(core, *joiner);
+    if (!can_get_level(change.core, health, now)) return {};
     added_at_ = now;
-    return addition(core, *joiner);
+    return change;
 }
 
 // Those whose disk is gone first: they can't come back.
@@ -67,7 +69,7 @@
     const Member* silent = nullptr;
     for (const Member& member : core.members) {
         if (member.identity == self_ || !is_lost(member, core, health, now)) continue;
-        if (!can_rest_get_level(core, member, health, now)) continue;
+        if (!can_get_level(removal(core, member).core, health, now)) continue;
         if (is_disk_lost(member, health, now)) return &member;
         if (!silent) silent = &member;
     }
@@ -77,9 +79,8 @@
 bool CoreKeeper::is_lost(const Member& member, const Core& core, const CoreHealth& health, Micros now) const {
     const bool smallest = core.members.size() <= settings_.size_min;
     if (is_disk_lost(member, health, now)) return !smallest || !joiners_.empty();
-    if (smallest && !find_ready_joiner(health)) return false;
-    const Micros limit = patience(core, health, now);
-    return now - acting_since_ > limit && !health.heard_since(member.identity, now - limit);
+    if (smallest || !is_even(core)) return false;
+    return is_silent_for(member, patience(now), health, now);
 }
 
 bool CoreKeeper::is_disk_lost(const Member& member, const CoreHealth& health, Micros now) const {
@@ -96,15 +97,25 @@
     return member.identity == self_ || health.heard_since(member.identity, now - settings_.reachable_within);
 }
 
-// Whether a majority of the core that is left without the member is heard and follows.
-bool CoreKeeper::can_rest_get_level(const Core& core, const Member& without, const CoreHealth& health,
-                                    Micros now) const {
-    size_t able = 0;
-    for (const Member& member : core.members) {
-        if (member.identity == without.identity) continue;
-        able += is_reachable(member, health, now) && health.is_following(member.identity);
-    }
-    return able >= (core.members.size() - 1) / 2 + 1;
+bool CoreKeeper::is_silent_for(const Member& member, Micros limit, const CoreHealth& health, Micros now) const {
+    if (member.identity == self_ || now - acting_since_ <= limit) return false;
+    return !health.heard_since(member.identity, now - limit);
+}
+
+// Whether the member counts towards a majority now: it is heard and follows, and nothing speaks for its disk being
+// lost.
+bool CoreKeeper::is_able(const Member& member, const CoreHealth& health, Micros now) const {
+    if (health.is_gone(member.identity)) return false;
+    const bool joins = joiners_.contains(member.identity);
+    if (!joins && is_replaced_at_its_address(member)) return false;
+    return is_reachable(member, health, now) && health.is_following(member.identity);
+}
+
+// Whether a majority of the core is able: it can settle the change to it.
+bool CoreKeeper::can_get_level(const Core& core, const CoreHealth& health, Micros now) const {
+    const auto able = std::count_if(core.members.begin(), core.members.end(),
+                                    [&](const Member& member) { return is_able(member, health, now); });
+    return size_t(able) >= core.majority();
 }
 
 const Member* CoreKeeper::find_ready_joiner(const CoreHealth& health) const {
@@ -113,19 +124,19 @@
     return nullptr;
 }
 
-// Whether an odd core has a member out of hearing: a joiner would make it even, and count as needed at once.
+// Whether an odd core has a member that has just gone out of hearing: a joiner would make the core even, and count as
+// needed at once. One that stays silent is made up for by the joiner.
 bool CoreKeeper::should_wait_for_member(const Core& core, const CoreHealth& health, Micros now) const {
     if (is_even(core)) return false;
-    return std::any_of(core.members.begin(), core.members.end(),
-                       [&](const Member& member) { return !is_reachable(member, health, now); });
+    return std::any_of(core.members.begin(), core.members.end(), [&](const Member& member) {
+        return !is_reachable(member, health, now) && !is_silent_for(member, settings_.replace_after, health, now);
+    });
 }
 
-// How long a silent member is waited for. In an odd core it may come back and count until its replacement can follow at
-// once, so a joiner that isn't ready yet changes nothing.
-Micros CoreKeeper::patience(const Core& core, const CoreHealth& health, Micros now) const {
+// How long a silent member of an even core is waited for: less where another machine stands for it, or is about to.
+Micros CoreKeeper::patience(Micros now) const {
     const bool just_added = added_at_ && now - *added_at_ < settings_.replacement_window;
-    const bool replaced = is_even(core) ? !joiners_.empty() : find_ready_joiner(health) != nullptr;
-    return replaced || just_added ? settings_.replace_after : settings_.remove_after;
+    return !joiners_.empty() || just_added ? settings_.replace_after : settings_.remove_after;
 }
 
 }  // namespace calicostall
--- a/source/control/membership/core_keeper.hpp
+++ b/source/control/membership/core_keeper.hpp
@@ -5,30 +5,26 @@
 /// this sense, and a removal is decided only if a majority of the rest follows the owner and is heard, that is, can get
 /// level without the removed member.
 ///
-/// Order of a replacement. Let `margin` be how many more members may be lost while a majority of the core lives:
-/// living - (n / 2 + 1) for a core of n. A dead member D, a joiner J that holds everything:
+/// A disk that is lost and a member that is silent are told apart. What a lost disk held is gone: its member goes at
+/// once and counts for nothing until then. A silent member may come back with everything that it acknowledged, so
+/// removing it can cost a copy that still counts. Let `bearable` be how many disks of a core may be lost for good while
+/// a majority of it can still come back, (n - 1) / 2 for a core of n whose other members all return:
 ///
-///   core      | before | remove D first | add J first | after both
-///   3, D dead |   0    |       0        |      0      |     1
-///   4, D dead |   0    |       1        |      1      |     1
-///   5, D dead |   1    |       1        |      1      |     2
-///   6, D dead |   1    |       2        |      2      |     2
+///   core of          | 2 | 3 | 4 | 5 | 6 | 7
+///   bearable         | 0 | 1 | 1 | 2 | 2 | 3
 ///
-/// The margin after the first step is the same in both orders, but the two differ in who may be lost: with J added
-/// first J counts, and its loss costs one more (3: {a, b, D, J} needs a, b and J). With D removed first J isn't needed
-/// yet. D can't be counted on: its return would help only where J was added first. So the dead one goes first:
-///  - From a core of even size at once: that alone raises the margin, no joiner is needed.
-///  - From one of odd size only when a joiner is ready, so that both changes follow each other within a few round
-///  trips;
-///    until then D may still come back and count. Its margin doesn't rise by the removal alone.
-///  - A member whose address answers under another identity can't come back. It goes at once, in any size.
-///  - While a member of an odd core is out of hearing and not yet given up, a joiner is not added: it would make the
-///  core
-///    even, with all but one needed (3: all three living). It is a matter of `replace_after` at most.
-/// A member that leaves in order is alive until its replacement is in: the joiner is added first, as nobody is dead
-/// (3: {a, b, P, J} bears one loss, {a, b} none), and once the leaving one is silent it goes like any other.
+/// From an even core to the odd one below it, and from an odd core to the even one above it, nothing is lost; the other
+/// way round it falls by one. So:
+///  - A member whose disk is lost (its address answers under another identity) goes at once, from a core of any size:
+///    the loss has happened, and without it the majority is smaller.
+///  - A silent member goes from a core of even size only, of four at least. From an odd core it never goes by itself:
+///    a ready joiner is added first, once the member has been silent for `replace_after`, and the core is even then.
+///  - Before that, while a member of an odd core is out of hearing, no joiner is added: it would be needed at once.
+///  - A member that leaves in order is alive until its replacement is in, and once it is silent it goes like any other.
+///  - Any change needs a majority of the core after it that is heard and follows, without those whose disks are lost.
 ///
-/// Without a joiner a silent member of an odd core goes after `remove_after`, and never from a core of `size_min`.
+/// A core of two (three that lost a disk) stays as it is until a joiner is ready: a silent one of two may be the only
+/// other copy.
 #pragma once
 #include "common.hpp"
 #include "control/store/register.hpp"
@@ -45,7 +41,7 @@
     Micros gone_settling_time = milliseconds(500);  // a new owner believes only after so long that a disk is gone
     Micros reachable_within = seconds(1);           // a member counts as heard when it answered within this time
     size_t size_max = 9;
-    size_t size_min = 3;  // without a joiner no core gets smaller than this
+    size_t size_min = 3;  // without a joiner no core gets smaller than this, and by silence alone none ever does
 };
 
 /// What the owner knows of members and joiners; `OwnerHealth` reads it from an `Owner`.
@@ -115,10 +111,12 @@
     bool is_disk_lost(const Member& member, const CoreHealth& health, Micros now) const;
     bool is_replaced_at_its_address(const Member& member) const;
     bool is_reachable(const Member& member, const CoreHealth& health, Micros now) const;
-    bool can_rest_get_level(const Core& core, const Member& without, const CoreHealth& health, Micros now) const;
+    bool is_able(const Member& member, const CoreHealth& health, Micros now) const;
+    bool can_get_level(const Core& core, const CoreHealth& health, Micros now) const;
     const Member* find_ready_joiner(const CoreHealth& health) const;
     bool should_wait_for_member(const Core& core, const CoreHealth& health, Micros now) const;
-    Micros patience(const Core& core, const CoreHealth& health, Micros now) const;
+    bool is_silent_for(const Member& member, Micros limit, const CoreHealth& health, Micros now) const;
+    Micros patience(Micros now) const;
 
     CoreKeeperSettings settings_;
     Identity self_;
--- a/source/control/store/owner.cpp
+++ b/source/control/store/owner.cpp
@@ -23,6 +23,11 @@
 
 // --- takeover ---
 
+const Owner::Link* Owner::living_link(Identity identity) const {
+    auto link = links_.find(identity);
+    return link == links_.end() || link->second.gone ? nullptr : &link->second;
+}
+
 void Owner::take_over(const Core& core, Epoch seen, std::map<std::string, Register> own_registers,
                       std::optional<Identity> present_owner) {
     if (!core.find(self_)) return;
@@ -201,8 +206,8 @@
 bool Owner::synced_majority() const {
     size_t count = 0;
     for (const Member& member : core_.members) {
-        auto link = links_.find(member.identity);
-        count += link != links_.end() && link->second.synced;
+        const Link* link = living_link(member.identity);
+        count += link && link->synced;
     }
     return count >= core_.majority();
 }
@@ -282,7 +287,7 @@
 }
 
 Sequence Owner::acknowledged(const Link& link) const {
-    if (!link.synced || link.gone) return 0;
+    if (!link.synced) return 0;
     Sequence first_open = link.backlog.oldest().value_or(sequence_ + 1);
     for (const auto& [key, sent] : link.in_flight)
         first_open = std::min(first_open, sent.missing.since);
@@ -292,9 +297,9 @@
 size_t Owner::members_level(Sequence sequence, std::optional<Identity> except) const {
     size_t count = 0;
     for (const Member& member : core_.members) {
-        auto link = links_.find(member.identity);
-        if (member.identity == except || link == links_.end()) continue;
-        count += acknowledged(link->second) >= sequence;
+        const Link* link = living_link(member.identity);
+        if (member.identity == except || !link) continue;
+        count += acknowledged(*link) >= sequence;
     }
     return count;
 }
@@ -307,8 +312,8 @@
 }
 
 bool Owner::level(Identity identity) const {
-    auto link = links_.find(identity);
-    return acting() && link != links_.end() && acknowledged(link->second) >= sequence_;
+    const Link* link = living_link(identity);
+    return acting() && link && acknowledged(*link) >= sequence_;
 }
 
 bool Owner::level_without(Identity identity) const {
@@ -330,8 +335,8 @@
 }
 
 bool Owner::learner_ready(Identity identity) const {
-    auto link = links_.find(identity);
-    return link != links_.end() && link->second.synced;
+    const Link* link = living_link(identity);
+    return link && link->synced;
 }
 
 void Owner::drop_learner(Identity identity) {
@@ -341,8 +346,8 @@
 }
 
 bool Owner::heard_since(Identity identity, Micros since) const {
-    auto link = links_.find(identity);
-    return link != links_.end() && link->second.heard_at >= since;
+    const Link* link = living_link(identity);
+    return link && link->heard_at >= since;
 }
 
 bool Owner::is_gone(Identity identity) const {
@@ -467,6 +472,13 @@
 
 // --- answers ---
 
+// Another identity lives at the member's address: the member's disk is lost, with all that it acknowledged, and an
+// answer from there is no sign of life of the member.
+void Owner::note_gone(Link& link, Micros now) {
+    link.gone = true;
+    back_off(link, now);
+}
+
 Owner::Link* Owner::link_awaiting(std::uint64_t ticket) {
     for (auto& [identity, link] : links_) {
         if (link.in_flight_ticket == ticket) {
@@ -483,7 +495,9 @@
     bool of_present_owner = present_owner_ == link->member.identity;
     if (of_present_owner && (!answer || answer->verdict != Verdict::untrusted)) present_owner_.reset();
     if (!answer) return back_off(*link, now);
-    link->heard_at = now;
+    const bool stranger = answer->verdict == Verdict::stranger;
+    if (stranger && !is_superseding(answer->promised, answer->promised_to)) return note_gone(*link, now);
+    if (!stranger) link->heard_at = now;
     switch (answer->verdict) {
         case Verdict::ready:
             link->ready = true;
@@ -498,7 +512,6 @@
             break;
     }
     if (is_superseding(answer->promised, answer->promised_to)) return superseded(answer->promised);
-    if (answer->verdict == Verdict::stranger) link->gone = true;
     back_off(*link, now);
     if (answer->verdict == Verdict::untrusted) link->not_before = now + settings_.ask_again;
 }
@@ -511,9 +524,12 @@
         return back_off(*link, now);
     }
     if (is_superseding(answer->promised, answer->promised_to)) return superseded(answer->promised);
+    if (answer->verdict == Verdict::stranger) {
+        requeue_in_flight(*link);
+        return note_gone(*link, now);
+    }
     link->heard_at = now;
     if (answer->verdict != Verdict::granted) {
-        if (answer->verdict == Verdict::stranger) link->gone = true;
         requeue_in_flight(*link);
         return back_off(*link, now);
     }
@@ -574,10 +590,10 @@
 size_t Owner::holders(const std::string& key, Version version) const {
     size_t count = 0;
     for (const Member& member : core_.members) {
-        auto link = links_.find(member.identity);
-        if (link == links_.end()) continue;
-        auto has = link->second.has.find(key);
-        count += has != link->second.has.end() && has->second >= version;
+        const Link* link = living_link(member.identity);
+        if (!link) continue;
+        auto has = link->has.find(key);
+        count += has != link->has.end() && has->second >= version;
     }
     return count;
 }
@@ -592,8 +608,8 @@
 size_t Owner::members_in_round(std::uint64_t round) const {
     size_t count = 0;
     for (const Member& member : core_.members) {
-        auto link = links_.find(member.identity);
-        count += link != links_.end() && link->second.round >= round;
+        const Link* link = living_link(member.identity);
+        count += link && link->round >= round;
     }
     return count;
 }
@@ -601,8 +617,8 @@
 void Owner::note_confirmation() {
     std::vector<Micros> times;
     for (const Member& member : core_.members) {
-        auto link = links_.find(member.identity);
-        times.push_back(link == links_.end() ? -1 : link->second.answered_from);
+        const Link* link = living_link(member.identity);
+        times.push_back(link ? link->answered_from : -1);
     }
     std::sort(times.rbegin(), times.rend());
     if (acting() && times.size() >= core_.majority())
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -189,6 +189,9 @@
     using Content = std::pair<Epoch, Version>;
 
     void change_state(State state) { state_ = state; }
+    // What is known of a member or learner; none of one whose disk is known to be lost, which counts for nothing.
+    const Link* living_link(Identity identity) const;
+    void note_gone(Link& link, Micros now);
     template <class Ask>
     OutgoingMessage make_message(Link& link, Micros now, Ask ask);
     Link* link_awaiting(std::uint64_t ticket);
