Core: who is outside asks the members that it knew last as well, not the seeds alone

Cause: a member that was removed, and one that nobody grants a term, asked only the seeds for the core. Where all seeds are outside it (two lost their disks, the third was removed meanwhile) nobody of them knew the members, and none came back, while three others went on serving (core_recovery, six daemons).

--- a/source/control/daemon/control.cpp
+++ b/source/control/daemon/control.cpp
@@ -84,7 +84,7 @@
     std::lock_guard guard(lock_);
     settings_.machine.seeds = machine.seeds;
     if (founding_) keep_founding(founding_->change_seeds(machine.seeds), [] {});
-    if (locator_) locator_->add_seeds(settings_.machine.seed_replicas(own_address_));
+    if (locator_) locator_->add_seeds(known_replicas());
 }
 
 }  // namespace calicostall
--- a/source/control/daemon/control.hpp
+++ b/source/control/daemon/control.hpp
@@ -85,6 +85,7 @@
     void receive_join(Request request);
     void receive_found(Request request);
     void receive_news_poll(Request request);
+    void receive_config_text_ask(Request request);
     void receive_call(Request request);
     void receive_side_poll(Request request);
     void log_config_read(const Response& response, Micros asked_at) const;
@@ -119,6 +120,7 @@
     // --- membership.cpp ---
     // Reads the core from the replica when it has changed.
     void refresh_core(Micros now);
+    std::vector<std::string> known_replicas() const;
     void locate_core(Micros now);
     void request_join(Micros now);
     void handle_join(const JoinAsk& ask);
@@ -162,7 +164,8 @@
 
     // --- news.cpp ---
     void answer_news(Micros now);
-    NewsAnswer news_answer(const NewsAsk& ask, const PublishedConfig& config, bool in_contact) const;
+    NewsAnswer news_answer(const PublishedConfig& config, bool in_contact) const;
+    ConfigTextAnswer config_text(const ConfigTextAsk& ask);
     PublishedConfig published_config();
     // Whether this daemon is in contact with the majority: as owner by its answers, as a follower by the owner's
     // writes, outside the core by the news.
--- a/source/control/daemon/membership.cpp
+++ b/source/control/daemon/membership.cpp
@@ -39,6 +39,17 @@
     log_line("control", "core of {}, place {}", core_.members.size(), *place_);
 }
 
+// Whom to ask for the core: the seeds, and the members as this daemon knew them last. Seeds alone may all be outside
+// the core by now, and then nobody of them knows it.
+std::vector<std::string> Control::known_replicas() const {
+    std::vector<std::string> known = settings_.machine.seed_replicas(own_address_);
+    for (const Member& member : core_.members) {
+        const bool fresh = std::find(known.begin(), known.end(), member.address) == known.end();
+        if (fresh && member.address != own_address_) known.push_back(member.address);
+    }
+    return known;
+}
+
 // One outside the core learns owner, core and configuration as fronts do, to pass calls and news on. So does a member
 // that nobody grants an epoch for long: it may have been removed while it was away, and then it asks to join again.
 void Control::locate_core(Micros now) {
@@ -52,10 +63,10 @@
     }
     const bool ungranted = election_.ungranted_for(now) > ungranted_timeout;
     if ((place_ && !ungranted) || locator_ || is_founding()) return;
-    std::vector<std::string> seeds = settings_.machine.seed_replicas(own_address_);
-    if (seeds.empty()) return;
+    std::vector<std::string> known = known_replicas();
+    if (known.empty()) return;
     locator_ = std::make_unique<Locator>(
-        Locator::Settings{.own = settings_.machine.node, .seeds = seeds, .wait = locate_interval}, loop_, [this] {
+        Locator::Settings{.own = settings_.machine.node, .seeds = known, .wait = locate_interval}, loop_, [this] {
             std::lock_guard guard(lock_);
             if (Epoch epoch = locator_->epoch(); epoch.value != 0) note_owner(epoch, locator_->owner());
             if (!locator_->peers().second.empty()) note_core_at_work();
@@ -69,7 +80,7 @@
     if (place_ || is_founding() || now < next_join_ || election_.leaving() || !settings_.machine.counted) return;
     next_join_ = now + settings_.join_interval;
     const JoinAsk ask{replica_.identity, own_address_, settings_.machine.control, false};
-    std::vector<std::string> known = settings_.machine.seed_replicas(own_address_);
+    std::vector<std::string> known = known_replicas();
     std::set<std::string> addresses(known.begin(), known.end());
     if (locator_)
         for (const std::string& peer : locator_->peers().second)
--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -271,15 +271,24 @@
         my.detector.reorder(*my.place, my.core.members.size(), trusted ? my.core.place_of(*trusted).value_or(0) : 0,
                             world.now);
     }
+    // The seeds, and the members as this daemon knew them last.
+    std::set<size_t> known_machines() const {
+        std::set<size_t> known;
+        for (size_t seed = 0; seed < std::min<size_t>(3, all.size()); ++seed)
+            known.insert(seed);
+        for (const Member& member : live->core.members)
+            if (auto machine = machine_at(member.address)) known.insert(*machine);
+        known.erase(place);
+        return known;
+    }
     // One outside the core, or one that nobody grants an epoch for long, asks the others what the core is.
     void follow_core() {
         Live& my = *live;
         bool ungranted = my.election.ungranted_for(world.now) > seconds(2);
         if ((my.place && !ungranted) || world.now < my.next_follow) return;
         my.next_follow = world.now + ms(400);
-        for (size_t seed = 0; seed < std::min<size_t>(3, all.size()); ++seed) {
-            if (seed == place) continue;
-            reach(seed, [this](Daemon& other) {
+        for (size_t known : known_machines()) {
+            reach(known, [this](Daemon& other) {
                 if (!other.live->core_version) return;
                 other.reach(place, [mark = other.live->core_version->second.value, core = other.live->core,
                                     epoch = other.live->known_epoch, owner = other.live->known_owner](Daemon& self) {
@@ -299,10 +308,10 @@
         if (my.place || world.now < my.next_join || my.departure.is_leaving()) return;
         my.next_join = world.now + ms(400);
         JoinAsk ask{my.replica.identity, address(), "", false};
-        std::set<size_t> machines = {0, 1, 2};
-        if (auto owner = machine_at(my.known_owner)) machines.insert(*owner);
+        std::set<size_t> machines = known_machines();
+        if (auto owner = machine_at(my.known_owner); owner && *owner != place) machines.insert(*owner);
         for (size_t machine : machines)
-            if (machine != place) reach(machine, [ask](Daemon& other) { other.take_join(ask); });
+            reach(machine, [ask](Daemon& other) { other.take_join(ask); });
     }
     void take_join(const JoinAsk& ask) {
         Live& my = *live;
