News: the text of a configuration is fetched by itself

Cause: the answer to a poll for news carried the whole configuration. On a link of 2 Mbit/s 270,661 bytes take 1.1 s, and four polls of a machine fetched it at once (4.3 s), under a time limit of 1.7 s: a control daemon outside the core never learnt the owner, kept its link full, and answered every read of the configuration with 503. Class: what is small and urgent waits behind what is large, under a limit for the small.

Change: news tell revision and size.

--- a/source/control/daemon/news.cpp
+++ b/source/control/daemon/news.cpp
@@ -17,7 +17,7 @@
             ++poll;
             continue;
         }
-        poll->reply.send(Response::cbor(pack(news_answer(poll->ask, config, state.in_contact))));
+        poll->reply.send(Response::cbor(pack(news_answer(config, state.in_contact))));
         poll = news_polls_.erase(poll);
     }
 }
@@ -36,9 +36,9 @@
     return owner_heard_at_ && now - *owner_heard_at_ < settings_.contact_timeout;
 }
 
-NewsAnswer Control::news_answer(const NewsAsk& ask, const PublishedConfig& config, bool in_contact) const {
-    NewsAnswer answer{config.revision, {}, known_epoch_, known_owner_, core_mark_, {}, in_contact};
-    if (config.text && config.revision > ask.config_revision) answer.config = *config.text;
+NewsAnswer Control::news_answer(const PublishedConfig& config, bool in_contact) const {
+    NewsAnswer answer{config.revision, 0, known_epoch_, known_owner_, core_mark_, {}, in_contact};
+    if (config.text) answer.config_bytes = config.text->size();
     if (!place_) {
         answer.peers = located_core_;
         return answer;
@@ -48,6 +48,12 @@
     return answer;
 }
 
+ConfigTextAnswer Control::config_text(const ConfigTextAsk& ask) {
+    const PublishedConfig config = published_config();
+    if (!config.text || config.revision < ask.revision) return {};
+    return {config.revision, *config.text};
+}
+
 // The configuration of the own replica; outside the core the one that was heard of when that is newer.
 Control::PublishedConfig Control::published_config() {
     PublishedConfig config;
--- a/source/control/daemon/routes.cpp
+++ b/source/control/daemon/routes.cpp
@@ -33,6 +33,7 @@
     if (request.path == "/inner/join") return receive_join(std::move(request));
     if (request.path == "/inner/found") return receive_found(std::move(request));
     if (request.path == "/inner/news") return receive_news_poll(std::move(request));
+    if (request.path == "/inner/config") return receive_config_text_ask(std::move(request));
     if (request.path == "/inner/call") return receive_call(std::move(request));
     if (request.path == "/inner/side") return receive_side_poll(std::move(request));
     if (request.path == preview_path) return request.reply.send(answer_preview(request.method));
@@ -125,6 +126,17 @@
     answer_news(now);
 }
 
+void Control::receive_config_text_ask(Request request) {
+    auto ask = unpack<ConfigTextAsk>(request.body);
+    if (!ask) return refuse_frame(request.reply);
+    ConfigTextAnswer answer;
+    {
+        std::lock_guard guard(lock_);
+        answer = config_text(*ask);
+    }
+    request.reply.send(Response::cbor(pack(answer)));
+}
+
 void Control::receive_call(Request request) {
     auto ask = unpack<CallAsk>(request.body);
     if (!ask) return refuse_frame(request.reply);
--- a/source/shared/news/locator.hpp
+++ b/source/shared/news/locator.hpp
@@ -1,4 +1,5 @@
-// How a front or a side finds the owner: it asks a few control daemons with the versions it has.
+// How a front or a side finds the owner: it asks a few control daemons with the versions it has. The text of a
+// configuration is fetched by itself, once, and may take as long as its size needs on a slow link.
 #pragma once
 #include <xxhash.h>
 
@@ -36,6 +37,11 @@
         size_t hurried = 2;  // daemons asked at once when the owner is lost
         // No daemon is in contact while an owner is lost and another takes over; that alone is no reason to act.
         Micros takeover_most = seconds(3);
+        // The time limit for fetching a text: so much, and more for each byte (270 KB take 1.1 s at 2 Mbit/s, and other
+        // fetches share the link). It doubles with each failure, up to `fetch_most`.
+        Micros fetch_least = seconds(1), fetch_per_byte = 10, fetch_most = seconds(20);
+        // After a failure, before the next daemon is asked; it doubles with each failure as well.
+        Micros fetch_pause = milliseconds(200), fetch_pause_most = seconds(2);
     };
     using Changed = std::function<void()>;
 
@@ -145,14 +151,15 @@
         NewsAsk ask;
         {
             std::lock_guard guard(lock_);
-            ask = {settings_.wants_config ? revision_ : ~std::uint64_t(0), epoch_, core_mark_, wait};
+            ask = {settings_.wants_config ? announced_.revision : ~std::uint64_t(0), epoch_, core_mark_, wait};
         }
         loop_.ask({.url = "http://" + address + "/inner/news", .body = pack(ask), .patience = wait + milliseconds(700)},
-                  [this, then](Answer answer) {
+                  [this, address, then](Answer answer) {
                       std::optional<NewsAnswer> news;
                       if (answer.good()) news = unpack<NewsAnswer>(answer.body);
                       if (!news) return then(Heard::nothing);
                       learn(*news);
+                      note_announced(*news, address);
                       then(news->in_contact ? Heard::in_contact : Heard::without_contact);
                   });
     }
@@ -168,11 +175,6 @@
                 changed = true;
                 log_line("locator", "owner {} under epoch {}", owner_, epoch_.value);
             }
-            if (news.config_revision > revision_ && !news.config.empty()) {
-                revision_ = news.config_revision;
-                config_ = news.config;
-                changed = true;
-            }
             if (news.core_mark > core_mark_ && !news.peers.empty()) {
                 core_mark_ = news.core_mark;
                 peers_ = news.peers;
@@ -183,6 +185,64 @@
         if (changed) changed_();
     }
 
+    // --- the text of the configuration ---
+
+    void note_announced(const NewsAnswer& news, const std::string& address) {
+        {
+            std::lock_guard guard(lock_);
+            if (!settings_.wants_config || news.config_revision <= announced_.revision) return;
+            announced_ = {news.config_revision, news.config_bytes, address};
+            if (std::exchange(fetching_, true)) return;
+        }
+        fetch(address, 0);
+    }
+    static Micros doubled(Micros time, size_t times, Micros most) {
+        for (size_t each = 0; each < times && time < most; ++each)
+            time *= 2;
+        return std::min(time, most);
+    }
+    void fetch(const std::string& address, size_t failures) {
+        ConfigTextAsk ask;
+        Micros patience;
+        {
+            std::lock_guard guard(lock_);
+            // What is newer than the text that is here will do: an announcer may have lost the newest one since.
+            ask.revision = revision_ + 1;
+            patience = settings_.fetch_least + Micros(announced_.bytes) * settings_.fetch_per_byte;
+            patience = doubled(patience, failures, settings_.fetch_most);
+        }
+        loop_.ask({.url = "http://" + address + "/inner/config", .body = pack(ask), .patience = patience},
+                  [this, failures](Answer answer) {
+                      auto frame = answer.good() ? unpack<ConfigTextAnswer>(answer.body) : std::nullopt;
+                      take_text(frame ? std::move(*frame) : ConfigTextAnswer{}, failures);
+                  });
+    }
+    void take_text(ConfigTextAnswer answer, size_t failures) {
+        bool changed = false;
+        std::string next;  // whom to ask now
+        {
+            std::lock_guard guard(lock_);
+            if (answer.revision > revision_ && !answer.text.empty()) {
+                revision_ = answer.revision;
+                config_ = std::move(answer.text);
+                changed = true;
+            }
+            fetching_ = revision_ < announced_.revision;
+            if (fetching_) next = changed || ranked_.empty() ? announced_.by : ranked_[failures % ranked_.size()];
+        }
+        if (changed) changed_();
+        if (next.empty()) return;
+        if (changed) return fetch(next, 0);
+        const Micros pause = doubled(settings_.fetch_pause, failures, settings_.fetch_pause_most);
+        loop_.after(pause, [this, next, failures] { fetch(next, failures + 1); });
+    }
+
+    // The newest configuration that any daemon was heard to have.
+    struct Announced {
+        std::uint64_t revision = 0, bytes = 0;
+        std::string by;
+    };
+
     Settings settings_;
     Loop& loop_;
     Changed changed_;
@@ -191,6 +251,8 @@
     std::string owner_, config_;
     Epoch epoch_;
     std::uint64_t revision_ = 0, core_mark_ = 0;
+    Announced announced_;
+    bool fetching_ = false;
     Micros contact_at_ = -1;
     Backoff hurry_{milliseconds(100), milliseconds(400), std::random_device{}()};
     size_t hurry_next_ = 0;
--- a/source/shared/wire/frames.hpp
+++ b/source/shared/wire/frames.hpp
@@ -7,7 +7,7 @@
 
 // "Tell me when there is something newer than this."
 struct NewsAsk {
-    std::uint64_t config_revision = 0;
+    std::uint64_t config_revision = 0;  // the newest heard of, whether its text is here or still on its way
     Epoch epoch;
     std::uint64_t core_mark = 0;
     Micros wait = 0;
@@ -18,9 +18,11 @@
     }
 };
 
+// Small whatever the configuration's size is: its text is asked for by itself (ConfigTextAsk), so that a slow link or a
+// short time limit doesn't keep the rest back.
 struct NewsAnswer {
     std::uint64_t config_revision = 0;
-    std::string config;  // empty when the asker has it
+    std::uint64_t config_bytes = 0;  // the size of its text
     Epoch epoch;
     std::string owner;  // address of the owner's replica, empty when unknown
     std::uint64_t core_mark = 0;
@@ -31,11 +33,32 @@
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(config_revision), visit(config), visit(epoch), visit(owner), visit(core_mark), visit(peers),
+        visit(config_revision), visit(config_bytes), visit(epoch), visit(owner), visit(core_mark), visit(peers),
             visit(in_contact);
     }
 };
 
+// Asks for the text of a configuration that is at least so new.
+struct ConfigTextAsk {
+    std::uint64_t revision = 0;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) {
+        visit(revision);
+    }
+};
+
+// The newest text that the daemon has; revision 0 and no text when that is older than what was asked for.
+struct ConfigTextAnswer {
+    std::uint64_t revision = 0;
+    std::string text;
+    using IsFrame = void;
+    template <class Visitor>
+    void describe(Visitor& visit) {
+        visit(revision), visit(text);
+    }
+};
+
 // A client's or an operator's call on its way to the owner.
 struct CallAsk {
     std::string method, host, path, body, if_match;
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -33,6 +33,8 @@
 private:
     void take(Request request) {
         std::lock_guard guard(lock_);
+        if (request.path == "/inner/config")
+            return request.reply.send(Response::cbor(pack(ConfigTextAnswer{1, config_})));
         if (request.path != "/inner/news") {
             calls_.push_back(std::move(request.reply));
             return wake_.notify_all();
@@ -41,14 +43,16 @@
         if (ask && ask->config_revision > 0) return news_.push_back(std::move(request.reply));
         NewsAnswer answer;
         answer.config_revision = 1;
-        answer.config = R"({"revision":1,"services":[{"name":"svc"}],)"
-                        R"("routes":[{"host":"jobs.example","path_prefix":"/a/","service":"svc","timeout_ms":3000}]})";
+        answer.config_bytes = config_.size();
         answer.epoch = Epoch{1};
         answer.owner = address();
         answer.in_contact = true;
         request.reply.send(Response::cbor(pack(answer)));
     }
 
+    const std::string config_ =
+        R"({"revision":1,"services":[{"name":"svc"}],)"
+        R"("routes":[{"host":"jobs.example","path_prefix":"/a/","service":"svc","timeout_ms":3000}]})";
     std::mutex lock_;
     std::condition_variable wake_;
     std::vector<Reply> calls_, news_;
--- a/tests/locator.cpp
+++ b/tests/locator.cpp
@@ -15,10 +15,20 @@
         std::string address;
         Then then;
     };
-    std::deque<Kept> kept;
+    std::deque<Kept> kept, fetches;  // polls for news, and asks for the text of a configuration
     void ask(Ask ask, Then then) override {
         std::string address = ask.url.substr(std::string_view("http://").size());
-        kept.push_back({address.substr(0, address.find('/')), std::move(then)});
+        const std::string path = address.substr(address.find('/'));
+        std::deque<Kept>& here = path == "/inner/config" ? fetches : kept;
+        here.push_back({address.substr(0, address.find('/')), std::move(then)});
+    }
+    // Answers the oldest ask for a text; without one it fails.
+    void answer_text(const std::optional<ConfigTextAnswer>& text) {
+        EXPECT(!fetches.empty());
+        if (fetches.empty()) return;
+        Then then = std::move(fetches.front().then);
+        fetches.pop_front();
+        then(text ? Answer{Answer::Fate::answered, 200, pack(*text)} : Answer{});
     }
     std::set<std::string> polled() const {
         std::set<std::string> addresses;
@@ -39,7 +49,7 @@
 const std::vector<std::string> seeds = {"a:1", "b:1", "c:1"};
 
 NewsAnswer news(bool in_contact) {
-    return {1, "{}", Epoch{3}, "a:1", 1, seeds, in_contact};
+    return {1, 2, Epoch{3}, "a:1", 1, seeds, in_contact};
 }
 
 // The watcher of a daemon without contact moves to one that nobody watches; the other watcher stays.
@@ -69,7 +79,9 @@
     locator.open();
     const std::string first = *loop.polled().begin();
     loop.answer(first, news(false));
-    EXPECT(locator.revision() == 1 && locator.owner() == "a:1");
+    EXPECT(locator.owner() == "a:1" && locator.revision() == 0);
+    loop.answer_text(ConfigTextAnswer{1, "{}"});
+    EXPECT(locator.revision() == 1);
     EXPECT(!locator.in_touch(steady_now()));
     loop.answer(*loop.polled().begin(), news(true));
     const Micros now = steady_now();
@@ -89,17 +101,55 @@
     auto answer = [&](std::uint64_t revision, bool in_contact) {
         NewsAnswer told = news(in_contact);
         told.config_revision = revision;
-        told.config = fmt::format("text {}", revision);
         loop.answer(*loop.polled().begin(), told);
+        if (!loop.fetches.empty()) loop.answer_text(ConfigTextAnswer{revision, fmt::format("text {}", revision)});
     };
     answer(7, true);
-    EXPECT(locator.revision() == 7 && locator.config() == "text 7" && changes == 1);
+    // The first news tell the owner as well: a change of its own.
+    EXPECT(locator.revision() == 7 && locator.config() == "text 7" && changes == 2);
     for (std::uint64_t older : {6, 1, 0, 7}) {
         answer(older, older % 2 == 0);
-        EXPECT(locator.revision() == 7 && locator.config() == "text 7" && changes == 1);
+        EXPECT(locator.revision() == 7 && locator.config() == "text 7" && changes == 2);
     }
     answer(9, false);
-    EXPECT(locator.revision() == 9 && locator.config() == "text 9" && changes == 2);
+    EXPECT(locator.revision() == 9 && locator.config() == "text 9" && changes == 3);
+}
+
+// One text is fetched at a time, however many daemons tell of it; polls go on meanwhile, and don't tell of it again.
+void a_text_is_fetched_once() {
+    KeepingLoop loop;
+    Locator locator({.own = "front-1", .seeds = seeds}, loop, [] {});
+    locator.open();
+    auto tell = [&](std::uint64_t revision) {
+        NewsAnswer told = news(true);
+        told.config_revision = revision;
+        const std::string first = *loop.polled().begin();
+        loop.answer(first, told);
+        return first;
+    };
+    const std::string announcer = tell(7);
+    tell(7);
+    EXPECT(loop.fetches.size() == 1 && loop.fetches.front().address == announcer && loop.kept.size() == 2);
+    // A newer one that is heard of meanwhile is fetched next.
+    tell(8);
+    EXPECT(loop.fetches.size() == 1);
+    loop.answer_text(ConfigTextAnswer{7, "text 7"});
+    EXPECT(locator.revision() == 7 && loop.fetches.size() == 1);
+    loop.answer_text(ConfigTextAnswer{8, "text 8"});
+    EXPECT(locator.revision() == 8 && locator.config() == "text 8" && loop.fetches.empty());
+    // An answer that is older than what is here, or that has no text, changes nothing.
+    tell(9);
+    loop.answer_text(ConfigTextAnswer{7, "text 7"});
+    EXPECT(locator.revision() == 8 && locator.config() == "text 8");
+}
+
+// Who doesn't want configurations asks for none.
+void nobody_fetches_what_it_does_not_want() {
+    KeepingLoop loop;
+    Locator locator({.own = "side-1", .seeds = seeds, .wants_config = false}, loop, [] {});
+    locator.open();
+    loop.answer(*loop.polled().begin(), news(true));
+    EXPECT(loop.fetches.empty() && locator.owner() == "a:1");
 }
 
 }  // namespace
@@ -108,5 +158,7 @@
     leaves_a_daemon_without_contact();
     only_contact_counts_for_readiness();
     a_configuration_never_goes_back();
+    a_text_is_fetched_once();
+    nobody_fetches_what_it_does_not_want();
     return result();
 }
--- a/tests/slow_links.cpp
+++ b/tests/slow_links.cpp
@@ -20,18 +20,16 @@
         Then then;
     };
     std::deque<UnderWay> under_way;
-    NewsAnswer known{21, std::string(text_bytes, 'x'), Epoch{2}, "a:1", 6, seeds, true};
+    const std::string text = std::string(text_bytes, 'x');
+    NewsAnswer known{21, text_bytes, Epoch{2}, "a:1", 6, seeds, true};
     size_t bytes = 0;
 
     void ask(Ask ask, Then then) override { under_way.push_back({std::move(ask), std::move(then)}); }
 
-    // What a daemon answers, by the versions it is asked with.
     std::string answer_to(const Ask& ask) const {
-        auto asked = unpack<NewsAsk>(ask.body);
-        EXPECT(asked.has_value());
-        NewsAnswer answer = known;
-        if (asked->config_revision >= known.config_revision) answer.config.clear();
-        return pack(answer);
+        if (ask.url.ends_with("/inner/config")) return pack(ConfigTextAnswer{known.config_revision, text});
+        EXPECT(unpack<NewsAsk>(ask.body).has_value());
+        return pack(known);
     }
     // All that is under way is answered, or its patience ends.
     void round() {
