Core: a candidate shows its core, and a daemon goes by the latest one that it was shown

Cause: a member that was away while the core grew went by the older core. It waited for a majority of that one, in which a lost disk was needed, and gave no vote to a candidate that it didn't know; the newer member waited for that vote. Likewise a member that was told of its removal by news didn't vote any more, though the removal may never have been settled.

Change: a prepare carries the register that the candidate's core was read from. Whoever is asked goes by a later core from then on (KnownCore, in memory only; a later core is always safe to go by), and a takeover that was begun with an earlier one begins anew. A member removed by hearsay votes once no daemon in contact is heard of.

--- a/source/control/daemon/control.hpp
+++ b/source/control/daemon/control.hpp
@@ -17,6 +17,7 @@
 #include "control/jobs/calls/held_calls.hpp"
 #include "control/membership/core_keeper.hpp"
 #include "control/membership/founding.hpp"
+#include "control/membership/known_core.hpp"
 #include "control/store/disk.hpp"
 #include "control/store/owner.hpp"
 #include "control/store/replica.hpp"
@@ -120,6 +121,9 @@
     // --- membership.cpp ---
     // Reads the core from the replica when it has changed.
     void refresh_core(Micros now);
+    void learn_core(const Register& value, Micros now);
+    // Whether the own replica may grant a term to the candidate.
+    bool may_grant(Identity candidate, Micros now) const;
     std::vector<std::string> known_replicas() const;
     void locate_core(Micros now);
     void request_join(Micros now);
@@ -204,8 +208,8 @@
     std::string own_address_;  // of the replica
 
     // Membership.
-    Core core_;
-    std::optional<std::pair<Epoch, Version>> core_version_;
+    KnownCore known_core_;
+    Core core_;  // the same, as the detector goes by it
     std::uint64_t core_mark_ = 0;
     std::optional<size_t> place_;
     std::optional<Founding> founding_;  // both from the opening of the disk on
--- a/source/control/daemon/election.cpp
+++ b/source/control/daemon/election.cpp
@@ -21,7 +21,7 @@
     const size_t trusted_before = detector_.trusted();
     const bool too_slow = core_.members.size() > 1 && suspicion_.stands_back_for_another(now, owner_heard_at_);
     const bool was_acting = owner_.acting();
-    const ElectionStep step = election_.step({core_, disk_.stalled_for(now), too_slow, now});
+    const ElectionStep step = election_.step({core_, disk_.stalled_for(now), too_slow, now, &known_core_.value()});
     log_election(step, trusted_before);
     for (size_t place : step.heartbeats)
         send_heartbeat(place, false);
--- a/source/control/daemon/membership.cpp
+++ b/source/control/daemon/membership.cpp
@@ -19,17 +19,17 @@
 
 void Control::refresh_core(Micros now) {
     auto found = replica_.registers.find("core");
-    if (found == replica_.registers.end()) return;
-    const Register& value = found->second;
-    if (core_version_ && *core_version_ == std::pair(value.epoch, value.version)) return;
-    auto core = unpack<Core>(value.moving);
-    if (!core) return;
-    core_version_ = std::pair(value.epoch, value.version);
-    core_mark_ = value.version.value;
+    if (found != replica_.registers.end()) learn_core(found->second, now);
+}
+
+void Control::learn_core(const Register& value, Micros now) {
+    if (!known_core_.take(value)) return;
+    const Core& core = known_core_.core();
+    core_mark_ = std::max(core_mark_, value.version.value);
     std::optional<Identity> trusted;
     if (place_ && detector_.trusted() < core_.members.size()) trusted = core_.members[detector_.trusted()].identity;
-    const bool same = same_members(core_, *core);
-    core_ = std::move(*core);
+    const bool same = same_members(core_, core);
+    core_ = core;
     const bool was_member = place_.has_value();
     place_ = core_.place_of(replica_.identity);
     if (!was_member && place_) election_.begin_membership(now);
@@ -50,6 +50,16 @@
     return known;
 }
 
+// A member that was told of its removal by the others' news may still be needed: the removal may never have been
+// settled. So it votes once no daemon in contact is heard of any more; a vote that isn't needed does no harm (see
+// `Owner`).
+bool Control::may_grant(Identity candidate, Micros now) const {
+    if (!departure_.takes_part()) return false;
+    if (place_) return election_.may_grant(candidate, core_);
+    const bool hears_of_owner = locator_ && locator_->in_touch(now);
+    return core_.find(replica_.identity) && !hears_of_owner;
+}
+
 // One outside the core learns owner, core and configuration as fronts do, to pass calls and news on. So does a member
 // that nobody grants an epoch for long: it may have been removed while it was away, and then it asks to join again.
 void Control::locate_core(Micros now) {
--- a/source/control/daemon/news.cpp
+++ b/source/control/daemon/news.cpp
@@ -39,7 +39,7 @@
 NewsAnswer Control::news_answer(const PublishedConfig& config, bool in_contact) const {
     NewsAnswer answer{config.revision, 0, known_epoch_, known_owner_, core_mark_, {}, in_contact};
     if (config.text) answer.config_bytes = config.text->size();
-    if (!place_) {
+    if (!place_ && !located_core_.empty()) {
         answer.peers = located_core_;
         return answer;
     }
--- a/source/control/daemon/store_messages.cpp
+++ b/source/control/daemon/store_messages.cpp
@@ -68,13 +68,14 @@
 }
 
 void Control::handle_prepare(const PrepareAsk& ask, PrepareCallback respond) {
-    const bool trusted = place_ && departure_.takes_part() && election_.may_grant(ask.from, core_);
-    auto [answer, change] = replica_.prepare(ask, trusted);
+    const Micros now = steady_now();
+    learn_core(ask.core, now);
+    auto [answer, change] = replica_.prepare(ask, may_grant(ask.from, now));
     if (answer.verdict == Verdict::stranger) note_core_at_work();
     const bool of_other = ask.from != replica_.identity;
     if (answer.verdict == Verdict::granted && of_other && owner_.state() != Owner::State::idle) owner_.give_up();
     answer.wall = wall_now();
-    answer.judged = core_clock_.handed_on(steady_now());
+    answer.judged = core_clock_.handed_on(now);
     disk_.put(std::move(change),
               [respond = std::move(respond), answer = std::move(answer)]() mutable { respond(std::move(answer)); });
 }
--- a/source/control/detector/election.cpp
+++ b/source/control/detector/election.cpp
@@ -83,16 +83,19 @@
     was_catching_up_ = catching_up(input.now);
     if (!detector_.trusts_itself() || is_unfit(input) || leaving()) return;
     const bool idle = owner_.state() == Owner::State::idle && input.now >= next_takeover_;
-    // What was tried in silence did not know whom to let finish.
-    const bool again = owner_.state() == Owner::State::preparing && caught_up && present_owner(input.core);
-    if (idle || again) take_over(input);
+    // What was tried in silence did not know whom to let finish, and what was begun with an earlier core asks the wrong
+    // members.
+    const bool preparing = owner_.state() == Owner::State::preparing;
+    const bool ill_informed = caught_up && present_owner(input.core);
+    const bool outdated = input.core_value && input.core_value->newer_than(owner_.core_value());
+    if (idle || (preparing && (ill_informed || outdated))) take_over(input);
 }
 
 void Election::take_over(const ElectionInput& input) {
     next_takeover_ = input.now + settings_.takeover_interval;
     takeover_at_ = input.now;
     owner_.take_over(input.core, std::max(replica_.promised, highest_term_), replica_.registers,
-                     present_owner(input.core));
+                     present_owner(input.core), input.core_value ? *input.core_value : Register{});
 }
 
 std::optional<Identity> Election::present_owner(const Core& core) const {
--- a/source/control/detector/election.hpp
+++ b/source/control/detector/election.hpp
@@ -43,6 +43,7 @@
     Micros disk_stalled_for = 0;
     bool too_slow = false;  // this daemon stands back by itself, see SelfSuspicion
     Micros now = 0;
+    const Register* core_value = nullptr;  // what `core` was read from, see KnownCore
 };
 
 // What the caller is to do, and what is worth a line of the log.
--- a/source/control/store/owner.cpp
+++ b/source/control/store/owner.cpp
@@ -29,7 +29,7 @@
 }
 
 void Owner::take_over(const Core& core, Epoch seen, std::map<std::string, Register> own_registers,
-                      std::optional<Identity> present_owner) {
+                      std::optional<Identity> present_owner, const Register& core_value) {
     if (!core.find(self_)) return;
     give_up();
     core_ = core;
@@ -40,6 +40,7 @@
         known.list.push_back({key, value.epoch, value.version});
     known_ = pack(known);
     adopted_core_.reset();
+    if (core_value.newer_than(this->core_value())) adopted_core_ = core_value;
     present_owner_ = present_owner == self_ ? std::nullopt : present_owner;
     handover_deadline_.reset();
     ++takeovers_;
@@ -99,9 +100,7 @@
     for (const KeyedRegister& each : answer.registers) {
         if (each.key != "core" || !unpack_core) continue;
         std::optional<Core> core = unpack_core(each.value.moving);
-        auto own = own_registers_.find("core");
-        if (own != own_registers_.end() && !each.value.newer_than(own->second)) continue;
-        if (!core || (adopted_core_ && !each.value.newer_than(*adopted_core_))) continue;
+        if (!core || !each.value.newer_than(core_value())) continue;
         core_ = *core;
         adopted_core_ = each.value;
         if (!core_.find(self_)) return give_up();
@@ -384,12 +383,11 @@
         if (link.in_flight_ticket || now < link.not_before) continue;
         if (state_ == State::preparing) {
             std::optional<PrepareAsk> ask = next_prepare(identity, link, pre_votes_only);
-            if (!ask && is_probe_due(link, now)) ask = make_probe(identity);
+            if (!ask && is_probe_due(link, now)) ask = make_prepare(identity, PrepareKind::pre_vote);
             if (ask) messages.push_back(make_message(link, now, std::move(*ask)));
         } else if (!link.compared) {
             // One that was not among the majority: what it holds is learnt before it is written to.
-            PrepareAsk ask{self_, identity, epoch_, PrepareKind::late, known_};
-            messages.push_back(make_message(link, now, std::move(ask)));
+            messages.push_back(make_message(link, now, make_prepare(identity, PrepareKind::late)));
         } else {
             if (state_ == State::transferring && is_probe_due(link, now)) probe();
             std::optional<WriteAsk> ask = next_write(identity, link);
@@ -414,8 +412,14 @@
 }
 
 // A pre-vote promises nothing and brings nothing back but the member's promise.
-PrepareAsk Owner::make_probe(Identity identity) const {
-    return PrepareAsk{self_, identity, epoch_, PrepareKind::pre_vote, ""};
+PrepareAsk Owner::make_prepare(Identity identity, PrepareKind kind) const {
+    return {self_, identity, epoch_, kind, kind == PrepareKind::pre_vote ? "" : known_, core_value()};
+}
+
+Register Owner::core_value() const {
+    if (adopted_core_) return *adopted_core_;
+    auto own = own_registers_.find("core");
+    return own == own_registers_.end() ? Register{} : own->second;
 }
 
 std::optional<PrepareAsk> Owner::next_prepare(Identity identity, const Link& link, bool pre_votes_only) const {
@@ -424,8 +428,7 @@
     if (identity == self_ && grants_.size() + 1 < core_.majority()) return std::nullopt;
     bool pre_vote = identity != self_ && !link.ready;
     if (pre_votes_only && !pre_vote) return std::nullopt;
-    PrepareKind kind = pre_vote ? PrepareKind::pre_vote : PrepareKind::grant;
-    return PrepareAsk{self_, identity, epoch_, kind, pre_vote ? "" : known_};
+    return make_prepare(identity, pre_vote ? PrepareKind::pre_vote : PrepareKind::grant);
 }
 
 std::optional<WriteAsk> Owner::next_write(Identity identity, Link& link) {
--- a/source/control/store/owner.hpp
+++ b/source/control/store/owner.hpp
@@ -78,16 +78,20 @@
     Epoch epoch() const { return epoch_; }
     const Core& core() const { return core_; }
     const std::map<std::string, Register>& registers() const { return registers_; }
+    // The register that the takeover's core was read from, the adopted one or the own replica's; empty when there is
+    // none.
+    Register core_value() const;
     // When a majority was last known to follow this epoch: the sending time of their oldest needed answer.
     Micros confirmed_at() const { return confirmed_at_; }
     std::uint64_t takeovers() const { return takeovers_; }
 
     // Begins a takeover; `seen` is the highest epoch known, `own_registers` what this daemon's own replica holds: the
     // others send only what differs from it. With `present_owner`, only pre-votes are sent until that member answers
-    // `ready`, or can't be reached, or `handover_patience` has run out since the first of them.
-    // Example: owner.take_over(core, std::max(replica.promised, highest), replica.registers, known_owner);
+    // `ready`, or can't be reached, or `handover_patience` has run out since the first of them. `core_value` is the
+    // register that `core` was read from, when that is a later one than the own replica holds. Example:
+    // owner.take_over(core, std::max(replica.promised, highest), replica.registers, known_owner);
     void take_over(const Core& core, Epoch seen, std::map<std::string, Register> own_registers = {},
-                   std::optional<Identity> present_owner = std::nullopt);
+                   std::optional<Identity> present_owner = std::nullopt, const Register& core_value = {});
 
     // Ends the ownership: every callback that waits is called with false, which says neither done nor never done.
     void give_up();
@@ -205,7 +209,7 @@
     bool awaits_present_owner(Micros now);
     std::optional<PrepareAsk> next_prepare(Identity identity, const Link& link, bool pre_votes_only) const;
     bool is_probe_due(const Link& link, Micros now) const;
-    PrepareAsk make_probe(Identity identity) const;
+    PrepareAsk make_prepare(Identity identity, PrepareKind kind) const;
     std::optional<WriteAsk> next_write(Identity identity, Link& link);
     WriteEntry make_entry(const std::string& key, const Missing& missing, const Link& link) const;
     void note_written(Link& link, const WriteAnswer& answer);
--- a/source/control/store/register.hpp
+++ b/source/control/store/register.hpp
@@ -133,10 +133,11 @@
     Epoch epoch;
     PrepareKind kind = PrepareKind::grant;
     std::string known;  // packed Holdings, sorted by key: what the asker has already
+    Register core;      // the core that the asker goes by; empty when it is told by nothing
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(from), visit(to), visit(epoch), visit(kind), visit(known);
+        visit(from), visit(to), visit(epoch), visit(kind), visit(known), visit(core);
     }
 };
 
--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -6,6 +6,7 @@
 #include "control/detector/departure.hpp"
 #include "control/detector/election.hpp"
 #include "control/jobs/calls/held_calls.hpp"
+#include "control/membership/known_core.hpp"
 
 namespace calicostall::tests {
 
@@ -67,9 +68,10 @@
         Ledger ledger;
         Scheduler<Ledger> scheduler;
         CoreClock core_clock;
+        KnownCore known_core;
         Core core;
-        std::optional<std::pair<Epoch, Version>> core_version;
-        std::optional<size_t> place;  // in the core
+        std::optional<size_t> place;      // in the core
+        Micros contact_at = -seconds(4);  // while outside the core: when a daemon in contact was heard of
         Epoch scheduler_epoch, known_epoch;
         std::string known_owner;
         HeldCalls held_calls;
@@ -252,18 +254,19 @@
     void learn_core() {
         Live& my = *live;
         auto found = my.replica.registers.find("core");
-        if (found == my.replica.registers.end()) return;
-        if (my.core_version && *my.core_version == std::pair(found->second.epoch, found->second.version)) return;
-        auto core = unpack<Core>(found->second.moving);
-        if (!core) return;
-        my.core_version = std::pair(found->second.epoch, found->second.version);
+        if (found != my.replica.registers.end()) learn_core(found->second);
+    }
+    void learn_core(const Register& value) {
+        Live& my = *live;
+        if (!my.known_core.take(value)) return;
+        const Core& core = my.known_core.core();
         std::optional<Identity> trusted;
         if (my.place && my.detector.trusted() < my.core.members.size())
             trusted = my.core.members[my.detector.trusted()].identity;
-        bool same = my.core.members.size() == core->members.size();
-        for (size_t each = 0; same && each < core->members.size(); ++each)
-            same = my.core.members[each].identity == core->members[each].identity;
-        my.core = std::move(*core);
+        bool same = my.core.members.size() == core.members.size();
+        for (size_t each = 0; same && each < core.members.size(); ++each)
+            same = my.core.members[each].identity == core.members[each].identity;
+        my.core = core;
         const bool was_member = my.place.has_value();
         my.place = my.core.place_of(my.replica.identity);
         if (!was_member && my.place) my.election.begin_membership(world.now);
@@ -289,14 +292,16 @@
         my.next_follow = world.now + ms(400);
         for (size_t known : known_machines()) {
             reach(known, [this](Daemon& other) {
-                if (!other.live->core_version) return;
-                other.reach(place, [mark = other.live->core_version->second.value, core = other.live->core,
-                                    epoch = other.live->known_epoch, owner = other.live->known_owner](Daemon& self) {
+                if (other.live->core.members.empty()) return;
+                other.reach(place, [mark = other.live->known_core.value().version, core = other.live->core,
+                                    epoch = other.live->known_epoch, owner = other.live->known_owner,
+                                    in_contact = other.in_contact()](Daemon& self) {
                     Live& mine = *self.live;
+                    if (in_contact) mine.contact_at = self.world.now;
                     if (epoch.value) self.note_owner(epoch, owner);
                     bool there = std::any_of(core.members.begin(), core.members.end(),
                                              [&](const Member& member) { return member.address == self.address(); });
-                    if (!mine.place || there || !mine.core_version || mark <= mine.core_version->second.value) return;
+                    if (!mine.place || there || mark <= mine.known_core.value().version) return;
                     mine.place.reset();
                     mine.owner.give_up();
                 });
@@ -373,7 +378,7 @@
         const Micros now = world.now;
         const bool was_acting = my.owner.acting();
         const Micros stalled_for = disk_busy ? now - disk_since : 0;
-        const ElectionStep step = my.election.step({my.core, stalled_for, false, now});
+        const ElectionStep step = my.election.step({my.core, stalled_for, false, now, &my.known_core.value()});
         for (size_t to : step.heartbeats)
             send_heartbeat(to, false);
         if (step.drains) world.moment("hands over");
@@ -509,10 +514,15 @@
         live->core_clock.note_member(term, member, {answer.wall, asked_at, world.now});
         if constexpr (std::is_same_v<Answer, PrepareAnswer>) live->core_clock.recall(answer.judged, world.now);
     }
+    bool may_grant(Identity candidate) const {
+        if (!live->departure.takes_part()) return false;
+        if (live->place) return live->election.may_grant(candidate, live->core);
+        return live->core.find(live->replica.identity) && world.now - live->contact_at > seconds(4);
+    }
     template <class Back>
     void serve_prepare(const PrepareAsk& ask, Back back) {
-        bool trusted = live->place && live->departure.takes_part() && live->election.may_grant(ask.from, live->core);
-        auto [answer, change] = live->replica.prepare(ask, trusted);
+        learn_core(ask.core);
+        auto [answer, change] = live->replica.prepare(ask, may_grant(ask.from));
         if (answer.verdict == Verdict::granted && ask.from != live->replica.identity &&
             live->owner.state() != Owner::State::idle)
             live->owner.give_up();
