Reads: a daemon outside the core redirects a read of the configuration to the owner

Cause: a relayed read brings the whole text over the slow link of a small machine: 1.1 s, more than its limit of 0.9 s and than the caller's patience.

Change: 307 with the owner's control address, which callers follow. The owner confirms with a majority as before; members relay as before.

--- a/source/control/daemon/calls.cpp
+++ b/source/control/daemon/calls.cpp
@@ -1,5 +1,6 @@
 // Calls of operators and clients, and a preview's read of the record.
 #include "control/daemon/control.hpp"
+#include "control/jobs/calls/redirect.hpp"
 
 namespace calicostall {
 
@@ -17,6 +18,8 @@
         };
         if (send.to.empty())
             handle_call(send.ask, std::move(note));
+        else if (is_redirected(send.ask, place_.has_value()))
+            note(redirect_to(settings_.machine.control_address(send.to), send.ask));
         else
             relay_call(std::move(send.ask), send.to, send.patience, std::move(note));
     }
--- a/source/control/daemon/routes.cpp
+++ b/source/control/daemon/routes.cpp
@@ -15,6 +15,7 @@
 Response to_response(CallAnswer answer, bool read_only) {
     if (answer.fate != CallFate::settled)
         return Response::later(answer.fate == CallFate::doubtful && !read_only ? 504 : 503, 1);
+    if (!answer.location.empty()) return Response::moved(std::move(answer.location));
     Response response;
     response.code = int(answer.code);
     response.body = std::move(answer.body);
--- a/source/shared/settings/settings.cpp
+++ b/source/shared/settings/settings.cpp
@@ -10,6 +10,11 @@
     return fmt::format("{}:{}", address_host(control), first_port);
 }
 
+std::string Settings::control_address(const std::string& replica) const {
+    const size_t port_begin = control.rfind(':');
+    return address_host(replica) + (port_begin == std::string::npos ? "" : control.substr(port_begin));
+}
+
 std::vector<std::string> Settings::seed_replicas(const std::string& except) const {
     std::vector<std::string> addresses;
     for (const std::string& seed : seeds)
--- a/source/shared/wire/frames.hpp
+++ b/source/shared/wire/frames.hpp
@@ -78,10 +78,11 @@
     std::int64_t code = 0;
     std::string body;
     std::int64_t retry_after_s = 0;
+    std::string location;  // where the caller is to go, with code 307
     using IsFrame = void;
     template <class Visitor>
     void describe(Visitor& visit) {
-        visit(fate), visit(code), visit(body), visit(retry_after_s);
+        visit(fate), visit(code), visit(body), visit(retry_after_s), visit(location);
     }
 };
 
--- a/tests/slow_links.cpp
+++ b/tests/slow_links.cpp
@@ -1,7 +1,10 @@
 // What a daemon on a slow link learns and passes on. A text of the largest size takes more than a second there; the
 // owner's address and the members' must come through all the same.
 #include "check.hpp"
+#include "control/jobs/calls/held_calls.hpp"
+#include "control/jobs/calls/redirect.hpp"
 #include "shared/news/locator.hpp"
+#include "shared/settings/settings.hpp"
 
 using namespace calicostall;
 using namespace calicostall::tests;
@@ -71,9 +74,57 @@
     }
 }
 
+// A read of the configuration at a daemon outside the core goes to the owner itself, whatever the text's size; all else
+// is relayed, and the core's members relay reads too.
+void reads_are_redirected_outside_the_core() {
+    struct Row {
+        const char *what, *method, *host, *path;
+        bool member, redirected;
+    };
+    const Row rows[] = {
+        {"a read outside the core", "GET", "", "/config", false, true},
+        {"a read at a member", "GET", "", "/config", true, false},
+        {"a change outside the core", "PUT", "", "/config", false, false},
+        {"a client's call", "GET", "jobs.example", "/config", false, false},
+        {"a job's state", "GET", "jobs.example", "/q/0123456789abcdef", false, false},
+    };
+    for (const Row& row : rows)
+        EXPECT_SAID(is_redirected({row.method, row.host, row.path, "", "", false}, row.member) == row.redirected,
+                    row.what);
+    Settings settings;
+    settings.control = "10.0.0.9:8166";
+    settings.first_port = 7720;
+    const CallAnswer answer =
+        redirect_to(settings.control_address("10.0.0.4:7720"), {"GET", "", "/config", "", "", false});
+    EXPECT(answer.fate == CallFate::settled && answer.code == 307);
+    EXPECT_SAID(answer.location == "http://10.0.0.4:8166/config", answer.location);
+    EXPECT(settings.replica_address(settings.control_address("10.0.0.4:7720")) == "10.0.0.4:7720");
+}
+
+// At once when the owner is known; until it is, the read is held like any other call, and then answered 503.
+void a_read_without_an_owner_is_held() {
+    HeldCalls calls;
+    std::vector<CallAnswer> answers;
+    auto respond = [&answers](CallAnswer answer) { answers.push_back(std::move(answer)); };
+    const CallAsk ask{"GET", "", "/config", "", "", false};
+    CallRoute nowhere{.in_contact = true};
+    calls.hold(ask, respond, seconds(1));
+    EXPECT(calls.due(nowhere, seconds(1)).empty() && answers.empty());
+    CallRoute known{.owner = "a:1", .epoch = Epoch{2}};
+    std::vector<HeldCalls::Send> sends = calls.due(known, seconds(1) + milliseconds(200));
+    EXPECT(sends.size() == 1 && sends[0].to == "a:1");
+    calls.note_answer(sends[0].ticket, redirect_to("a:2", ask), seconds(1) + milliseconds(200));
+    EXPECT(answers.size() == 1 && answers[0].location == "http://a:2/config" && calls.size() == 0);
+    calls.hold(ask, respond, seconds(3));
+    calls.due({.in_contact = false}, seconds(3) + milliseconds(301));
+    EXPECT(answers.size() == 2 && answers[1].fate != CallFate::settled);
+}
+
 }  // namespace
 
 int main() {
+    reads_are_redirected_outside_the_core();
+    a_read_without_an_owner_is_held();
     the_owner_is_learnt_over_a_slow_link();
     return result();
 }
