Lasting tasks: tests of the rule for each of them, red

The rule holds for each task that lasts, whether others of its job run or not, however full the service is. The planner goes by the whole job, and by half of the service's room: the rows of table_overdue for what lasts and a_lasting_task_waits_by_itself fail.

--- a/source/control/jobs/scheduler.hpp
+++ b/source/control/jobs/scheduler.hpp
@@ -70,6 +70,7 @@
     void tell_runs(std::function<void(RunLine)> tell) { state_.tell = std::move(tell); }
     const Config& config() const { return state_.config; }
     const State& state() const { return state_; }
+    const Planning& planning() const { return planning_; }
     const std::map<std::string, WorkerEntry>& workers() const { return state_.workers; }
     size_t job_count() const { return state_.jobs.size(); }
     const Job* find_job(const std::string& id) const {
--- a/tests/placement.cpp
+++ b/tests/placement.cpp
@@ -891,6 +891,7 @@
     struct Case {
         Micros idle;
         bool half_in_use, starts;
+        bool lasting = false;
     };
     const Row rows[] = {{"reserved for a larger item", reserved_for_a_larger_item},
                         {"kept for urgent queues", kept_for_urgent_queues},
@@ -901,19 +902,23 @@
     const Case cases[] = {{0, false, false},
                           {milliseconds(1400), false, false},
                           {milliseconds(1600), false, true},
-                          {milliseconds(1600), true, false}};
+                          {milliseconds(1600), true, false},
+                          // What lasts waits for no share of the service's room.
+                          {milliseconds(1400), true, false, true},
+                          {milliseconds(1600), true, true, true}};
     for (const Row& row : rows)
         for (const Case& each : cases) {
             World world;
             world.worker(roomy);
             Item item = world.item({2000, 2000, 0}, seconds(1));
             row.hold_back(world, item);
+            item.standing.lasting = each.lasting;
             if (each.idle) item.idle_since = world.now - each.idle;
             if (each.half_in_use) world.demand.add(1, 9, {16500, 16500, 0});
             world.put(item);
             const bool starts = starts_of(world.plan(), item.id) > 0;
-            EXPECT_SAID(starts == each.starts, fmt::format("{}: idle for {} ms, half in use {}", row.what,
-                                                           each.idle / 1000, each.half_in_use));
+            EXPECT_SAID(starts == each.starts, fmt::format("{}: idle for {} ms, half in use {}, lasting {}", row.what,
+                                                           each.idle / 1000, each.half_in_use, each.lasting));
         }
 }
 
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -713,6 +713,51 @@
     EXPECT(entry.hope == Hope::aim);
 }
 
+// A task that lasts waits by itself: though others of its job run, the planner learns since when, and it is started once
+// there is room.
+void a_lasting_task_waits_by_itself() {
+    Bench bench(2);
+    auto run_for = [&](Micros time) {
+        for (Micros until = bench.now + time; bench.now < until; bench.now += milliseconds(100)) {
+            for (Bench::Worker& worker : bench.workers)
+                bench.report(worker);
+            bench.turn();
+        }
+    };
+    auto active_of = [&](std::uint64_t number) {
+        const std::string id = fmt::format("{:016x}", number);
+        std::vector<std::pair<Bench::Worker*, std::string>> tasks;
+        for (Bench::Worker& worker : bench.workers)
+            for (const auto& [task, run] : worker.active)
+                if (task.starts_with(id)) tasks.emplace_back(&worker, task);
+        return tasks;
+    };
+    bench.post("/b/", 1, R"({"job_spec":"x","steps":[{"count":3,"cpu":1000,"long_running":true}]})");
+    run_for(seconds(1));
+    EXPECT(active_of(1).size() == 3);
+    // Other work takes all the room, and one of the three ends.
+    bench.post("/a/", 2, R"({"job_spec":"x","steps":[{"count":40,"cpu":1000,"estimate_ms":60000}]})");
+    run_for(seconds(1));
+    auto [first, task] = active_of(1).front();
+    bench.end(*first, task, "failed");
+    const Micros ended_at = bench.now;
+    run_for(seconds(2));
+    EXPECT(active_of(1).size() == 2);
+    std::vector<Micros> since;
+    bench.scheduler.planning().items().in_order(bench.now, [&](const Item& item, double) {
+        if (item.standing.lasting) since.push_back(item.idle_since);
+        return true;
+    });
+    EXPECT(since.size() == 1 && since[0] >= ended_at && since[0] <= ended_at + milliseconds(300));
+    // As much room comes free as the other work still wants, and more.
+    for (int round = 0; round < 2; ++round) {
+        for (auto& [worker, other] : active_of(2))
+            bench.end(*worker, other, "done");
+        run_for(seconds(1));
+    }
+    EXPECT(active_of(1).size() == 3);
+}
+
 }  // namespace
 
 int main() {
@@ -729,5 +774,6 @@
     ended_jobs_outlast_leaps_of_the_clock();
     a_cancel_may_overtake_its_job();
     a_time_that_is_over_does_not_age_the_next();
+    a_lasting_task_waits_by_itself();
     return result();
 }
