Lasting tasks: each waits by itself, and for no share of the service's room

Cause: idle_since was the whole job's, 0 while any run of it was entered; and is_overdue wanted half of the service's room free. So a lasting task whose siblings ran, or in a service more than half full, waited behind what is kept for urgent queues and behind reservations for as long as these lasted.

Change: a lasting step counts since when any of its tasks waits; after idle_most one start of it goes ahead, however full the service is.

--- a/source/control/jobs/planning/planning.hpp
+++ b/source/control/jobs/planning/planning.hpp
@@ -42,6 +42,7 @@
     }
     const Fleet& fleet() const { return fleet_; }
     const WaitingItems& items() const { return items_; }
+    const UrgentDemand& demand() const { return demand_; }
     // What urgent queues used lately: see(service, level, cpu, memory).
     template <class See>
     void each_demand(See see) const {
@@ -228,6 +229,15 @@
         items_.erase(id);
         keys_.erase(id);
     }
+    // Since when the step's tasks have waited as the planner counts it: each lasting step by itself, any other while
+    // nothing of its job runs. 0: not so.
+    static Micros idle_since(JobEntry& entry, const StepKey& key, Micros now) {
+        const Step& step = entry.job.fixed.spec.steps[key.step];
+        if (step.long_running) return entry.progress.at(key.time)[key.step].idle_since;
+        if (!entry.runs.empty()) return 0;
+        if (entry.idle_since == 0) entry.idle_since = now;
+        return entry.idle_since;
+    }
     void put(std::uint64_t& id, const StepKey& key, JobEntry& entry, std::vector<std::uint32_t> tasks, Micros now) {
         const Step& step = entry.job.fixed.spec.steps[key.step];
         if (id == 0) id = ++last_item_;
@@ -241,8 +251,7 @@
         item.duration = std::max<Micros>(1, state_.durations.expect(entry, key.step));
         item.needs = names_.of(step.needs), item.affinity = names_.of(step.affinity);
         item.anti_affinity = step.anti_affinity;
-        if (entry.runs.empty() && entry.idle_since == 0) entry.idle_since = now;
-        item.idle_since = entry.runs.empty() ? entry.idle_since : 0;
+        item.idle_since = idle_since(entry, key, now);
         item.gang = step.gang, item.same_rack = step.same_rack, item.checkpoints = step.checkpoints;
         item.preemptable = !step.long_running;
         item.standing.lasting = step.long_running;
--- a/source/control/jobs/state/job_entry.hpp
+++ b/source/control/jobs/state/job_entry.hpp
@@ -13,6 +13,7 @@
     std::set<std::uint32_t> copies;   // placed once, and to get a copy elsewhere
     std::vector<std::uint8_t> bits;   // what was counted of each task
     std::uint32_t unfinished = 0, placed = 0;
+    Micros idle_since = 0;  // of a lasting step: since when any of its tasks waits (steady); 0: none does
     bool turn_come = false;
     bool listed = false;                          // stands in the order of what is ready
     std::int64_t counted = 0, counted_ready = 0;  // waiting tasks that the backlog holds
--- a/source/control/jobs/state/state.hpp
+++ b/source/control/jobs/state/state.hpp
@@ -451,6 +451,11 @@
                                              entry.job.fixed.spec.steps[step].depends.end(),
                                              [&](std::uint32_t earlier) { return steps[earlier].unfinished == 0; });
         count_backlog(entry, progress, std::int64_t(progress.waiting.size()));
+        const bool lasting = entry.job.fixed.spec.steps[step].long_running;
+        if (!lasting || !progress.turn_come || progress.waiting.empty())
+            progress.idle_since = 0;
+        else if (progress.idle_since == 0)
+            progress.idle_since = now;
         bool ready_now = progress.turn_come && (!progress.waiting.empty() || !progress.copies.empty());
         if (!ready_now) return unlist(entry, time.number, step);
         StepKey key{entry.job.fixed.id, time.number, step};
--- a/source/control/plan/planner/items.cpp
+++ b/source/control/plan/planner/items.cpp
@@ -42,11 +42,12 @@
     wait(left, reason);
 }
 
-// Whether nothing of the item's job has run for long though its service has room to spare. Then one start, or one gang,
-// goes ahead of everything that is kept free.
+// Whether nothing of the item's job has run for long though its service has room to spare, or a lasting task has waited
+// for long, however full the service is. Then one start, or one gang, goes ahead of everything that is kept free.
 bool PlanMaker::is_overdue() const {
     const Item& item = *item_;
     if (item.idle_since == 0 || now_ - item.idle_since < settings_.idle_most) return false;
+    if (item.standing.lasting) return true;
     Resources used = view_.demand.in_use(item.service);
     if (auto planned = planned_.find(item.service); planned != planned_.end()) used += planned->second;
     const Resources whole = view_.fleet.service(item.service).capacity;
--- a/source/control/plan/view.hpp
+++ b/source/control/plan/view.hpp
@@ -63,7 +63,7 @@
         on_worker;                        // how many of the step are there: (worker's place in the fleet, count)
     std::vector<std::uint32_t> away;      // workers that get none of it (a copy keeps apart from what it is to outrun)
     std::vector<std::uint32_t> disliked;  // workers taken last for it: it failed there
-    Micros idle_since = 0;                // since when nothing of its job has run though its turn has come; 0: not so
+    Micros idle_since = 0;  // since when nothing of its job has run, or a task that lasts has waited; 0: not so
     bool gang = false, same_rack = false;
     bool checkpoints = false;  // a run that is pushed out loses little
     bool preemptable = true;   // may be pushed out at all
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -242,6 +242,20 @@
     return found;
 }
 
+// What the planner counts as in use on each service equals the runs that it knows on the service's workers.
+bool demand_equals_runs(const Planning& planning) {
+    std::map<Name, Resources> used;
+    const Fleet& fleet = planning.fleet();
+    for (std::uint32_t place = 0; place < fleet.places(); ++place) {
+        if (!fleet.used(place)) continue;
+        Resources& of_service = used[fleet.at(place).service];
+        for (const PlanRun& run : fleet.at(place).runs)
+            of_service += run.room;
+    }
+    return std::all_of(used.begin(), used.end(),
+                       [&](const auto& each) { return planning.demand().in_use(each.first) == each.second; });
+}
+
 const std::vector<std::string> bodies = {
     R"({"job_spec":"x","steps":[{"count":4,"cpu":4000,"estimate_ms":400}]})",
     R"({"job_spec":"x","steps":[{"count":6,"cpu":2000,"estimate_ms":300,"duplicate_ok":true},{"count":2,"cpu":5000,"estimate_ms":300,"depends_on":[0]}]})",
@@ -293,6 +307,7 @@
             bench.turn();
             auto differs = differences(bench.scheduler.state());
             if (!differs.empty()) RC_FAIL(differs.front());
+            RC_ASSERT(demand_equals_runs(bench.scheduler.planning()));
             if (auto side = bench.passed_over()) RC_FAIL("news for " + *side + " that was not announced");
         }
     });
@@ -713,8 +728,8 @@
     EXPECT(entry.hope == Hope::aim);
 }
 
-// A task that lasts waits by itself: though others of its job run, the planner learns since when, and it is started once
-// there is room.
+// A task that lasts waits by itself: though others of its job run, the planner learns since when, and it is started
+// once there is room.
 void a_lasting_task_waits_by_itself() {
     Bench bench(2);
     auto run_for = [&](Micros time) {
