--- a/tests/cluster/daemon.hpp
+++ b/tests/cluster/daemon.hpp
@@ -32,6 +32,7 @@
     std::map<std::string, std::string> disk;  // its entries by name
     bool up = true, cut = false, mute = false, deaf = false, parted = false,
          removed = false;  // parted: from its peers only
+    int half = 0;          // daemons of different halves don't reach each other; all others reach both
     Micros slow_disk_until = 0, troubled_until = 0;
     Micros clock_error = 0;  // of the machine's time of day, which in truth is `world.now`
     std::uint64_t incarnation = 0;
@@ -191,10 +192,11 @@
     void reach(size_t to, Act act) {
         auto send = [this, to, act] {
             Daemon& other = *all[to];
-            if (cut || mute || other.cut || other.deaf || parted || other.parted || !other.up) return;
+            if (cut || mute || other.cut || other.deaf || parted || other.parted || !other.up || half != other.half)
+                return;
             // What has left arrives, though its sender may be dead by then.
             world.after(world.dice.between(ms(1), ms(8)), [this, &other, act, to_life = other.incarnation] {
-                if (cut || mute || other.cut || other.deaf || parted || other.parted) return;
+                if (cut || mute || other.cut || other.deaf || parted || other.parted || half != other.half) return;
                 other.enter(to_life, [act, &other] { act(other); });
             });
         };
--- a/tests/cluster/run.hpp
+++ b/tests/cluster/run.hpp
@@ -400,6 +400,24 @@
                 });
         });
     }
+    // A read at any machine, in touch or not, is as new as what was acknowledged before it was sent, or no answer.
+    void read_config_anywhere() {
+        Daemon& daemon = *daemons[world.dice.roll(daemons.size())];
+        if (!daemon.up || daemon.cut) return;
+        const std::uint64_t least = taken_revision;
+        daemon.enter(daemon.incarnation, [this, &daemon, least] {
+            daemon.serve_operator(
+                {"GET", "", "/config", "", "", false}, [this, least](CallFate fate, Response response) {
+                    if (fate != CallFate::settled || response.code != 200) return;
+                    ++reads_anywhere;
+                    Findings findings;
+                    const std::uint64_t revision = parse_config(response.body, findings).revision;
+                    world.check(revision >= least,
+                                fmt::format("CONFIG a machine gave {} after {} was acknowledged", revision, least));
+                });
+        });
+    }
+    size_t reads_anywhere = 0;  // that were answered
     // --- clients ---
     std::string draw_body(std::string& path) {
         path = prefix;
@@ -714,6 +732,8 @@
                 world.after(seconds(Micros(4 * revision)), [this, revision] { put_config(revision); });
         for (int look = 1; seconds(look) < length - seconds(5); ++look)
             world.after(seconds(look), [this] { read_config(); });
+        for (Micros at = seconds(2); at < length - seconds(5); at += ms(170))
+            world.after(at, [this] { read_config_anywhere(); });
         for (const Fault& fault : faults)
             world.after(fault.at, [this, fault] { strike(fault); });
         world.run_until(end);
