--- a/source/shared/settings/settings.hpp
+++ b/source/shared/settings/settings.hpp
@@ -26,8 +26,8 @@
     // Where the replica of the daemon listens whose control port is at `control`: same host, first port of the range.
     // Example: settings.replica_address("10.0.0.4:8161") == "10.0.0.4:7720"
     std::string replica_address(const std::string& control) const;
-    // The other way round: where the daemon serves operators whose replica is at `replica`, at the same port as this one.
-    // Example: settings.control_address("10.0.0.4:7720") == "10.0.0.4:8161"
+    // The other way round: where the daemon serves operators whose replica is at `replica`, at the same port as this
+    // one. Example: settings.control_address("10.0.0.4:7720") == "10.0.0.4:8161"
     std::string control_address(const std::string& replica) const;
     // The replicas of all seeds, in their order, but for the one at `except`.
     std::vector<std::string> seed_replicas(const std::string& except = {}) const;
