--- a/source/control/detector/election.cpp
+++ b/source/control/detector/election.cpp
@@ -87,8 +87,9 @@
     // members.
     const bool preparing = owner_.state() == Owner::State::preparing;
     const bool ill_informed = caught_up && present_owner(input.core);
-    const bool outdated = input.core_value && input.core_value->newer_than(owner_.core_value());
-    if (idle || (preparing && (ill_informed || outdated))) take_over(input);
+    // Looked at only while it matters: the owner's register is copied, and an acting owner makes a step each turn.
+    const bool outdated = preparing && input.core_value && input.core_value->newer_than(owner_.core_value());
+    if (idle || (preparing && ill_informed) || outdated) take_over(input);
 }
 
 void Election::take_over(const ElectionInput& input) {
