Review, case 3: after a change of seeds and a kill of all, nobody finds the core

From the open issue "After a change of seeds and a restart of everything, nobody finds the core". Tried: three control daemons with a disk and three without, whose addresses become the seeds; then every process is killed and started again 0.6 s later. Neither a wipe nor an earlier kill is needed. Case: review/3, rules LOST and RECOVER.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,6 @@
-"""One timed job whose times have come: every daemon that leads stops answering."""
+"""The settings name other seeds, machines without a disk; then every process is killed, and all come back."""
 import os
+import signal
 import sys
 import time
 
@@ -7,36 +8,50 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
 import rig as r  # noqa: E402
 
-ORDINARY, TIMED = "00000000000000a1", "00000000000000b2"
-REPEATS, INTERVAL_MS = 1000000, 1000  # a time each second
-FINISH_S = r.BOUNDS["finish_s"]
-ASKED_FOR_S = 20  # and so long after finish_s
+JOB = "00000000000000a1"
+DOWN_S = 0.6
+RECOVERY_S, FINISH_S = r.BOUNDS["recovery_s"], r.BOUNDS["finish_s"]
+ASKED_FOR_S = 25
 
 
 def case(rig, trouble):
-    rig.begin([r.Rig.route("/match/"), r.Rig.route("/settle/", priority=1)])
+    rig.begin()
     for number in (1, 2, 3):
         rig.add_worker(f"side-{number}", f"i-{number}")
     time.sleep(2.5)  # all have registered
-    if not rig.hand_in(ORDINARY, r.job(1000)):
-        raise r.CannotRun("the ordinary job was not taken")
-    # Without the trouble the same timed job has its first times still before it.
-    now = int(time.time() * 1000)
-    first = now - REPEATS * INTERVAL_MS if trouble else now + 3600 * 1000
-    timed = r.job(500, repeats=REPEATS, first_at_ms=first, interval_ms=INTERVAL_MS)
-    if not rig.hand_in(TIMED, timed, prefix="/settle/"):
-        raise r.CannotRun("the timed job was not taken")
-    rig.record("the traffic has ended")
-    time.sleep(FINISH_S)
-    answers, end = [], time.monotonic() + ASKED_FOR_S
+    if not rig.hand_in(JOB, r.job(2000)):
+        raise r.CannotRun("the job was not taken")
+    if trouble:  # the seeds are exchanged for other machines that serve control
+        rig.seeds = list(rig.diskless.values())
+    for name in rig.names():
+        rig.write_settings(name)
+        rig.signal(name, signal.SIGHUP)
+    time.sleep(6)
+    if rig.client("GET", JOB)[0] != 200:
+        raise r.CannotRun("the job is not shown before the closing fault")
+    for name in rig.names():
+        rig.signal(name, signal.SIGKILL)
+    time.sleep(DOWN_S)
+    for name in rig.names():
+        rig.start_process(name)
+    rig.record("all machines are back")
+    time.sleep(max(RECOVERY_S, FINISH_S))
+    looks, requests, number, end = [], [], 1, time.monotonic() + ASKED_FOR_S
     while time.monotonic() < end:
-        answers.append(rig.client("GET", ORDINARY))
-        time.sleep(0.3)
-    answered = [status for status, _ in answers if status == 200]
-    if answered:
-        return []
-    return [f"LOST: from {FINISH_S} s after the traffic on, the accepted job {ORDINARY} was asked for {len(answers)} times "
-            f"in {ASKED_FOR_S} s and never shown; the answers: {sorted({status for status, _ in answers})}"]
+        looks.append(rig.client("GET", JOB)[0])
+        number += 1
+        requests.append(rig.client("POST", f"{number:016x}", r.job(100))[0])
+        time.sleep(0.5)
+    if any(process.poll() is not None for process in rig.processes.values()):
+        raise r.CannotRun("a process has ended")
+    broken = []
+    if 200 not in looks:
+        broken.append(f"LOST: the accepted job {JOB} was asked for {len(looks)} times, from {FINISH_S} s after all "
+                      f"machines were back on, and never shown; the answers: {sorted(set(looks))}")
+    if 4 * requests.count(200) < len(requests):
+        broken.append(f"RECOVER: {requests.count(200)} of {len(requests)} requests were served, sent more than "
+                      f"{RECOVERY_S} s after all machines were back")
+    return broken
 
 
-sys.exit(r.play(FOLDER, case))
+sys.exit(r.play(FOLDER, case, diskless=3))
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -275,9 +275,10 @@
 
 
 class Rig:
-    """`controls`, `fronts` and `sides` machines. Ends all its processes in `close`."""
+    """`controls` machines with a disk, `diskless` ones that serve control too, `fronts` and `sides`. Ends all its
+    processes in `close`."""
 
-    def __init__(self, folder, controls=3, fronts=1, sides=3):
+    def __init__(self, folder, controls=3, fronts=1, sides=3, diskless=0):
         self.record = Record(folder)
         self.temporary = tempfile.mkdtemp(prefix="review-")
         self.processes, self.workers, self.runs = {}, [], []
@@ -286,11 +287,13 @@
         self.program = os.path.join(ROOT, "target", "calicostall")
         if not os.access(self.program, os.X_OK):
             raise CannotRun("target/calicostall is missing")
-        self.net = self.free_net(controls + fronts + sides)
+        self.net = self.free_net(controls + diskless + fronts + sides)
         number = iter(range(1, 250))
         self.controls = {f"control-{i + 1}": self.ip(next(number)) for i in range(controls)}
         self.fronts = {f"front-{i + 1}": self.ip(next(number)) for i in range(fronts)}
         self.sides = {f"side-{i + 1}": self.ip(next(number)) for i in range(sides)}
+        self.diskless = {f"control-{controls + i + 1}": self.ip(next(number)) for i in range(diskless)}
+        self.seeds = list(self.controls.values())[:3]
         self.has_begun = False
 
     def ip(self, number):
@@ -315,7 +318,7 @@
         settings = {"node_name": name, "role": role, "machine_class": "side" if role == "side" else "front",
                     "serves": serves, "ip": ip, "zone": "z", "region": "r", "zones": {"z": "r"}, "bind_addrs": binds,
                     "port_range": [INNER, INNER + 15],
-                    "seeds": [f"{each}:{CONTROL}" for each in list(self.controls.values())[:3]],
+                    "seeds": [f"{each}:{CONTROL}" for each in self.seeds],
                     "bootstrap": is_bootstrap, "quorum_member": has_disk,
                     "limits": {"cpu_share": 0.5, "cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0,
                                "disk_mb": 128 if has_disk else 0},
@@ -331,11 +334,13 @@
             json.dump(settings, file)
         return path
 
-    def start_process(self, name):
+    def write_settings(self, name):
+        """As the platform does, with the seeds of the moment. Returns role, address and path."""
         is_bootstrap = not self.has_begun
-        if name in self.controls:
-            role, ip = "control", self.controls[name]
-            path = self.settings(name, role, ip, ["control"], {"control": f"{ip}:{CONTROL}"}, is_bootstrap, True)
+        if name in self.controls or name in self.diskless:
+            role, ip = "control", self.controls.get(name) or self.diskless[name]
+            path = self.settings(name, role, ip, ["control"], {"control": f"{ip}:{CONTROL}"}, is_bootstrap,
+                                 name in self.controls)
         elif name in self.fronts:
             role, ip = "front", self.fronts[name]
             path = self.settings(name, role, ip, ["front"], {"front": f"{ip}:{FRONT}", "readiness": f"{ip}:{READY}"},
@@ -343,6 +348,10 @@
         else:
             role, ip = "side", self.sides[name]
             path = self.settings(name, role, ip, ["side"], {"control": f"{ip}:{CONTROL}"}, is_bootstrap, False)
+        return role, ip, path
+
+    def start_process(self, name):
+        role, ip, path = self.write_settings(name)
         words = self.roles[role]["run"].split()
         log = open(os.path.join(self.temporary, f"{name}.log"), "a")
         self.processes[name] = subprocess.Popen([self.program] + words[1:], cwd=ROOT, stdout=log, stderr=log,
@@ -361,8 +370,11 @@
         time.sleep(after_s)
         self.start_process(name)
 
+    def names(self):
+        return list(self.controls) + list(self.diskless) + list(self.fronts) + list(self.sides)
+
     def begin(self, routes=None):
-        for name in list(self.controls) + list(self.fronts) + list(self.sides):
+        for name in self.names():
             self.start_process(name)
         self.has_begun = True
         self.put_config(1, 0, routes or [self.route(PREFIX)])
