--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -476,6 +476,11 @@
     was broken, 0 if it held, 2 if the case couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     rig = None
+
+    def on_sigterm(*ignored):  # the time of the script is over: what it started ends all the same
+        raise CannotRun("out of time")
+
+    signal.signal(signal.SIGTERM, on_sigterm)
     try:
         rig = Rig(folder, **machines)
         rig.record(f"trouble: {'yes' if trouble else 'no'}")
