--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -417,6 +417,15 @@
         self.record(f"client: {method} {prefix}{job_id} (sent at {began}): {status} {text}")
         return status, text
 
+    def client_cut(self, method, job_id, body, prefix=PREFIX):
+        """A call of a client whose connection is cut in the middle of its body: nobody reads it whole."""
+        text = json.dumps(body).encode()
+        head = (f"{method} {prefix}{job_id} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(text)}\r\n\r\n").encode()
+        with socket.create_connection((next(iter(self.fronts.values())), FRONT), timeout=3) as connection:
+            connection.sendall(head + text[:len(text) // 2])
+        self.record(f"client: {method} {prefix}{job_id}: cut after half of its body, no answer")
+
     def hand_in(self, job_id, body, tries=5, **where):
         """As a client does: after silence, 502 or 504 (and, later, 429 or 503) the same ID is sent again."""
         for _ in range(tries):
