--- a/review/standins-2/case_6.cpp
+++ b/review/standins-2/case_6.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-constexpr int jobs = 12, tasks = 200, work_ms = 4000;
-constexpr double pause_s = 0.05;  // between two jobs
+constexpr int jobs = 15, tasks = 200, work_ms = 4000;
+constexpr double pause_s = 0.07;  // between two jobs
 constexpr double dark_s = 3.5;   // the leader's machine
 
 bool is_ours(const std::string& task) {
@@ -69,8 +69,8 @@
         for (int number = 0; number < jobs; ++number) {
             ids.push_back(Platform::job_id(0xb00 + number));
             const std::string body = Platform::job_body(
-                "cpu=25 work_ms=" + std::to_string(work_ms),
-                {{{"count", tasks}, {"cpu", 25}, {"task_mem_mb", 48}, {"estimate_ms", work_ms}}});
+                "cpu=20 work_ms=" + std::to_string(work_ms),
+                {{{"count", tasks}, {"cpu", 20}, {"task_mem_mb", 40}, {"estimate_ms", work_ms}}});
             if (platform.client_until_done("POST", ids.back(), body) != 200)
                 throw CannotRun("a job was not accepted");
             sleep_s(pause_s);
