--- a/review/standins-2/case_6.cpp
+++ b/review/standins-2/case_6.cpp
@@ -40,11 +40,13 @@
             for (const RunHistory& run : runs)
                 by_task[task].emplace_back(run, worker->id());
     std::vector<std::string> repeats;
+    std::set<std::pair<std::string, int>> counted;  // each start once, however many ends came before it
     for (const auto& [task, runs] : by_task)
         for (const auto& [done, worker] : runs) {
             if (done.how != "done" || done.noted_at < 0 || done.has_lapsed_since) continue;
             for (const auto& [other, other_worker] : runs) {
                 if (other.run == done.run || other.started_at < done.ended_at) continue;
+                if (!counted.insert({task, other.run}).second) continue;
                 char text[400];
                 std::snprintf(text, sizeof text,
                               "task=%s run=%d worker=%s done at %.4f, noted at %.4f; run=%d worker=%s started at %.4f",
