Runs: the stop of a run that reports show as active is ordered again

Cause: the first poll of an agent's process empties its queue of orders, and the worker's first report is to bring them back. It did for starts and for stops of runs that it did not show; a run that it showed as active in state `stopping` got no second stop, ever. An agent's restart loses a stop in the same way.

Change: a run that is to stop goes one way, shown by the report or not: its stop is ordered again by the report that reconciles the worker, and whenever `stop_grace` has passed since. The count of eight reports between two stops is gone.

--- a/source/control/jobs/runs/status_reports.cpp
+++ b/source/control/jobs/runs/status_reports.cpp
@@ -8,7 +8,6 @@
 
 constexpr Micros rejection_pause = milliseconds(500);  // so long a worker that rejected a start gets no other
 constexpr double rejection_weight = 0.1;               // in the worker's running share of failures
-constexpr std::uint64_t reports_between_stops = 8;     // a stop whose run is in no report is ordered again after these
 constexpr std::uint64_t max_missed_reports = 3;        // a run that so many reports in a row don't show is stopped
 
 // Why a worker rejected a start (worker protocol).
@@ -74,6 +73,7 @@
     if (run.state == RunState::running || run.state == RunState::stopping)
         straggler_detector_.on_run_reported(worker, run, active, now);
     run.missed_reports = 0;
+    if (run.state == RunState::stopping) repeat_stop_if_due(worker, run, now);
 }
 
 void StatusReports::on_finished_run(WorkerRecord& worker, const FinishedRun& finished,
@@ -117,9 +117,7 @@
             if (!worker.is_reconciled) orders_.queue_start(worker.info.worker_id, run.id, now);
             return;
         case RunState::stopping:
-            if (!worker.is_reconciled || ++run.missed_reports % reports_between_stops == 0)
-                orders_.repeat_stop(worker, run.id);
-            return;
+            return repeat_stop_if_due(worker, run, now);
         case RunState::running:
             if (++run.missed_reports < max_missed_reports) return;
             counters().add("runs_missing");
@@ -127,4 +125,13 @@
     }
 }
 
+// A run that is to stop and isn't known to have ended: the stop may be lost with the queue of an earlier process of the
+// agent or of an earlier leader, or at the agent. A repeated stop is the same stop.
+void StatusReports::repeat_stop_if_due(WorkerRecord& worker, RunRecord& run, Micros now) {
+    const bool may_be_lost = !worker.is_reconciled;
+    const bool is_overdue = run.stop_repeat_at != 0 && now >= run.stop_repeat_at;
+    if (may_be_lost || is_overdue) orders_.repeat_stop(worker, run.id);
+    if (may_be_lost || is_overdue || run.stop_repeat_at == 0) run.stop_repeat_at = now + state_.settings.stop_grace;
+}
+
 }  // namespace calicostall
--- a/source/control/jobs/runs/status_reports.hpp
+++ b/source/control/jobs/runs/status_reports.hpp
@@ -30,6 +30,7 @@
     void check_unreported_runs(WorkerRecord& worker, const WorkerStatusReport& report, const std::set<RunId>& reported,
                                Micros now, Micros wall_clock);
     void on_unreported_run(WorkerRecord& worker, RunRecord& run, Micros now);
+    void repeat_stop_if_due(WorkerRecord& worker, RunRecord& run, Micros now);
 
     SchedulerState& state_;
     StragglerDetector& straggler_detector_;
--- a/source/control/jobs/state/worker_record.hpp
+++ b/source/control/jobs/state/worker_record.hpp
@@ -19,6 +19,7 @@
     RunState state = RunState::intent_recorded;
     bool is_stop_requested = false;
     Micros state_since = 0, ordered_at = 0;
+    Micros stop_repeat_at = 0;  // its stop is ordered again by a report from then on; 0: none came since the stop
     Micros estimate = 0;  // the client's, of the duration
     std::string checkpoint;
     std::int64_t percent = 0;
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -48,6 +48,8 @@
         std::uint64_t taken = 0, seen = 0, last_response_term = 0;  // of the last response: orders, ends, term
         bool had_update = false;                                    // there was an update right after it
         bool draining = false;
+        std::uint64_t agent_incarnation = 1;
+        bool loses_orders = false;  // its agent acknowledges orders and forgets them
     };
     std::set<std::string> announced_agents;  // agents with an update since their last response
     std::vector<Worker> workers;
@@ -78,7 +80,7 @@
     void report(Worker& worker) {
         AgentPollRequest request;
         request.node = worker.node;
-        request.agent_incarnation = 1;
+        request.agent_incarnation = worker.agent_incarnation;
         request.sequence = ++worker.number;
         request.term = Term{epoch};
         request.last_received_order = worker.taken;
@@ -101,6 +103,7 @@
         for (const Order& order : response.orders) {
             if (order.number <= worker.taken) continue;
             worker.taken = order.number;
+            if (worker.loses_orders) continue;
             if (order.kind == OrderKind::start) {
                 worker.active[order.task] = order.run;
                 continue;
@@ -146,6 +149,12 @@
         worker.active.clear(), worker.finished.clear(), worker.stops.clear();
         worker.end = worker.taken = 0;
     }
+    // The agent's process is killed and starts again; the worker runs on.
+    void restart_agent(Worker& worker) {
+        ++worker.agent_incarnation;
+        worker.number = worker.taken = 0;
+        worker.stops.clear();
+    }
     int post(const std::string& prefix, std::uint64_t id, const std::string& body) {
         int code = 0;
         scheduler.handle_call({"POST", host, fmt::format("{}{:016x}", prefix, id), body, "", false}, now, now,
@@ -564,6 +573,57 @@
     EXPECT_SAID(machines.size() == 3, fmt::format("three attempts on {} machines", machines.size()));
 }
 
+// Guards against "tasks of cancelled jobs run on for good" (UNASKED): the stop that a cancellation ordered is lost with a
+// queue, and the next report of the run, which is shown as active, has to bring it back.
+void a_lost_stop_of_an_active_run_is_ordered_again() {
+    struct Row {
+        const char* what;
+        std::function<void(SchedulerHarness&, SchedulerHarness::Worker&)> cancel_and_lose_stop;
+    };
+    const std::vector<Row> rows{
+        {"cancelled under a new leader, before the agent's first poll",
+         [](SchedulerHarness& harness, SchedulerHarness::Worker&) {
+             harness.change_leader();
+             harness.cancel("/a/", 1);
+         }},
+        {"cancelled before a new leader took over",
+         [](SchedulerHarness& harness, SchedulerHarness::Worker&) {
+             harness.cancel("/a/", 1);
+             harness.change_leader();
+         }},
+        {"cancelled before a new process of the agent polled",
+         [](SchedulerHarness& harness, SchedulerHarness::Worker& worker) {
+             harness.cancel("/a/", 1);
+             harness.restart_agent(worker);
+         }},
+        {"the agent took the stop and forgot it",
+         [](SchedulerHarness& harness, SchedulerHarness::Worker& worker) {
+             harness.cancel("/a/", 1);
+             worker.loses_orders = true;
+             harness.report(worker);
+             worker.loses_orders = false;
+         }},
+    };
+    for (const Row& row : rows) {
+        SchedulerHarness harness(1);
+        SchedulerHarness::Worker& worker = harness.workers[0];
+        harness.post("/a/", 1, R"({"job_spec":"x","steps":[{"count":2,"cpu":1000,"long_running":true}]})");
+        auto run_rounds = [&](int rounds) {
+            for (int round = 0; round < rounds; ++round) {
+                harness.now += milliseconds(100);
+                harness.run_iteration();
+                harness.report(worker);
+            }
+        };
+        run_rounds(10);
+        EXPECT_SAID(worker.active.size() == 2, row.what);
+        row.cancel_and_lose_stop(harness, worker);
+        run_rounds(20);
+        EXPECT_SAID(worker.active.empty(), row.what);
+        EXPECT_SAID(harness.scheduler.workers().at(worker.life).runs.empty(), row.what);
+    }
+}
+
 // Without newer reports nothing is known against a run: it isn't stopped.
 void runs_without_new_reports_are_not_stopped() {
     SchedulerHarness harness(2);
@@ -883,6 +943,7 @@
     admission_decision_table();
     reliability_table();
     retries_use_another_machine();
+    a_lost_stop_of_an_active_run_is_ordered_again();
     runs_without_new_reports_are_not_stopped();
     lease_expiries_count_only_against_unresponsive_workers();
     worker_without_status_report_gets_no_start();
