Agent: an answer to a status query tells nothing of starts that came after it was sent

Cause: the agent kept a number of active runs. An answered start added one, and the answer to a query, whenever it had been sent, replaced it by the length of its list; at 0 the agent asks no more.

Change: ActiveRuns keeps the runs by name, each with the newest event that showed it: an answered start or a sent query, in one sequence. An answer removes what it could have shown, and what it lists as ended. A start that was answered under an earlier term or generation counts as well: it is active whoever ordered it.

--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -57,7 +57,7 @@
     if (leader_polls_.is_idle()) leader_polls_.poll(PollUrgency::idle);
     send_due_calls(now);
     log_counters(now);
-    const bool is_idle = orders_.is_idle() && context_.session.active_runs() == 0;
+    const bool is_idle = orders_.is_idle() && context_.session.active_runs().empty();
     context_.loop.run_after(is_idle ? idle_timer_interval : busy_timer_interval, [this] { on_timer(); });
 }
 
--- a/source/agent/order_delivery.cpp
+++ b/source/agent/order_delivery.cpp
@@ -104,17 +104,13 @@
     if (!context_.session.is_current(call.worker_id)) return;
     const Micros now = steady_now();
     std::optional<std::string> reason = process_response(call, response, now);
+    // What the worker accepted is active there, whoever ordered it and whether or not a stop has replaced the start.
+    if (response.is_ok()) context_.session.active_runs().on_started(key);
     if (call.term != context_.leader.term || call.generation != context_.leader.generation) return;
-    WorkerSession& session = context_.session;
     auto start = starts_.find(key);
-    if (start == starts_.end()) {
-        // A stop has replaced the start; what the worker accepted is active there until that stop is carried out.
-        if (response.is_ok()) session.set_active_runs(std::max<size_t>(session.active_runs(), 1));
-        return;
-    }
+    if (start == starts_.end()) return;
     start->second.is_in_flight = false;
     if (!response.is_ok()) return on_start_failed(start, response, std::move(reason), now);
-    session.set_active_runs(session.active_runs() + 1);
     finish_start(start, OrderOutcome::started, {});
     events_.send_due_calls(now);
 }
--- a/source/agent/order_delivery.hpp
+++ b/source/agent/order_delivery.hpp
@@ -6,13 +6,6 @@
 
 namespace calicostall {
 
-// One attempt of a task; the worker names its runs by both.
-struct RunKey {
-    std::string task;
-    std::uint32_t run = 0;
-    auto operator<=>(const RunKey&) const = default;
-};
-
 // Not thread-safe but for the responses that it takes on the loop's thread: the agent's mutex protects it.
 class OrderDelivery {
 public:
--- a/source/agent/status_queries.cpp
+++ b/source/agent/status_queries.cpp
@@ -19,7 +19,7 @@
     if (is_long_query_in_flight_ || now < next_query_at_) return;
     // A stop without an answer needs queries too: only they show that the worker is unresponsive, so that its lease
     // expires. So does an answered one: only a query that began after it tells the leader that the run is over.
-    const bool may_change = context_.session.active_runs() > 0 || orders_.has_attempted_start() ||
+    const bool may_change = !context_.session.active_runs().empty() || orders_.has_attempted_start() ||
                             orders_.has_stops() || !orders_.answered_stops().empty();
     if (!may_change) return;
     // An end that the leader has not acknowledged yet would come back at once.
@@ -61,7 +61,8 @@
     if (wait > 0) body["wait_ms"] = wait / 1000;
     const Micros slack = is_lossy || wait == 0 ? context_.client.response_timeout() : settings.status_query_slack;
     counters().add("looks");
-    QueryContext sent{context_.make_call_context(steady_now()), is_short, wait > 0, orders_.answered_stops()};
+    QueryContext sent{context_.make_call_context(steady_now()), context_.session.active_runs().begin_query(), is_short,
+                      wait > 0, orders_.answered_stops()};
     context_.client.post(
         *context_.session.worker(), "/hold", body, wait + slack,
         [this, sent = std::move(sent)](const ClientResponse& response) { on_response(sent, response); });
@@ -90,7 +91,7 @@
     if (!status.is_complete) return false;
     for (const FinishedRun& run : status.finished)
         last_end_ = std::max(last_end_, run.sequence);
-    context_.session.set_active_runs(status.active.size());
+    context_.session.active_runs().on_status(query.number, status);
     if (!status.finished.empty()) {
         last_end_at_ = now;
         next_query_at_ = now + context_.settings.end_batching_delay;
--- a/source/agent/status_queries.hpp
+++ b/source/agent/status_queries.hpp
@@ -33,6 +33,7 @@
     // What a query carried, and whether the worker may delay its response.
     struct QueryContext {
         WorkerCallContext call;
+        std::uint64_t number = 0;  // among the queries and the answered starts (ActiveRuns)
         bool is_short = false;
         bool may_wait = false;                    // the worker may delay its response until a run ends
         std::vector<std::string> answered_stops;  // those that were answered before the query was sent
--- a/source/agent/worker_session.cpp
+++ b/source/agent/worker_session.cpp
@@ -47,7 +47,7 @@
     add_ended(worker_->worker_id);
     worker_.reset();
     heartbeat_sequence_ = 0;
-    active_runs_ = 0;
+    active_runs_.clear();
     is_departing_ = false;
 }
 
--- a/source/agent/worker_session.hpp
+++ b/source/agent/worker_session.hpp
@@ -1,6 +1,7 @@
 // The worker of this machine as its heartbeats describe it. Owns the current incarnation and the ids of those that
 // ended; both are lost with the agent's process. Pure: sends nothing and reads no clock.
 #pragma once
+#include "agent/active_runs.hpp"
 #include "agent/worker_messages.hpp"
 #include "common.hpp"
 #include "shared/wire/agent_poll_messages.hpp"
@@ -39,9 +40,9 @@
     // The most recent incarnations that ended on this machine, oldest first.
     const std::deque<std::string>& ended_worker_ids() const { return ended_worker_ids_; }
 
-    // How many runs are active on the worker, as far as the agent knows.
-    size_t active_runs() const { return active_runs_; }
-    void set_active_runs(size_t count) { active_runs_ = count; }
+    // What may be active on the worker.
+    const ActiveRuns& active_runs() const { return active_runs_; }
+    ActiveRuns& active_runs() { return active_runs_; }
 
 private:
     std::optional<WorkerInfo> worker_;
@@ -49,7 +50,7 @@
     std::uint64_t heartbeat_sequence_ = 0;
     std::uint64_t info_sequence_ = 0;
     Micros terminates_at_ = -1;  // on the agent's monotonic clock
-    size_t active_runs_ = 0;
+    ActiveRuns active_runs_;
     bool is_departing_ = false;
 };
 
--- a/tests/agent.cpp
+++ b/tests/agent.cpp
@@ -300,6 +300,91 @@
     EXPECT(is_stop_reported);
 }
 
+// A fixture whose worker knows the leader's fence, with a long status query under way at the worker.
+struct QueryingFixture : AgentFixture {
+    ScriptedEventLoop::SentRequest open_query;
+
+    QueryingFixture() {
+        issue_start(1);
+        await("/run-start").respond(R"({"clock_ms":1000})");
+        open_query = await_long_query(active_status(1));
+    }
+    static std::string active_status(std::uint32_t run) {
+        return fmt::format(R"({{"clock_ms":1000,"active":[["{}",{},"",50]],"finished":[]}})", task, run);
+    }
+    static std::string ended_status(std::uint64_t sequence, std::uint32_t run) {
+        return fmt::format(R"({{"clock_ms":1000,"active":[],"finished":[[{},"{}",{},"done",""]]}})", sequence, task,
+                           run);
+    }
+    // The next long query, left without an answer; short ones are answered by `status`.
+    ScriptedEventLoop::SentRequest await_long_query(const std::string& status) {
+        while (true) {
+            ScriptedEventLoop::SentRequest sent = loop.await({"/hold", "/inner/side"});
+            if (sent.path == "/hold" && sent.body().contains("wait_ms")) return sent;
+            sent.respond(sent.path == "/hold" ? status : encode(leader_response()));
+        }
+    }
+    // The next query that the agent sends by itself within the time; polls are answered with these ends acknowledged.
+    std::optional<ScriptedEventLoop::SentRequest> next_query(std::uint64_t acknowledged_end) {
+        constexpr Micros time_limit = seconds(3);
+        AgentPollResponse response = leader_response();
+        response.acknowledged_end = acknowledged_end;
+        for (const Micros started_at = steady_now(); steady_now() - started_at < time_limit;) {
+            ScriptedEventLoop::SentRequest sent = loop.await({"/hold", "/inner/side"});
+            if (sent.path == "/hold") return sent;
+            sent.respond(encode(response));
+        }
+        return std::nullopt;
+    }
+};
+
+// Guards against "a job is running for good after one late answer of its worker" (LOST): an answer to a query says
+// nothing of a start that was answered after the query was sent, so the agent goes on asking for that run.
+void a_late_status_does_not_hide_a_run_that_started_meanwhile() {
+    QueryingFixture fixture;
+    fixture.issue_start(2);
+    fixture.await("/run-start").respond(R"({"clock_ms":1000})");
+    // The first run's end, acknowledged at once: nothing but the second run is left to ask for.
+    fixture.open_query.respond(QueryingFixture::ended_status(1, 1));
+    std::optional<ScriptedEventLoop::SentRequest> query = fixture.next_query(1);
+    EXPECT(query.has_value());
+    if (!query) return;
+    query->respond(QueryingFixture::active_status(2));
+    EXPECT(fixture.next_query(1).has_value());
+}
+
+// Guards against "order of arrival taken for order of events" (LOST), for the set of active runs by itself.
+void an_answer_speaks_for_the_time_of_its_query() {
+    const RunKey first{"t.0.0.0", 1};
+    const RunKey second{"t.0.0.1", 1};
+    const auto shows = [](std::vector<RunKey> active, std::vector<RunKey> finished) {
+        WorkerStatus status;
+        for (const RunKey& run : active)
+            status.active.push_back({run.task, run.run, "", 0});
+        for (const RunKey& run : finished)
+            status.finished.push_back({1, run.task, run.run, "done", ""});
+        return status;
+    };
+    ActiveRuns runs;
+    runs.on_started(first);
+    const std::uint64_t early_query = runs.begin_query();
+    runs.on_started(second);
+    const std::uint64_t late_query = runs.begin_query();
+    // The later query's answer comes first; the earlier one's takes nothing back.
+    runs.on_status(late_query, shows({first, second}, {}));
+    runs.on_status(early_query, shows({}, {}));
+    EXPECT(runs.contains(first) && runs.contains(second));
+    // What a list of ends shows is over, whenever its query was sent.
+    runs.on_status(early_query, shows({}, {first}));
+    EXPECT(!runs.contains(first) && runs.contains(second));
+    // A run that only a status has shown stays until a query that was sent later doesn't show it.
+    const std::uint64_t query = runs.begin_query();
+    runs.on_status(query, shows({first}, {}));
+    EXPECT(runs.contains(first) && !runs.contains(second));
+    runs.on_status(runs.begin_query(), shows({}, {}));
+    EXPECT(runs.empty());
+}
+
 // A worker that responds at once isn't waited for as long as one whose round trips are not known.
 void fast_responses_shorten_the_timeout() {
     AgentFixture fixture;
@@ -395,6 +480,7 @@
 int main() {
     the_response_timeout_follows_round_trips();
     worker_messages_are_parsed();
+    an_answer_speaks_for_the_time_of_its_query();
     a_rejection_after_a_lost_response_has_an_unknown_outcome();
     fast_responses_shorten_the_timeout();
     a_worker_that_leaves_without_having_drained_is_not_ended();
@@ -404,6 +490,7 @@
     a_worker_that_refused_the_fence_is_registered_under_the_leaders();
     an_unanswered_stop_reveals_an_unresponsive_worker();
     the_status_query_after_a_stop_is_retried_until_answered();
+    a_late_status_does_not_hide_a_run_that_started_meanwhile();
     // The loop's thread runs until the end: nothing that it uses may be destroyed before.
     int status = exit_status();
     std::fflush(nullptr);
