Agent: the ends of a worker are read until none is left to acknowledge

The agent read the 500 ends that a worker lists at once, saw no active run and asked no more.

Cause: whether the agent asks depended on active runs and orders alone.

Change: it asks while the worker has listed an end that no answered query has acknowledged by `seen_at`. The last ends of a worker that falls idle are now acknowledged as well; that costs one query each time.

Evidence: test `agent`, ends_are_asked_for_until_none_is_listed: 1 check fails before, none now.

--- a/source/agent/status_queries.cpp
+++ b/source/agent/status_queries.cpp
@@ -20,7 +20,7 @@
     // A stop without an answer needs queries too: only they show that the worker is unresponsive, so that its lease
     // expires. So does an answered one: only a query that began after it tells the leader that the run is over.
     const bool may_change = !context_.session.active_runs().empty() || orders_.has_attempted_start() ||
-                            orders_.has_stops() || !orders_.answered_stops().empty();
+                            orders_.has_stops() || !orders_.answered_stops().empty() || has_unconfirmed_ends();
     if (!may_change) return;
     // An end that the leader has not acknowledged yet would come back at once.
     const bool is_end_unacknowledged =
@@ -35,6 +35,7 @@
 void StatusQueries::reset() {
     acknowledged_end_ = 0;
     last_end_ = 0;
+    confirmed_end_ = 0;
     is_unresponsive_ = false;
     failed_queries_ = 0;
 }
@@ -61,8 +62,12 @@
     if (wait > 0) body["wait_ms"] = wait / 1000;
     const Micros slack = is_lossy || wait == 0 ? context_.client.response_timeout() : settings.status_query_slack;
     counters().add("looks");
-    QueryContext sent{context_.make_call_context(steady_now()), context_.session.active_runs().begin_query(), is_short,
-                      wait > 0, orders_.answered_stops()};
+    QueryContext sent{.call = context_.make_call_context(steady_now()),
+                      .number = context_.session.active_runs().begin_query(),
+                      .acknowledged_end = acknowledged_end_,
+                      .is_short = is_short,
+                      .may_wait = wait > 0,
+                      .answered_stops = orders_.answered_stops()};
     context_.client.post(
         *context_.session.worker(), "/hold", body, wait + slack,
         [this, sent = std::move(sent)](const ClientResponse& response) { on_response(sent, response); });
@@ -89,6 +94,7 @@
     WorkerStatus status = parse_worker_status(response.body);
     if (status.clock) context_.lease.record_worker_clock(*status.clock, now);
     if (!status.is_complete) return false;
+    confirmed_end_ = std::max(confirmed_end_, query.acknowledged_end);
     for (const FinishedRun& run : status.finished)
         last_end_ = std::max(last_end_, run.sequence);
     context_.session.active_runs().on_status(query.number, status);
--- a/source/agent/status_queries.hpp
+++ b/source/agent/status_queries.hpp
@@ -33,7 +33,8 @@
     // What a query carried, and whether the worker may delay its response.
     struct QueryContext {
         WorkerCallContext call;
-        std::uint64_t number = 0;  // among the queries and the answered starts (ActiveRuns)
+        std::uint64_t number = 0;            // among the queries and the answered starts (ActiveRuns)
+        std::uint64_t acknowledged_end = 0;  // the worker forgets the ends up to this one
         bool is_short = false;
         bool may_wait = false;                    // the worker may delay its response until a run ends
         std::vector<std::string> answered_stops;  // those that were answered before the query was sent
@@ -48,6 +49,9 @@
     void on_query_answered();
     void on_query_failed(const QueryContext& query, const ClientResponse& response, Micros now);
     bool has_failed_long_enough(Micros now) const;
+    // Whether the worker listed an end that no answered query has acknowledged. It lists a limited number at once:
+    // there may be more behind them.
+    bool has_unconfirmed_ends() const { return last_end_ > confirmed_end_; }
 
     AgentContext& context_;
     OrderDelivery& orders_;
@@ -59,6 +63,7 @@
     Micros next_query_at_ = 0;
 
     std::uint64_t acknowledged_end_ = 0;  // of the worker's ends, by the leader
+    std::uint64_t confirmed_end_ = 0;     // the last of them that an answered query acknowledged
     std::uint64_t last_end_ = 0;          // the highest number that the worker reported
     Micros last_end_at_ = 0;
 
--- a/source/control/jobs/state/worker_record.hpp
+++ b/source/control/jobs/state/worker_record.hpp
@@ -20,7 +20,7 @@
     bool is_stop_requested = false;
     Micros state_since = 0, ordered_at = 0;
     Micros stop_repeat_at = 0;  // its stop is ordered again by a report from then on; 0: none came since the stop
-    Micros estimate = 0;  // the client's, of the duration
+    Micros estimate = 0;        // the client's, of the duration
     std::string checkpoint;
     std::int64_t percent = 0;
     std::uint64_t missed_reports = 0;  // in a row
--- a/tests/agent.cpp
+++ b/tests/agent.cpp
@@ -353,6 +353,27 @@
     EXPECT(fixture.next_query(1).has_value());
 }
 
+// Guards against "a job is running for good after its worker listed a part of its ends" (LOST): the worker lists the
+// others once it was told that these are acknowledged, so the agent asks until an answer lists none, and then no more.
+void ends_are_asked_for_until_none_is_listed() {
+    constexpr std::uint64_t total_ends = 4;
+    constexpr int max_queries = 20;
+    QueryingFixture fixture;
+    fixture.open_query.respond(QueryingFixture::ended_status(1, 1));
+    std::uint64_t told_end = 0;
+    std::uint64_t listed_end = 1;
+    for (int count = 0; count < max_queries && told_end < total_ends; ++count) {
+        std::optional<ScriptedEventLoop::SentRequest> query = fixture.next_query(listed_end);
+        if (!query) break;
+        told_end = query->body().at("seen_at").to_number<std::uint64_t>();
+        listed_end = std::min(total_ends, told_end + 1);
+        query->respond(told_end == total_ends ? std::string(idle_status)
+                                              : QueryingFixture::ended_status(listed_end, std::uint32_t(listed_end)));
+    }
+    EXPECT(told_end == total_ends);
+    EXPECT(!fixture.next_query(total_ends).has_value());
+}
+
 // Guards against "order of arrival taken for order of events" (LOST), for the set of active runs by itself.
 void an_answer_speaks_for_the_time_of_its_query() {
     const RunKey first{"t.0.0.0", 1};
@@ -491,6 +512,7 @@
     an_unanswered_stop_reveals_an_unresponsive_worker();
     the_status_query_after_a_stop_is_retried_until_answered();
     a_late_status_does_not_hide_a_run_that_started_meanwhile();
+    ends_are_asked_for_until_none_is_listed();
     // The loop's thread runs until the end: nothing that it uses may be destroyed before.
     int status = exit_status();
     std::fflush(nullptr);
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -573,8 +573,8 @@
     EXPECT_SAID(machines.size() == 3, fmt::format("three attempts on {} machines", machines.size()));
 }
 
-// Guards against "tasks of cancelled jobs run on for good" (UNASKED): the stop that a cancellation ordered is lost with a
-// queue, and the next report of the run, which is shown as active, has to bring it back.
+// Guards against "tasks of cancelled jobs run on for good" (UNASKED): the stop that a cancellation ordered is lost with
+// a queue, and the next report of the run, which is shown as active, has to bring it back.
 void a_lost_stop_of_an_active_run_is_ordered_again() {
     struct Row {
         const char* what;
