--- a/source/control/jobs/settings.hpp
+++ b/source/control/jobs/settings.hpp
@@ -15,6 +15,7 @@
     Micros resend_margin = seconds(30);  // an ended job is known for so much longer to a client that sends it again
     size_t max_jobs = 20000;
     Micros stop_grace = milliseconds(900);
+    size_t max_listed_ends = 500;                // a worker lists at most so many ends at once (worker protocol)
     Micros min_stall_time = milliseconds(1500);  // a run without progress for so long is stalled
     Micros history_span = 0;                     // length of a span of the history; 0: none is kept
     // A new leader learns its workers in this time, and clients send again what an earlier one had.
--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -49,7 +49,10 @@
         bool had_update = false;                                    // there was an update right after it
         bool draining = false;
         std::uint64_t agent_incarnation = 1;
-        bool loses_orders = false;  // its agent acknowledges orders and forgets them
+        bool loses_orders = false;                    // its agent acknowledges orders and forgets them
+        std::map<std::string, std::uint32_t> closed;  // task -> its highest run that ended or was stopped here
+        std::vector<OrderResult> results;             // of orders, since the last report
+        size_t starts = 0;
     };
     std::set<std::string> announced_agents;  // agents with an update since their last response
     std::vector<Worker> workers;
@@ -92,9 +95,11 @@
         status_report.fence = Term{epoch};
         for (auto& [task, run] : worker.active)
             status_report.active.push_back({task, run, "", 50});
-        status_report.finished.assign(worker.finished.begin(), worker.finished.end());
+        const size_t listed_ends = std::min(worker.finished.size(), scheduler.state().settings.max_listed_ends);
+        status_report.finished.assign(worker.finished.begin(), worker.finished.begin() + std::ptrdiff_t(listed_ends));
         status_report.answered_stops = worker.stops;
         request.status_report = status_report;
+        request.order_results = std::exchange(worker.results, {});
         scheduler.on_agent_poll(request, now, now);
         worker.stops.clear();
         AgentPollResponse response = scheduler.agent_response(worker.node, now, now);
@@ -105,9 +110,10 @@
             worker.taken = order.number;
             if (worker.loses_orders) continue;
             if (order.kind == OrderKind::start) {
-                worker.active[order.task] = order.run;
+                start(worker, order);
                 continue;
             }
+            worker.closed[order.task] = std::max(worker.closed[order.task], order.run);
             if (auto active_run = worker.active.find(order.task);
                 active_run != worker.active.end() && active_run->second == order.run)
                 end(worker, order.task, "stopped");
@@ -118,6 +124,15 @@
         announced_agents.merge(scheduler.take_agents_to_notify());
         announced_agents.erase(worker.node);
     }
+    // A run that is not above one that ended or was stopped on the worker is rejected.
+    static void start(Worker& worker, const Order& order) {
+        if (const auto closed = worker.closed.find(order.task);
+            closed != worker.closed.end() && order.run <= closed->second) {
+            worker.results.push_back({order.number, OrderOutcome::rejected, order.task, order.run, "old", 0});
+            return;
+        }
+        worker.starts += worker.active.emplace(order.task, order.run).second;
+    }
     bool has_update(const Worker& worker) const {
         return scheduler.has_update_for(worker.node, Term{worker.last_response_term}, worker.taken, worker.seen);
     }
@@ -133,6 +148,7 @@
     void end(Worker& worker, const std::string& task, const std::string& how) {
         auto found = worker.active.find(task);
         worker.finished.push_back({++worker.end, task, found->second, how, ""});
+        worker.closed[task] = std::max(worker.closed[task], found->second);
         worker.active.erase(found);
     }
     // A new leader begins with what the record has; its clock may be another one.
@@ -147,13 +163,14 @@
         std::string before = worker.life;
         worker.life = fmt::format("{}-{}", before.substr(0, before.rfind('-')), ++worker.births);
         worker.active.clear(), worker.finished.clear(), worker.stops.clear();
+        worker.closed.clear(), worker.results.clear();
         worker.end = worker.taken = 0;
     }
     // The agent's process is killed and starts again; the worker runs on.
     void restart_agent(Worker& worker) {
         ++worker.agent_incarnation;
         worker.number = worker.taken = 0;
-        worker.stops.clear();
+        worker.stops.clear(), worker.results.clear();
     }
     int post(const std::string& prefix, std::uint64_t id, const std::string& body) {
         int code = 0;
@@ -624,6 +641,41 @@
     }
 }
 
+// Guards against "tasks whose ends were not listed yet run a second time" (TWICE): a worker lists a part of its ends at
+// once, to a new leader or to one that is there; what such a list doesn't show has not vanished.
+void runs_beyond_a_cut_list_of_ends_are_not_missing() {
+    constexpr size_t task_count = 12;
+    for (const bool changes_leader : {true, false}) {
+        SchedulerSettings settings;
+        settings.max_listed_ends = 2;
+        SchedulerHarness harness(1, settings);
+        SchedulerHarness::Worker& worker = harness.workers[0];
+        harness.post(
+            "/a/", 1,
+            fmt::format(R"({{"job_spec":"x","steps":[{{"count":{},"cpu":1000,"estimate_ms":100}}]}})", task_count));
+        auto run_rounds = [&](int rounds) {
+            for (int round = 0; round < rounds; ++round) {
+                harness.now += milliseconds(100);
+                harness.run_iteration();
+                harness.report(worker);
+            }
+        };
+        run_rounds(10);
+        EXPECT_SAID(worker.active.size() == task_count, changes_leader ? "a new leader" : "the same leader");
+        while (!worker.active.empty())
+            harness.end(worker, worker.active.begin()->first, "done");
+        if (changes_leader)
+            harness.change_leader();
+        else  // the leader's commits are held up: the list stays the same for many reports
+            for (int report = 0; report < 10; ++report)
+                harness.now += milliseconds(20), harness.report(worker);
+        run_rounds(40);
+        EXPECT_SAID(worker.starts == task_count, fmt::format("{} starts", worker.starts));
+        EXPECT(worker.finished.empty());
+        EXPECT_SAID(harness.scheduler.workers().at(worker.life).runs.empty(), "all runs have ended");
+    }
+}
+
 // Without newer reports nothing is known against a run: it isn't stopped.
 void runs_without_new_reports_are_not_stopped() {
     SchedulerHarness harness(2);
@@ -944,6 +996,7 @@
     reliability_table();
     retries_use_another_machine();
     a_lost_stop_of_an_active_run_is_ordered_again();
+    runs_beyond_a_cut_list_of_ends_are_not_missing();
     runs_without_new_reports_are_not_stopped();
     lease_expiries_count_only_against_unresponsive_workers();
     worker_without_status_report_gets_no_start();
