Test: the real scheduler and agents with workers after the protocol, in virtual time

New: test `reconciliation`. RapidCheck draws jobs, cancels, kills and freezes of agents, kills of leaders, late and lost calls and answers; the list of ends is cut at 1 to 5. Checked: no task runs twice; after calm everything ends, each end is acknowledged, nothing is asked for ever. The agent's time comes from its loop, as the locator's did already; nothing else in source/ changes.

--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -1,7 +1,6 @@
 #include "agent/agent.hpp"
 
 #include "shared/diagnostics/log.hpp"
-#include "shared/time/clock.hpp"
 
 namespace calicostall {
 
@@ -53,7 +52,7 @@
 
 void Agent::on_timer() {
     std::lock_guard guard(context_.mutex);
-    const Micros now = steady_now();
+    const Micros now = context_.now();
     if (leader_polls_.is_idle()) leader_polls_.poll(PollUrgency::idle);
     send_due_calls(now);
     log_counters(now);
@@ -101,7 +100,7 @@
     }
     {
         std::lock_guard guard(context_.mutex);
-        apply_heartbeat(std::move(*heartbeat), steady_now());
+        apply_heartbeat(std::move(*heartbeat), context_.now());
     }
     request.responder.send(Response::json(200, "{}"));
 }
@@ -189,7 +188,7 @@
     status_queries_.acknowledge_ends(response.acknowledged_end);
     accept_orders(response.orders);
     if (response.status_requested || context_.is_fence_undelivered()) status_queries_.query_now();
-    send_due_calls(steady_now());
+    send_due_calls(context_.now());
 }
 
 // A new leader: the orders of the old one are void, and the worker is to learn the new fence first.
--- a/source/agent/agent_context.hpp
+++ b/source/agent/agent_context.hpp
@@ -35,6 +35,8 @@
           lease(settings.machine.max_lease),
           client(event_loop, settings.response_timeout, settings.lossy_duration) {}
 
+    // The monotonic clock of the agent, in microseconds: that of its loop.
+    Micros now() const { return loop.now(); }
     // To be kept with a call that is made now; only valid with a worker.
     WorkerCallContext make_call_context(Micros now) const {
         return {session.worker()->worker_id, leader.term, leader.generation, now};
--- a/source/agent/leader_polls.cpp
+++ b/source/agent/leader_polls.cpp
@@ -1,7 +1,6 @@
 #include "agent/leader_polls.hpp"
 
 #include "shared/diagnostics/log.hpp"
-#include "shared/time/clock.hpp"
 
 namespace calicostall {
 
@@ -48,7 +47,7 @@
 }
 
 void LeaderPolls::poll(PollUrgency urgency) {
-    const Micros now = steady_now();
+    const Micros now = context_.now();
     const Micros due = pacer_.next_send_at(urgency, polls_in_flight_);
     if (now < due) {
         wanted_urgency_ = std::max(wanted_urgency_, urgency);
@@ -117,7 +116,7 @@
         counters().add("asks_again_whole");
         return poll(PollUrgency::urgent);
     }
-    const Micros now = steady_now();
+    const Micros now = context_.now();
     if (!response || !response->is_from_leader) return on_unserved(response.has_value(), now);
     unserved_polls_ = 0;
     target_index_ = 0;
@@ -126,7 +125,7 @@
     const bool is_newest = response->term >= context_.leader.term && sent_poll.poll_number >= last_answered_poll_;
     if (is_newest) {
         last_answered_poll_ = sent_poll.poll_number;
-        agreed_time_memory_.record(response->agreed_time, steady_now());
+        agreed_time_memory_.record(response->agreed_time, context_.now());
         events_.on_poll_response(*response, sent_poll.sent_at);
     }
     poll(wanted_urgency_);
@@ -154,7 +153,7 @@
 }
 
 void LeaderPolls::add_order_result(const Order& order, OrderOutcome outcome, std::string reason) {
-    results_.push_back({order.number, outcome, order.task, order.run, std::move(reason), steady_now()});
+    results_.push_back({order.number, outcome, order.task, order.run, std::move(reason), context_.now()});
     if (outcome != OrderOutcome::started) poll(PollUrgency::normal);
 }
 
--- a/source/agent/order_delivery.cpp
+++ b/source/agent/order_delivery.cpp
@@ -3,7 +3,6 @@
 #include <boost/json.hpp>
 
 #include "shared/diagnostics/log.hpp"
-#include "shared/time/clock.hpp"
 
 namespace calicostall {
 
@@ -45,7 +44,7 @@
 }
 
 void OrderDelivery::send_due_starts(Micros now) {
-    if (context_.session.worker()->is_draining) return reject_due_starts(steady_now());
+    if (context_.session.worker()->is_draining) return reject_due_starts(context_.now());
     for (auto& [key, pending] : starts_) {
         if (!is_due(pending, now)) continue;
         const std::optional<std::int64_t> lease_expiry_ms = context_.lease.expiry_ms(now);
@@ -91,7 +90,7 @@
                              {"fence", context_.leader.term.value}};
     if (!pending.order.checkpoint.empty()) body["checkpoint"] = pending.order.checkpoint;
     counters().add("starts_sent");
-    auto on_response = [this, key, call = context_.make_call_context(steady_now())](const ClientResponse& response) {
+    auto on_response = [this, key, call = context_.make_call_context(context_.now())](const ClientResponse& response) {
         on_start_response(key, call, response);
     };
     context_.client.post(*context_.session.worker(), "/run-start", body, context_.client.response_timeout(),
@@ -102,7 +101,7 @@
                                       const ClientResponse& response) {
     std::lock_guard guard(context_.mutex);
     if (!context_.session.is_current(call.worker_id)) return;
-    const Micros now = steady_now();
+    const Micros now = context_.now();
     std::optional<std::string> reason = process_response(call, response, now);
     // What the worker accepted is active there, whoever ordered it and whether or not a stop has replaced the start.
     if (response.is_ok()) context_.session.active_runs().on_started(key);
@@ -162,7 +161,7 @@
     boost::json::object body{
         {"task", pending.order.task}, {"run_id", pending.order.run}, {"fence", context_.leader.term.value}};
     counters().add("stops_sent");
-    auto on_response = [this, key, call = context_.make_call_context(steady_now())](const ClientResponse& response) {
+    auto on_response = [this, key, call = context_.make_call_context(context_.now())](const ClientResponse& response) {
         on_stop_response(key, call, response);
     };
     context_.client.post(*context_.session.worker(), "/run-stop", body, context_.client.response_timeout(),
@@ -172,7 +171,7 @@
 void OrderDelivery::on_stop_response(const RunKey& key, const WorkerCallContext& call, const ClientResponse& response) {
     std::lock_guard guard(context_.mutex);
     if (!context_.session.is_current(call.worker_id) || call.term != context_.leader.term) return;
-    const Micros now = steady_now();
+    const Micros now = context_.now();
     process_response(call, response, now);
     auto stop = stops_.find(key);
     if (stop == stops_.end()) return;
--- a/source/agent/status_queries.cpp
+++ b/source/agent/status_queries.cpp
@@ -3,7 +3,6 @@
 #include <boost/json.hpp>
 
 #include "shared/diagnostics/log.hpp"
-#include "shared/time/clock.hpp"
 
 namespace calicostall {
 
@@ -43,7 +42,7 @@
 void StatusQueries::query(Micros wait) {
     if (!context_.session.worker()) return;
     const AgentSettings& settings = context_.settings;
-    const Micros now = steady_now();
+    const Micros now = context_.now();
     const bool is_short = wait == 0;
     if (is_long_query_in_flight_ && (!is_short || is_short_query_in_flight_)) {
         if (is_short) needs_short_query_ = true;
@@ -62,7 +61,7 @@
     if (wait > 0) body["wait_ms"] = wait / 1000;
     const Micros slack = is_lossy || wait == 0 ? context_.client.response_timeout() : settings.status_query_slack;
     counters().add("looks");
-    QueryContext sent{.call = context_.make_call_context(steady_now()),
+    QueryContext sent{.call = context_.make_call_context(context_.now()),
                       .number = context_.session.active_runs().begin_query(),
                       .acknowledged_end = acknowledged_end_,
                       .is_short = is_short,
@@ -77,7 +76,7 @@
     std::lock_guard guard(context_.mutex);
     (query.is_short ? is_short_query_in_flight_ : is_long_query_in_flight_) = false;
     if (!context_.session.is_current(query.call.worker_id)) return;
-    const Micros now = steady_now();
+    const Micros now = context_.now();
     // The duration of a response that the worker delayed is no round trip; that it is missing still counts.
     if (!query.may_wait || response.outcome != ClientResponse::Outcome::answered)
         context_.client.record_round_trip(query.call.sent_at, response, now);
--- a/source/agent/worker_identification.cpp
+++ b/source/agent/worker_identification.cpp
@@ -1,7 +1,6 @@
 #include "agent/worker_identification.hpp"
 
 #include "shared/diagnostics/log.hpp"
-#include "shared/time/clock.hpp"
 
 namespace calicostall {
 
--- /dev/null
+++ b/tests/reconciliation.cpp
@@ -0,0 +1,102 @@
+// The leader's scheduler and the agents, the real classes, against workers after the protocol: whatever is lost, late
+// or killed between them, no task runs twice, and once there is calm everything ends and nothing is asked for ever.
+//
+// Lists of ends are cut at a handful here, so what takes hundreds of tasks on a real machine happens in every sequence.
+#include "check.hpp"
+#include "reconciliation/agent_world.hpp"
+
+using namespace calicostall;
+using namespace calicostall::tests;
+
+namespace {
+
+enum class WorldStepKind { submit, submit_lasting, cancel, kill_agent, freeze_agent, kill_leader, trouble, calm };
+
+struct WorldStep {
+    WorldStepKind kind = WorldStepKind::calm;
+    std::uint32_t number = 0;  // which job or machine, how many tasks
+    Micros duration = 0;
+    Micros pause = 0;  // after it
+};
+
+// Printed by RapidCheck for a sequence that breaks a rule; the order of the names is that of WorldStepKind.
+void showValue(const WorldStep& step, std::ostream& stream) {
+    constexpr std::array names{"submit",       "submit_lasting", "cancel",  "kill_agent",
+                               "freeze_agent", "kill_leader",    "trouble", "calm"};
+    stream << fmt::format("\n    {{WorldStepKind::{}, {}, {}, {}}}", names.at(size_t(step.kind)), step.number,
+                          step.duration, step.pause);
+}
+
+void play(AgentWorld& world, const WorldStep& step) {
+    switch (step.kind) {
+        case WorldStepKind::submit:
+            world.submit(1 + step.number % 8, step.duration / 1000);
+            break;
+        case WorldStepKind::submit_lasting:
+            world.submit(1 + step.number % 3, 0);
+            break;
+        case WorldStepKind::cancel:
+            world.cancel(step.number);
+            break;
+        case WorldStepKind::kill_agent:
+            world.kill_agent(step.number, step.duration / 4);
+            break;
+        case WorldStepKind::freeze_agent:
+            world.freeze_agent(step.number, step.duration);
+            break;
+        case WorldStepKind::kill_leader:
+            world.kill_leader(step.duration / 2, step.number % 2 == 0);
+            break;
+        case WorldStepKind::trouble:
+            world.set_trouble({int(step.number % 30), int(step.number / 30 % 15)});
+            break;
+        case WorldStepKind::calm:
+            world.set_trouble({});
+            break;
+    }
+    world.run_for(step.pause);
+}
+
+std::vector<std::string> violations_of(std::uint64_t seed, size_t max_listed_ends,
+                                       const std::vector<WorldStep>& steps) {
+    // Longer than a lease with its margins, the longest task and all retries.
+    constexpr Micros settling_span = seconds(20);
+    constexpr Micros quiet_span = seconds(3);
+    AgentWorld world(seed, max_listed_ends);
+    for (const WorldStep& step : steps)
+        play(world, step);
+    world.set_trouble({});
+    world.run_for(seconds(4));  // a leader is there again
+    world.cancel_lasting();
+    world.run_for(settling_span);
+    std::vector<std::string> found = world.broken_rules();
+    for (std::string& each : world.unsettled(quiet_span))
+        found.push_back(std::move(each));
+    return found;
+}
+
+rc::Gen<WorldStep> any_step() {
+    return rc::gen::construct<WorldStep>(
+        rc::gen::elementOf(std::vector<WorldStepKind>{
+            WorldStepKind::submit, WorldStepKind::submit, WorldStepKind::submit, WorldStepKind::submit_lasting,
+            WorldStepKind::cancel, WorldStepKind::cancel, WorldStepKind::kill_agent, WorldStepKind::freeze_agent,
+            WorldStepKind::kill_leader, WorldStepKind::trouble, WorldStepKind::calm}),
+        rc::gen::inRange<std::uint32_t>(0, 1000), rc::gen::inRange<Micros>(milliseconds(20), milliseconds(2500)),
+        rc::gen::inRange<Micros>(0, milliseconds(900)));
+}
+
+}  // namespace
+
+int main() {
+    std::freopen("/dev/null", "w", stdout);
+    const bool good = rc::check("leader and agents agree with the workers after any losses", [] {
+        const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1u << 30);
+        const auto max_listed_ends = *rc::gen::inRange<size_t>(1, 6);
+        const auto steps = *rc::gen::container<std::vector<WorldStep>>(any_step());
+        const std::vector<std::string> violations = violations_of(seed, max_listed_ends, steps);
+        if (!violations.empty()) RC_FAIL(violations.front());
+    });
+    property("reconciliation", good);
+    std::fflush(nullptr);
+    std::_Exit(exit_status());
+}
--- a/tests/scheduler_fixture.hpp
+++ b/tests/scheduler_fixture.hpp
@@ -78,11 +78,13 @@
 // A scheduler under one leadership after another.
 struct SchedulerFixture {
     ManualLedger ledger;
-    Scheduler<ManualLedger> scheduler{{}, ledger};
+    Scheduler<ManualLedger> scheduler;
     Micros now = seconds(1000);
     std::uint64_t term = 1;
 
-    SchedulerFixture() { scheduler.begin_leadership(Term{term}, ledger.registers, now); }
+    explicit SchedulerFixture(SchedulerSettings settings = {}) : scheduler(settings, ledger) {
+        scheduler.begin_leadership(Term{term}, ledger.registers, now);
+    }
     using ResponseCode = std::shared_ptr<int>;
 
     ResponseCode send(const std::string& if_match, const std::string& text) {
