--- a/tests/agent.cpp
+++ b/tests/agent.cpp
@@ -378,7 +378,7 @@
 void an_answer_speaks_for_the_time_of_its_query() {
     const RunKey first{"t.0.0.0", 1};
     const RunKey second{"t.0.0.1", 1};
-    const auto shows = [](std::vector<RunKey> active, std::vector<RunKey> finished) {
+    const auto shows = [](const std::vector<RunKey>& active, const std::vector<RunKey>& finished) {
         WorkerStatus status;
         for (const RunKey& run : active)
             status.active.push_back({run.task, run.run, "", 0});
--- a/tests/reconciliation.cpp
+++ b/tests/reconciliation.cpp
@@ -20,11 +20,11 @@
 };
 
 // Printed by RapidCheck for a sequence that breaks a rule; the order of the names is that of WorldStepKind.
-void showValue(const WorldStep& step, std::ostream& stream) {
+std::ostream& operator<<(std::ostream& stream, const WorldStep& step) {
     constexpr std::array names{"submit",       "submit_lasting", "cancel",  "kill_agent",
                                "freeze_agent", "kill_leader",    "trouble", "calm"};
-    stream << fmt::format("\n    {{WorldStepKind::{}, {}, {}, {}}}", names.at(size_t(step.kind)), step.number,
-                          step.duration, step.pause);
+    return stream << fmt::format("\n    {{WorldStepKind::{}, {}, {}, {}}}", names.at(size_t(step.kind)), step.number,
+                                 step.duration, step.pause);
 }
 
 void play(AgentWorld& world, const WorldStep& step) {
--- a/tests/reconciliation/agent_world.hpp
+++ b/tests/reconciliation/agent_world.hpp
@@ -30,8 +30,8 @@
         for (size_t number = 0; number < machine_count; ++number) {
             machines_[number].worker =
                 std::make_unique<ProtocolWorker>(clock_, fmt::format("i-{}", number), worker_settings, history_);
-            loops()[number].join(clock_, [this, number](ClientRequest request, ResponseHandler respond) {
-                deliver(number, request, std::move(respond));
+            loops()[number].join(clock_, [this, number](const ClientRequest& request, const ResponseHandler& respond) {
+                deliver(number, request, respond);
             });
             start_agent(number);
         }
@@ -87,7 +87,7 @@
     void freeze_agent(size_t machine, Micros duration) {
         const size_t number = machine % machine_count;
         loops()[number].freeze();
-        clock_.schedule(duration, [this, number] { loops()[number].wake(); });
+        clock_.schedule(duration, [number] { loops()[number].wake(); });
     }
     void kill_leader(Micros down_for, bool sees_uncommitted) {
         if (!leader_is_up_) return;
@@ -123,7 +123,7 @@
         std::vector<std::string> found;
         const std::uint64_t calls_before = worker_calls();
         run_for(quiet_span);
-        if (worker_calls() != calls_before) found.push_back("workers are asked for ever");
+        if (worker_calls() != calls_before) found.emplace_back("workers are asked for ever");
         for (const std::string& id : ending_)
             if (phase(id) != "done") found.push_back("job " + id + " is " + phase(id));
         for (const std::string& id : cancelled_)
@@ -131,7 +131,7 @@
         for (Machine& machine : machines_) {
             for (const std::string& task : machine.worker->active_tasks())
                 found.push_back("still active: " + task);
-            if (machine.worker->unacknowledged_ends() > 0) found.push_back("ends that nobody acknowledged");
+            if (machine.worker->unacknowledged_ends() > 0) found.emplace_back("ends that nobody acknowledged");
         }
         for (const auto& [worker_id, worker] : fixture_.scheduler.workers())
             if (!worker.runs.empty()) found.push_back("the leader keeps runs of " + worker_id);
@@ -224,7 +224,7 @@
 
     // --- network ---
 
-    void deliver(size_t number, const ClientRequest& request, ResponseHandler respond) {
+    void deliver(size_t number, const ClientRequest& request, const ResponseHandler& respond) {
         const std::string path = request.url.substr(request.url.find('/', std::string_view("http://").size()));
         if (path == "/inner/side")
             return clock_.schedule(draw(0, max_usual_delay),
@@ -232,7 +232,7 @@
         if (path != "/hold" && path != "/run-start" && path != "/run-stop") return;  // nobody answers there
         if (chance(trouble_.lost_percent)) return;
         clock_.schedule(delay(), [this, number, path, body = request.body, respond] {
-            machines_[number].worker->handle(path, body, [this, respond](int status, std::string answer) {
+            machines_[number].worker->handle(path, body, [this, respond](int status, const std::string& answer) {
                 if (chance(trouble_.lost_percent)) return;
                 clock_.schedule(delay(), [respond, status, answer] {
                     respond({ClientResponse::Outcome::answered, status, answer});
@@ -246,7 +246,10 @@
     void on_poll(const std::string& body, const ResponseHandler& respond) {
         if (!leader_is_up_) return respond({ClientResponse::Outcome::not_sent, 0, {}});
         auto request = decode<AgentPollRequest>(body);
-        if (!request) return violations_.push_back("an unreadable poll");
+        if (!request) {
+            violations_.emplace_back("an unreadable poll");
+            return;
+        }
         if (!worker_infos_.resolve(*request)) {
             AgentPollResponse response;
             response.is_from_leader = true;
--- a/tests/reconciliation/protocol_worker.hpp
+++ b/tests/reconciliation/protocol_worker.hpp
@@ -23,7 +23,7 @@
         Micros stop_duration = milliseconds(300);
         Micros max_wait = seconds(2);
     };
-    using Respond = std::function<void(int status, std::string body)>;
+    using Respond = std::function<void(int status, const std::string& body)>;
 
     ProtocolWorker(VirtualClock& clock, std::string worker_id, Settings settings, std::vector<RunHistory>& history)
         : clock_(clock), worker_id_(std::move(worker_id)), settings_(settings), history_(history) {}
--- a/tests/reconciliation/virtual_loop.hpp
+++ b/tests/reconciliation/virtual_loop.hpp
@@ -31,7 +31,7 @@
 // what comes to a frozen one waits for its waking.
 class VirtualLoop : public EventLoop {
 public:
-    using Network = std::function<void(ClientRequest, ResponseHandler)>;
+    using Network = std::function<void(const ClientRequest&, const ResponseHandler&)>;
 
     // A new world: its clock, and what takes the requests that the process sends.
     void join(VirtualClock& clock, Network network) {
@@ -68,7 +68,7 @@
             });
         };
         clock_->schedule(request.timeout, [finish] { finish({ClientResponse::Outcome::unknown, 0, {}}); });
-        network_(std::move(request), finish);
+        network_(request, finish);
     }
 
 private:
