--- a/tests/scheduling.cpp
+++ b/tests/scheduling.cpp
@@ -124,6 +124,14 @@
         announced_agents.merge(scheduler.take_agents_to_notify());
         announced_agents.erase(worker.node);
     }
+    // A plan and a report of the worker, each 100 ms.
+    void run_rounds(Worker& worker, int rounds) {
+        for (int round = 0; round < rounds; ++round) {
+            now += milliseconds(100);
+            run_iteration();
+            report(worker);
+        }
+    }
     // A run that is not above one that ended or was stopped on the worker is rejected.
     static void start(Worker& worker, const Order& order) {
         if (const auto closed = worker.closed.find(order.task);
@@ -625,17 +633,10 @@
         SchedulerHarness harness(1);
         SchedulerHarness::Worker& worker = harness.workers[0];
         harness.post("/a/", 1, R"({"job_spec":"x","steps":[{"count":2,"cpu":1000,"long_running":true}]})");
-        auto run_rounds = [&](int rounds) {
-            for (int round = 0; round < rounds; ++round) {
-                harness.now += milliseconds(100);
-                harness.run_iteration();
-                harness.report(worker);
-            }
-        };
-        run_rounds(10);
+        harness.run_rounds(worker, 10);
         EXPECT_SAID(worker.active.size() == 2, row.what);
         row.cancel_and_lose_stop(harness, worker);
-        run_rounds(20);
+        harness.run_rounds(worker, 20);
         EXPECT_SAID(worker.active.empty(), row.what);
         EXPECT_SAID(harness.scheduler.workers().at(worker.life).runs.empty(), row.what);
     }
@@ -653,14 +654,7 @@
         harness.post(
             "/a/", 1,
             fmt::format(R"({{"job_spec":"x","steps":[{{"count":{},"cpu":1000,"estimate_ms":100}}]}})", task_count));
-        auto run_rounds = [&](int rounds) {
-            for (int round = 0; round < rounds; ++round) {
-                harness.now += milliseconds(100);
-                harness.run_iteration();
-                harness.report(worker);
-            }
-        };
-        run_rounds(10);
+        harness.run_rounds(worker, 10);
         EXPECT_SAID(worker.active.size() == task_count, changes_leader ? "a new leader" : "the same leader");
         while (!worker.active.empty())
             harness.end(worker, worker.active.begin()->first, "done");
@@ -669,7 +663,7 @@
         else  // the leader's commits are held up: the list stays the same for many reports
             for (int report = 0; report < 10; ++report)
                 harness.now += milliseconds(20), harness.report(worker);
-        run_rounds(40);
+        harness.run_rounds(worker, 40);
         EXPECT_SAID(worker.starts == task_count, fmt::format("{} starts", worker.starts));
         EXPECT(worker.finished.empty());
         EXPECT_SAID(harness.scheduler.workers().at(worker.life).runs.empty(), "all runs have ended");
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -13,6 +13,9 @@
 MAX_HOLD_WAIT_S = 2.0
 STOP_S = 0.05
 RETRY_S = 0.5
+MAX_LISTED_ENDS = 500
+LATE_ANSWER_SHARE = 0.05  # of the answers to status queries
+LATE_ANSWER_S = (0.05, 0.4)  # what a lost packet or two cost
 NEVER = 1 << 62  # on a worker's clock
 lives = itertools.count(1)
 
@@ -25,6 +28,7 @@
         self.trace, self.ip, self.ports, self.service, self.bounds = trace, ip, ports, service, bounds
         self.id = f"worker-{next(lives)}"
         self.beat_s = beat_s
+        self.link = random.Random(self.id)
         self.cpu, self.memory = 16000, 32768
         self.clock_offset = random.randrange(100000, 900000)
         self.began = time.monotonic()
@@ -111,6 +115,8 @@
             while True:
                 request = await read_message(reader)
                 status, body = await self.respond(request.second, request.json(), request.headers)
+                if request.second == "/hold" and self.link.random() < LATE_ANSWER_SHARE:
+                    await asyncio.sleep(self.link.uniform(*LATE_ANSWER_S))
                 writer.write(format_response(status, body, {"X-Worker-Id": self.id}))
                 await writer.drain()
         except (ConnectionEnded, OSError, ValueError):
@@ -184,7 +190,7 @@
             except asyncio.TimeoutError:
                 pass
         active = [[task, run, "", 50] for task, run in self.active]
-        return 200, {"clock_ms": self.clock(), "active": active, "finished": self.finished[:500]}
+        return 200, {"clock_ms": self.clock(), "active": active, "finished": self.finished[:MAX_LISTED_ENDS]}
 
     # --- heartbeats ---
 
