--- a/tests/reconciliation/agent_world.hpp
+++ b/tests/reconciliation/agent_world.hpp
@@ -19,7 +19,6 @@
 class AgentWorld {
 public:
     static constexpr size_t machine_count = 2;
-    static constexpr Micros cancel_limit = seconds(3);  // from an answered cancellation to the last start
 
     AgentWorld(std::uint64_t seed, size_t max_listed_ends)
         : dice_(seed), scheduler_settings_(make_settings(max_listed_ends)), fixture_(scheduler_settings_) {
@@ -137,7 +136,6 @@
             if (!worker.runs.empty()) found.push_back("the leader keeps runs of " + worker_id);
         return found;
     }
-    size_t starts() const { return history_.size(); }
 
 private:
     struct Machine {
